--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with regression bounds."""
--- /dev/null
+++ b/hornbeampulley/__init__.py
@@ -0,0 +1,1 @@
+"""A request scheduler for fleets of unlike engines."""
--- /dev/null
+++ b/hornbeampulley/errors.py
@@ -0,0 +1,77 @@
+"""The errors of the project; each message names the remedy."""
+
+import dataclasses
+
+
+class HornbeamError(Exception):
+    """Base of all errors raised by this project."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault found in settings or in a change ticket.
+
+    Attributes
+    ----------
+    place : str
+        Where it stands, such as ``entry.ini [entry] port`` or
+        ``scope tiers, tiers[2].rank``.
+    problem : str
+        What is wrong.
+    remedy : str
+        What would be accepted.
+    """
+
+    place: str
+    problem: str
+    remedy: str
+
+    def __str__(self) -> str:
+        """Return the fault as one line."""
+        return f'{self.place}: {self.problem}; {self.remedy}'
+
+
+class FaultsError(HornbeamError):
+    """A document has one or more faults and is refused as a whole.
+
+    Parameters
+    ----------
+    faults : tuple of Fault
+        Every fault found, in the order of the document.
+    """
+
+    def __init__(self, faults: tuple[Fault, ...]) -> None:
+        super().__init__('\n'.join(str(fault) for fault in faults))
+        self.faults = faults
+
+
+class SettingsError(FaultsError):
+    """A settings file has faults."""
+
+
+class TicketError(FaultsError):
+    """A change ticket has faults."""
+
+
+class RequestIdError(HornbeamError):
+    """A request id is malformed or not valid at this entry."""
+
+
+class WireError(HornbeamError):
+    """A peer sent bytes that are not a valid frame."""
+
+
+class UnknownWorkspaceError(HornbeamError):
+    """No workspace of that name is in force."""
+
+
+class UnknownServiceError(HornbeamError):
+    """No service of that name is in force."""
+
+
+class NoRouteError(HornbeamError):
+    """No routing rule matches a request."""
+
+
+class TargetError(HornbeamError):
+    """A target failed to answer."""
--- /dev/null
+++ b/hornbeampulley/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts, ownership of shards, change tickets and their spread."""
--- /dev/null
+++ b/hornbeampulley/pipeline/__init__.py
@@ -0,0 +1,1 @@
+"""The filters that a request passes at its home."""
--- /dev/null
+++ b/hornbeampulley/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The programs; each only wires modules together."""
--- /dev/null
+++ b/hornbeampulley/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between the system's own processes."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; one file a module."""
