--- a/hornbeampulley/decisions/__init__.py
+++ b/hornbeampulley/decisions/__init__.py
@@ -22,6 +22,7 @@
     Warn,
     Withdraw,
 )
+from hornbeampulley.decisions._policies import Policy, policies
 
 __all__ = (
     'Action',
@@ -32,6 +33,7 @@
     'Lease',
     'LoadReport',
     'Outcome',
+    'Policy',
     'Preempt',
     'Progress',
     'Quarantine',
@@ -44,4 +46,5 @@
     'Tick',
     'Warn',
     'Withdraw',
+    'policies',
 )
--- /dev/null
+++ b/hornbeampulley/decisions/_policies.py
@@ -0,0 +1,33 @@
+"""The registry of scheduling policies."""
+
+from collections.abc import Callable
+from typing import Final, Protocol
+
+from hornbeampulley.decisions._messages import Action, Event
+from hornbeampulley.registry import Registry
+
+
+class Policy(Protocol):
+    """A scheduling policy for one pool shard; it does no I/O."""
+
+    def handle(self, event: Event, now_ms: float) -> tuple[Action, ...]:
+        """Take an event and return what is to be done about it.
+
+        Parameters
+        ----------
+        event : Event
+            What happened.
+        now_ms : float
+            The current time; must not decrease from call to call.
+
+        Returns
+        -------
+        tuple of Action
+            In the order in which they are to be carried out.
+        """
+
+
+PolicyFactory = Callable[[str, int], Policy]
+
+policies: Final[Registry[PolicyFactory]] = Registry('policy')
+"""Maps names to factories, called with a pool's name and a seed."""
