Add the peer protocol, links and the directory of hosts

Cause: the processes need a protocol of their own. Thrift's compact protocol in frames over one stream per peer, with heartbeats both ways, so a link that goes silent is closed after 800 ms. Ruled out: heartbeats of all hosts as whole records; quiet records travel as pulses of a key and a version.

--- a/Makefile
+++ b/Makefile
@@ -35,5 +35,5 @@
 
 # Regenerates the committed code of the peer protocol; needs thrift-compiler.
 generate:
-	rm -rf hornbeampulley/wire/generated
-	thrift --gen py:slots,package_prefix=hornbeampulley.wire.generated. -out build/thrift hornbeampulley/wire/peer.thrift
+	mkdir -p hornbeampulley/wire/generated
+	thrift --gen py:slots -out hornbeampulley/wire/generated hornbeampulley/wire/peer.thrift
--- /dev/null
+++ b/hornbeampulley/wire/_links.py
@@ -0,0 +1,233 @@
+"""Links: long-lived connections between two processes of the system."""
+
+import functools
+import logging
+from collections.abc import Callable
+from typing import Any, Final
+
+import trio
+
+from hornbeampulley.clock import Clock, to_seconds
+from hornbeampulley.errors import WireError
+from hornbeampulley.wire._frames import FrameDecoder, encode_frame
+from hornbeampulley.wire.generated.peer import ttypes
+
+HEARTBEAT_MS: Final = 250
+SILENCE_MS: Final = 800
+CONNECT_TIMEOUT_MS: Final = 1000
+MAX_QUEUED_MESSAGES: Final = 50_000
+_MAX_BATCH: Final = 200
+_RECEIVE_BYTES: Final = 65_536
+
+_log = logging.getLogger(__name__)
+
+MessageHandler = Callable[['Link', Any], None]
+HeartbeatMaker = Callable[[], ttypes.Heartbeat]
+
+
+class Link:
+    """One connection to a peer, with heartbeats in both directions.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+        The connected stream.
+    hello : Hello
+        What this process says of itself first.
+    make_heartbeat : callable
+        Returns the next heartbeat to send.
+    hybrid : object, optional
+        Hybrid logical clock with ``tick()`` and ``observe(text)``.
+
+    Attributes
+    ----------
+    peer : Hello or None
+        What the peer said of itself; None until then.
+    opened_ms : float
+        When the link was made.
+    heard_ms : float
+        When the peer was last heard.
+    """
+
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        hello: ttypes.Hello,
+        make_heartbeat: HeartbeatMaker = ttypes.Heartbeat,
+        hybrid: Any = None,
+    ) -> None:
+        self.peer: ttypes.Hello | None = None
+        self._stream = stream
+        self._hello = hello
+        self._make_heartbeat = make_heartbeat
+        self._hybrid = hybrid
+        self._clock = Clock(trio.current_time)
+        self.opened_ms = self._clock.now()
+        self.heard_ms = self._clock.now()
+        self._queue: list[Any] = [hello]
+        self._wakeup = trio.Event()
+        self._cancel_scope = trio.CancelScope()
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the link has ended."""
+        return self._cancel_scope.cancel_called
+
+    def send(self, *messages: Any) -> None:
+        """Queue messages; never blocks.
+
+        Parameters
+        ----------
+        *messages : thrift structs
+            A peer that lets more than `MAX_QUEUED_MESSAGES` wait is cut off.
+        """
+        self._queue.extend(messages)
+        self._wakeup.set()
+        if len(self._queue) > MAX_QUEUED_MESSAGES:
+            self.close()
+
+    def close(self) -> None:
+        """End the link."""
+        self._cancel_scope.cancel()
+
+    async def run(self, handle: MessageHandler) -> None:
+        """Serve the link until it closes, breaks or goes silent.
+
+        Parameters
+        ----------
+        handle : callable
+            Called with this link and each message received.
+        """
+        try:
+            with self._cancel_scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._receive, handle)
+                    nursery.start_soon(self._transmit)
+                    nursery.start_soon(self._beat)
+        finally:
+            self._cancel_scope.cancel()
+            await trio.aclose_forcefully(self._stream)
+
+    async def _receive(self, handle: MessageHandler) -> None:
+        decoder = FrameDecoder()
+        try:
+            while received := await self._stream.receive_some(_RECEIVE_BYTES):
+                self.heard_ms = self._clock.now()
+                for frame in decoder.feed(received):
+                    self._accept(frame, handle)
+        except WireError as error:
+            _log.warning('event=bad_frame error=%r', str(error))
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            _log.debug('event=link_broken')
+        self.close()
+
+    def _accept(self, frame: ttypes.Frame, handle: MessageHandler) -> None:
+        if self._hybrid is not None and frame.hlc:
+            self._hybrid.observe(frame.hlc)
+        for message in frame.messages:
+            if isinstance(message, ttypes.Hello):
+                self.peer = message
+            if self.peer is None:
+                raise WireError(
+                    'a peer spoke before its hello; it is not of this version',
+                )
+            handle(self, message)
+
+    async def _transmit(self) -> None:
+        try:
+            while True:
+                await self._wakeup.wait()
+                self._wakeup = trio.Event()
+                await self._flush()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self.close()
+
+    async def _flush(self) -> None:
+        while self._queue:
+            batch = self._queue[:_MAX_BATCH]
+            del self._queue[:_MAX_BATCH]
+            hlc = self._hybrid.tick() if self._hybrid is not None else ''
+            await self._stream.send_all(encode_frame(batch, hlc))
+
+    async def _beat(self) -> None:
+        self._wakeup.set()
+        while self._clock.now() - self.heard_ms < SILENCE_MS:
+            self.send(self._make_heartbeat())
+            await trio.sleep(to_seconds(HEARTBEAT_MS))
+        _log.info('event=link_silent')
+        self.close()
+
+
+async def open_stream(
+    address: str,
+    port: int,
+    local_address: str,
+) -> trio.SocketStream:
+    """Connect from this host's own address.
+
+    Parameters
+    ----------
+    address, port : str, int
+        Where the peer listens.
+    local_address : str
+        The address that the peer checks against the host list.
+
+    Returns
+    -------
+    trio.SocketStream
+        The connected stream.
+
+    Raises
+    ------
+    OSError
+        If it cannot connect within `CONNECT_TIMEOUT_MS`.
+    """
+    try:
+        with trio.fail_after(to_seconds(CONNECT_TIMEOUT_MS)):
+            return await trio.open_tcp_stream(
+                address,
+                port,
+                local_address=local_address,
+            )
+    except trio.TooSlowError as error:
+        raise OSError(
+            f'{address}:{port} did not answer within {CONNECT_TIMEOUT_MS} ms; '
+            'check that the host is up and the port is open',
+        ) from error
+
+
+async def serve_links(
+    address: str,
+    port: int,
+    accept: Callable[[trio.SocketStream], Any],
+    is_listed: Callable[[str], bool],
+) -> None:
+    """Listen for peers for ever.
+
+    Parameters
+    ----------
+    address, port : str, int
+        Where to listen.
+    accept : async callable
+        Called with each stream of a listed host.
+    is_listed : callable
+        Tells whether an address may connect.
+    """
+    await trio.serve_tcp(
+        functools.partial(_check_listed, accept, is_listed),
+        port,
+        host=address,
+    )
+
+
+async def _check_listed(
+    accept: Callable[[trio.SocketStream], Any],
+    is_listed: Callable[[str], bool],
+    stream: trio.SocketStream,
+) -> None:
+    remote = stream.socket.getpeername()[0]
+    if not is_listed(remote):
+        _log.warning('event=peer_not_listed address=%s', remote)
+        await stream.aclose()
+        return
+    await accept(stream)
--- /dev/null
+++ b/hornbeampulley/wire/peer.thrift
@@ -0,0 +1,186 @@
+// Messages between the processes of the system. A frame is a 4-byte
+// big-endian length and a Frame in the compact protocol.
+namespace py peer
+
+struct Hello {
+  1: string role
+  2: string host
+  3: string incarnation
+  4: string availability_zone
+  5: string address
+  6: i32 caller_port
+  7: i32 peer_port
+}
+
+struct Heartbeat {
+  1: i32 load
+  2: bool draining
+}
+
+struct Reserve {
+  1: string request_id
+  2: string workspace
+  3: string service_name
+  4: string tier
+  5: i32 prompt_tokens
+  6: i32 output_tokens
+  7: list<i64> block_hashes
+  8: i64 fingerprint
+  9: double deadline_in_ms
+  10: string idempotency_key
+  11: bool repeatable
+  12: string target
+  13: double waited_ms
+  14: string pool
+  15: double id_lease_age_ms
+}
+
+struct Withdraw { 1: string request_id }
+
+struct Progress {
+  1: string request_id
+  2: i32 output_tokens
+  3: double first_token_ms
+}
+
+struct Release {
+  1: string request_id
+  2: string outcome
+  3: i32 output_tokens
+  4: double first_token_ms
+  5: double duration_ms
+  6: i32 cached_tokens
+}
+
+struct Lease {
+  1: string request_id
+  2: string target
+  3: double valid_ms
+  4: bool resume
+}
+
+struct Refuse {
+  1: string request_id
+  2: string reason
+  3: bool ran
+  4: double retry_after_ms
+}
+
+struct Preempt {
+  1: string request_id
+  2: string target
+}
+
+struct Quarantine {
+  1: string pool
+  2: i64 fingerprint
+}
+
+struct FateQuery {
+  1: string request_id
+  2: string asker
+}
+
+struct FateAnswer {
+  1: string request_id
+  2: bool never_ran
+}
+
+struct Member {
+  1: string role
+  2: string incarnation
+  3: i32 caller_port
+  4: i32 peer_port
+  5: i32 load
+  6: bool draining
+}
+
+struct HostRecord {
+  1: string host
+  2: string address
+  3: string availability_zone
+  4: i64 started_ms
+  5: i64 version
+  6: list<Member> members
+}
+
+struct TicketSummary {
+  1: string scope
+  2: i64 number
+  3: i64 digest
+}
+
+struct TicketText {
+  1: string scope
+  2: binary text
+}
+
+// From an agent to the other processes of its host.
+struct View {
+  1: list<TicketText> tickets
+  2: list<HostRecord> hosts
+  3: list<string> leaving
+  4: double fresh_age_ms
+  5: bool ready
+  6: i64 serial
+}
+
+struct Pulse {
+  1: i64 key
+  2: i32 version
+}
+
+// Between agents, about hosts.
+struct DirectoryNews {
+  1: list<HostRecord> records
+  2: list<Pulse> pulses
+  3: list<i64> wanted
+}
+
+// Between agents, about tickets and the host list.
+struct TicketNews {
+  1: i64 serial
+  2: double fresh_age_ms
+  3: list<TicketSummary> summary
+  4: list<TicketText> tickets
+  5: list<string> wanted
+  6: binary host_list
+  7: i64 host_list_version
+  8: bool asks_summary
+}
+
+struct Query {
+  1: i64 number
+  2: string command
+  3: string argument
+}
+
+struct Reply {
+  1: i64 number
+  2: string text
+}
+
+union Message {
+  1: Hello hello
+  2: Heartbeat heartbeat
+  3: Reserve reserve
+  4: Withdraw withdraw
+  5: Progress progress
+  6: Release release
+  7: Lease lease
+  8: Refuse refuse
+  9: Preempt preempt
+  10: Quarantine quarantine
+  11: FateQuery fate_query
+  12: FateAnswer fate_answer
+  13: View view
+  14: DirectoryNews directory_news
+  15: Query query
+  16: Reply reply
+  17: TicketNews ticket_news
+}
+
+struct Frame {
+  1: string hlc
+  2: list<Message> messages
+}
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,9 @@
 
 import os
 
+import pytest
+import trio
+import trio.testing
 from hypothesis import HealthCheck, settings
 
 settings.register_profile(
@@ -14,3 +17,14 @@
 )
 settings.register_profile('deep', max_examples=2000, deadline=None)
 settings.load_profile(os.environ.get('HYPOTHESIS_PROFILE', 'ci'))
+
+
+@pytest.fixture
+def mock_run():
+    """Return a function that runs an async one in virtual time."""
+
+    def run(function, *arguments):
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        return trio.run(function, *arguments, clock=clock)
+
+    return run
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,114 @@
+"""Tests of ``hornbeampulley.wire``."""
+
+import pytest
+import trio
+import trio.testing
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hornbeampulley import decisions, wire
+from hornbeampulley.errors import WireError
+from hornbeampulley.wire.generated.peer import ttypes
+
+HELLO = ttypes.Hello('entry', 'host-1', 'a' * 16, 'split-a', '127.0.0.1', 1, 2)
+
+
+def make_reserve(**changes):
+    fields = {
+        'request_id': 'r',
+        'workspace': 'w',
+        'service_name': 's',
+        'tier': 't',
+        'prompt_tokens': 5,
+        'output_tokens': 6,
+        'block_hashes': [1, wire.HASH_MASK],
+        'fingerprint': 7,
+        'deadline_in_ms': 100.0,
+        'idempotency_key': '',
+        'repeatable': True,
+        'target': '',
+        'waited_ms': 0.0,
+        'pool': 'p',
+        'id_lease_age_ms': 0.0,
+    }
+    return ttypes.Reserve(**(fields | changes))
+
+
+@given(st.lists(st.integers(1, 40), max_size=30))
+def test_frames_survive_any_cut(cuts):
+    stream = wire.encode_frame([HELLO, make_reserve()], '12.1') * 3
+    decoder = wire.FrameDecoder()
+    frames = []
+    for cut in cuts:
+        frames.extend(decoder.feed(stream[:cut]))
+        stream = stream[cut:]
+    frames.extend(decoder.feed(stream))
+    assert [frame.hlc for frame in frames] == ['12.1'] * 3
+    assert frames[0].messages == [HELLO, make_reserve()]
+
+
+@given(st.binary(max_size=300))
+def test_garbage_is_a_wire_error(body):
+    try:
+        frame = wire.decode_body(body)
+    except WireError:
+        return
+    assert isinstance(frame.messages, list)
+
+
+@given(st.integers(0, 100), st.integers(0, 255))
+def test_a_changed_byte_never_crashes(index, byte):
+    body = bytearray(wire.encode_frame([make_reserve()])[4:])
+    body[index % len(body)] = byte
+    try:
+        wire.decode_body(bytes(body))
+    except WireError as error:
+        assert 'version' in str(error)
+
+
+def test_an_oversized_frame_is_refused_before_it_is_held():
+    with pytest.raises(WireError, match='over the limit'):
+        list(wire.FrameDecoder().feed(b'\xff\xff\xff\xff'))
+
+
+def test_conversion_of_events_and_actions():
+    event = wire.read_reserve(make_reserve(), 'home', now_ms=50)
+    assert event.deadline_ms == 150
+    assert event.block_hashes == (1, wire.HASH_MASK)
+    lease = wire.write_action(decisions.Lease('r', 'home', 'target', 20))
+    assert lease == ttypes.Lease('r', 'target', 20, False)
+
+
+async def run_pair(handle):
+    left, right = trio.testing.memory_stream_pair()
+    links = [wire.Link(left, HELLO), wire.Link(right, HELLO)]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(links[0].run, handle)
+        nursery.start_soon(links[1].run, handle)
+        links[0].send(ttypes.Withdraw('r'))
+        await trio.sleep(30)
+        alive = [not link.is_closed for link in links]
+        nursery.cancel_scope.cancel()
+    return alive
+
+
+def test_link_carries_messages_and_lives_by_heartbeats(mock_run):
+    seen = []
+
+    def note(_link, message):
+        seen.append(message)
+
+    alive = mock_run(run_pair, note)
+    assert ttypes.Withdraw('r') in seen
+    assert alive == [True, True]
+
+
+def test_silent_link_is_closed(mock_run):
+    async def run():
+        left, _right = trio.testing.memory_stream_pair()
+        link = wire.Link(left, HELLO)
+        started = trio.current_time()
+        await link.run(lambda _link, _message: None)
+        return trio.current_time() - started
+
+    assert mock_run(run) <= (wire.SILENCE_MS + wire.HEARTBEAT_MS) / 1000
