--- a/hornbeampulley/errors.py
+++ b/hornbeampulley/errors.py
@@ -75,3 +75,15 @@
 
 class TargetError(HornbeamError):
     """A target failed to answer."""
+
+
+class RequestStateError(HornbeamError):
+    """A request is not in the state that an operation needs."""
+
+
+class AlreadyDispatchedError(RequestStateError):
+    """A request was marked as dispatched before."""
+
+
+class LedgerFullError(HornbeamError):
+    """A home holds as many id leases or open requests as it may."""
