Parse change tickets and build the configuration from them

Cause: operators drive the system with numbered tickets of one scope each, and a bad one must be refused whole with every fault and its remedy. Ruled out: refusing references across scopes (a rule that names an unknown tier); scopes change independently, so they are warnings of check_references. An empty list is a fault but in targets/<pool>, where it retires the pool. Change: parse_ticket, a registry of scope checkers, build_configuration. Faults past 1,000 are counted, not listed, so that memory stays bounded.

--- /dev/null
+++ b/hornbeampulley/membership/_assembly.py
@@ -0,0 +1,131 @@
+"""The configuration that the tickets in force make together."""
+
+from collections.abc import Iterable, Iterator
+from typing import TypeVar
+
+from hornbeampulley.configuration import (
+    ANY,
+    Configuration,
+    RoutingRule,
+    Service,
+    Target,
+    Tier,
+    Workspace,
+)
+from hornbeampulley.errors import Fault
+from hornbeampulley.membership._tickets import Ticket
+
+_Kind = TypeVar('_Kind', Tier, Workspace, Service, Target, RoutingRule)
+
+
+def build_configuration(tickets: Iterable[Ticket]) -> Configuration:
+    """Build the configuration from the tickets in force.
+
+    Parameters
+    ----------
+    tickets : iterable of Ticket
+        At most one a scope, in any order.
+
+    Returns
+    -------
+    Configuration
+        The same for the same tickets; of targets of one name in two pools,
+        the one of the first pool in alphabetical order counts.
+    """
+    ordered = sorted(tickets, key=_get_scope)
+    targets: dict[str, Target] = {}
+    for target in _select(ordered, Target):
+        targets.setdefault(target.name, target)
+    return Configuration(
+        tiers={tier.name: tier for tier in _select(ordered, Tier)},
+        workspaces={
+            workspace.name: workspace
+            for workspace in _select(ordered, Workspace)
+        },
+        services={
+            service.name: service for service in _select(ordered, Service)
+        },
+        targets=targets,
+        rules=tuple(_select(ordered, RoutingRule)),
+        numbers={ticket.scope: ticket.number for ticket in ordered},
+    )
+
+
+def check_references(tickets: Iterable[Ticket]) -> tuple[Fault, ...]:
+    """List the names that point to nothing in another scope.
+
+    Scopes change independently, so these are warnings and no ticket is
+    refused for them.
+
+    Parameters
+    ----------
+    tickets : iterable of Ticket
+        At most one a scope, in any order.
+
+    Returns
+    -------
+    tuple of Fault
+        Empty if every reference is met.
+    """
+    ordered = sorted(tickets, key=_get_scope)
+    configuration = build_configuration(ordered)
+    return (
+        *_check_rules(configuration),
+        *_check_services(configuration),
+        *_check_targets(ordered, configuration),
+    )
+
+
+def _get_scope(ticket: Ticket) -> str:
+    return ticket.scope
+
+
+def _select(tickets: Iterable[Ticket], kind: type[_Kind]) -> Iterator[_Kind]:
+    for ticket in tickets:
+        for entry in ticket.state:
+            if isinstance(entry, kind):
+                yield entry
+
+
+def _check_rules(configuration: Configuration) -> Iterator[Fault]:
+    for index, rule in enumerate(configuration.rules):
+        references = (
+            ('tier', rule.tier, configuration.tiers),
+            ('workspace', rule.workspace, configuration.workspaces),
+            ('service', rule.service, configuration.services),
+        )
+        for key, name, known in references:
+            if name != ANY and name not in known:
+                yield Fault(
+                    f'scope rules, state[{index}].{key}',
+                    f'no {key} {name} is in force',
+                    f'create it with a ticket of scope {key}s or mend the rule',
+                )
+
+
+def _check_services(configuration: Configuration) -> Iterator[Fault]:
+    kinds = {
+        (target.pool, target.kind) for target in configuration.targets.values()
+    }
+    for name, service in configuration.services.items():
+        if (service.pool, service.kind) not in kinds:
+            yield Fault(
+                f'scope services, service {name}',
+                f'pool {service.pool} has no target of kind '
+                f'{service.kind.value}',
+                f'create one with a ticket of scope targets/{service.pool}',
+            )
+
+
+def _check_targets(
+    tickets: Iterable[Ticket],
+    configuration: Configuration,
+) -> Iterator[Fault]:
+    for target in _select(tickets, Target):
+        kept = configuration.targets[target.name]
+        if kept.pool != target.pool:
+            yield Fault(
+                f'scope targets/{target.pool}, target {target.name}',
+                f'stands in pool {kept.pool} too, which counts',
+                'give it another name or take it out of one pool',
+            )
--- /dev/null
+++ b/hornbeampulley/membership/_fields.py
@@ -0,0 +1,278 @@
+"""Typed fields of the entries of a change ticket."""
+
+import dataclasses
+import ipaddress
+import re
+from collections.abc import Callable, Mapping
+from typing import Final
+
+from hornbeampulley.configuration import ANY, ServiceKind
+from hornbeampulley.errors import Fault, HornbeamError
+
+MAX_FAULTS: Final = 1000
+_NAME: Final = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
+_LABEL: Final = re.compile('[A-Za-z0-9._:/@+-]{0,128}')
+_SHOWN_CHARACTERS: Final = 40
+
+
+class FieldError(HornbeamError):
+    """A value is not accepted.
+
+    Parameters
+    ----------
+    problem : str
+        What is wrong.
+    remedy : str
+        What would be accepted.
+    """
+
+    def __init__(self, problem: str, remedy: str) -> None:
+        super().__init__(f'{problem}; {remedy}')
+        self.problem = problem
+        self.remedy = remedy
+
+
+class FaultList:
+    """Collects faults; past a bound it only counts them."""
+
+    def __init__(self) -> None:
+        self._faults: list[Fault] = []
+        self._omitted = 0
+
+    def add(self, place: str, problem: str, remedy: str) -> None:
+        """Add a fault.
+
+        Parameters
+        ----------
+        place, problem, remedy : str
+            The fields of the fault.
+        """
+        if len(self._faults) < MAX_FAULTS:
+            self._faults.append(Fault(place, problem, remedy))
+        else:
+            self._omitted += 1
+
+    def collect(self) -> tuple[Fault, ...]:
+        """Return the faults.
+
+        Returns
+        -------
+        tuple of Fault
+            In the order in which they were found; the last one counts those
+            that were omitted.
+        """
+        if not self._omitted:
+            return tuple(self._faults)
+        rest = Fault(
+            'the rest of the document',
+            f'{self._omitted} more faults',
+            'mend those above and check again',
+        )
+        return (*self._faults, rest)
+
+
+Read = Callable[[object], object]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Field:
+    """One key of an entry.
+
+    Attributes
+    ----------
+    name : str
+        The key.
+    read : callable
+        Converts the JSON value or raises ``FieldError``.
+    required : bool
+        Whether the key must be there.
+    """
+
+    name: str
+    read: Read
+    required: bool = False
+
+
+def read_entry(
+    entry: object,
+    place: str,
+    fields: Mapping[str, Field],
+    faults: FaultList,
+) -> dict[str, object] | None:
+    """Read one entry and add its faults to a list.
+
+    Parameters
+    ----------
+    entry : object
+        Decoded JSON.
+    place : str
+        Where it stands.
+    fields : mapping
+        The known keys.
+    faults : FaultList
+        Takes the faults.
+
+    Returns
+    -------
+    dict or None
+        The values read; None if the entry has a fault.
+    """
+    if not isinstance(entry, dict):
+        faults.add(place, f'is {show(entry)}', 'write an object')
+        return None
+    values: dict[str, object] = {}
+    sound = _check_keys(entry, place, fields, faults)
+    for key in fields.keys() & entry.keys():
+        try:
+            values[key] = fields[key].read(entry[key])
+        except FieldError as error:
+            faults.add(f'{place}.{key}', error.problem, error.remedy)
+            sound = False
+    return values if sound else None
+
+
+def read_name(content: object) -> str:
+    """Read a name of letters, digits, dots, dashes and underscores."""
+    if isinstance(content, str) and _NAME.fullmatch(content):
+        return content
+    raise FieldError(
+        f'is {show(content)}',
+        'write 1 to 64 letters, digits, dots, dashes or underscores, '
+        'beginning with a letter or digit',
+    )
+
+
+def read_name_or_any(content: object) -> str:
+    """Read a name or ``*``."""
+    return ANY if content == ANY else read_name(content)
+
+
+def read_label(content: object) -> str:
+    """Read a free label, which may be empty."""
+    if isinstance(content, str) and _LABEL.fullmatch(content):
+        return content
+    raise FieldError(
+        f'is {show(content)}',
+        'write at most 128 letters, digits or any of . _ : / @ + -',
+    )
+
+
+def read_flag(content: object) -> bool:
+    """Read true or false."""
+    if isinstance(content, bool):
+        return content
+    raise FieldError(f'is {show(content)}', 'write true or false')
+
+
+def read_kind(content: object) -> ServiceKind:
+    """Read a kind of service."""
+    kinds = {kind.value: kind for kind in ServiceKind}
+    if isinstance(content, str) and content in kinds:
+        return kinds[content]
+    accepted = ' or '.join(f'"{name}"' for name in kinds)
+    raise FieldError(f'is {show(content)}', f'write {accepted}')
+
+
+def read_address(content: object) -> str:
+    """Read an IP address."""
+    try:
+        return str(ipaddress.ip_address(str(content)))
+    except ValueError as error:
+        raise FieldError(
+            f'is {show(content)}',
+            'write an IPv4 or IPv6 address such as "192.0.2.7"',
+        ) from error
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IntegerReader:
+    """Reads whole numbers within bounds.
+
+    Attributes
+    ----------
+    lowest, highest : int
+        Inclusive bounds.
+    """
+
+    lowest: int
+    highest: int
+
+    def __call__(self, content: object) -> int:
+        """Return the number or raise ``FieldError``."""
+        is_integer = isinstance(content, int) and not isinstance(content, bool)
+        if is_integer and self.lowest <= content <= self.highest:
+            return content
+        raise FieldError(
+            f'is {show(content)}',
+            f'write a whole number from {self.lowest} to {self.highest}',
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NumberReader:
+    """Reads numbers within bounds.
+
+    Attributes
+    ----------
+    lowest, highest : float
+        Inclusive bounds.
+    """
+
+    lowest: float
+    highest: float
+
+    def __call__(self, content: object) -> float:
+        """Return the number or raise ``FieldError``."""
+        is_number = isinstance(content, int | float)
+        if isinstance(content, bool) or not is_number:
+            raise self._refuse(content)
+        if not self.lowest <= content <= self.highest:
+            raise self._refuse(content)
+        return float(content)
+
+    def _refuse(self, content: object) -> FieldError:
+        return FieldError(
+            f'is {show(content)}',
+            f'write a number from {self.lowest:g} to {self.highest:g}',
+        )
+
+
+def show(content: object) -> str:
+    """Return a short form of a JSON value for a message.
+
+    Parameters
+    ----------
+    content : object
+        Decoded JSON.
+
+    Returns
+    -------
+    str
+        At most a few dozen characters.
+    """
+    if isinstance(content, list | dict):
+        return 'a list' if isinstance(content, list) else 'an object'
+    text = ascii(content)
+    if len(text) <= _SHOWN_CHARACTERS:
+        return text
+    return f'{text[:_SHOWN_CHARACTERS]}...'
+
+
+def _check_keys(
+    entry: dict[str, object],
+    place: str,
+    fields: Mapping[str, Field],
+    faults: FaultList,
+) -> bool:
+    known = ', '.join(fields)
+    unknown = [key for key in entry if key not in fields]
+    missing = [
+        field.name
+        for field in fields.values()
+        if field.required and field.name not in entry
+    ]
+    for extra in unknown:
+        faults.add(place, f'has unknown key {show(extra)}', f'use {known}')
+    for name in missing:
+        faults.add(f'{place}.{name}', 'is missing', 'add it')
+    return not (unknown or missing)
--- /dev/null
+++ b/hornbeampulley/membership/_scopes.py
@@ -0,0 +1,277 @@
+"""The checks of each scope of a change ticket."""
+
+import dataclasses
+import functools
+from collections import Counter
+from collections.abc import Callable, Iterable
+from typing import Final, TypeVar
+
+from hornbeampulley.configuration import (
+    RoutingRule,
+    Service,
+    Target,
+    Tier,
+    Workspace,
+)
+from hornbeampulley.membership._fields import (
+    FaultList,
+    Field,
+    FieldError,
+    IntegerReader,
+    NumberReader,
+    read_address,
+    read_entry,
+    read_flag,
+    read_kind,
+    read_label,
+    read_name,
+    read_name_or_any,
+)
+from hornbeampulley.registry import Registry
+
+SCOPE_TARGETS: Final = 'targets'
+Entry = Tier | Workspace | Service | RoutingRule | Target
+_Built = TypeVar('_Built')
+_read_part: Final = NumberReader(0, 1)
+_read_count: Final = IntegerReader(1, 1_000_000)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class State:
+    """The undecoded entries of a ticket.
+
+    Attributes
+    ----------
+    scope : str
+        The scope as written.
+    entries : list
+        Decoded JSON of the key ``state``.
+    faults : FaultList
+        Takes the faults.
+    """
+
+    scope: str
+    entries: list[object]
+    faults: FaultList
+
+    @property
+    def pool(self) -> str:
+        """The part of the scope behind the slash."""
+        return self.scope.partition('/')[2]
+
+    def locate(self, index: int) -> str:
+        """Return the place of an entry for messages.
+
+        Parameters
+        ----------
+        index : int
+            Position in the list.
+
+        Returns
+        -------
+        str
+            Such as ``scope tiers, state[2]``.
+        """
+        return f'scope {self.scope}, state[{index}]'
+
+
+Checker = Callable[[State], tuple[Entry, ...]]
+scopes: Final[Registry[Checker]] = Registry('scope')
+"""Maps the first part of a scope to the checker of its entries."""
+
+
+def _list_fields(*fields: Field) -> dict[str, Field]:
+    return {field.name: field for field in fields}
+
+
+_TIER: Final = _list_fields(
+    Field('name', read_name, required=True),
+    Field('rank', IntegerReader(0, 99), required=True),
+    Field('headroom', _read_part),
+    Field('floor', _read_part),
+)
+_WORKSPACE: Final = _list_fields(
+    Field('name', read_name, required=True),
+    Field('share', NumberReader(0.001, 1_000_000)),
+)
+_SERVICE: Final = _list_fields(
+    Field('name', read_name, required=True),
+    Field('pool', read_name, required=True),
+    Field('kind', read_kind),
+    Field('repeatable', read_flag),
+    Field('output_tokens', _read_count),
+)
+_RULE: Final = _list_fields(
+    Field('workspace', read_name_or_any, required=True),
+    Field('service', read_name_or_any, required=True),
+    Field('tier', read_name, required=True),
+)
+_TARGET: Final = _list_fields(
+    Field('name', read_name, required=True),
+    Field('address', read_address, required=True),
+    Field('port', IntegerReader(1, 65535), required=True),
+    Field('availability_zone', read_name, required=True),
+    Field('kind', read_kind),
+    Field('slots', IntegerReader(1, 100_000)),
+    Field('generation', read_label),
+    Field('checks_fencing', read_flag),
+    Field('cache_blocks', IntegerReader(0, 1_000_000_000)),
+    Field('model', read_label),
+)
+
+
+@scopes.register('tiers')
+def check_tiers(state: State) -> tuple[Entry, ...]:
+    """Check the tiers: unique names and ranks, shares that add up.
+
+    Parameters
+    ----------
+    state : State
+        The undecoded entries.
+
+    Returns
+    -------
+    tuple of Tier
+        The entries without a fault.
+    """
+    _refuse_empty(state)
+    tiers = _build_entries(state, _TIER, Tier)
+    _refuse_twice(state, 'name', (tier.name for tier in tiers))
+    _refuse_twice(state, 'rank', (tier.rank for tier in tiers))
+    _refuse_excess(state, 'headroom', sum(tier.headroom for tier in tiers))
+    _refuse_excess(state, 'floor', sum(tier.floor for tier in tiers))
+    return tiers
+
+
+@scopes.register('workspaces')
+def check_workspaces(state: State) -> tuple[Entry, ...]:
+    """Check the workspaces: unique names.
+
+    Parameters
+    ----------
+    state : State
+        The undecoded entries.
+
+    Returns
+    -------
+    tuple of Workspace
+        The entries without a fault.
+    """
+    _refuse_empty(state)
+    workspaces = _build_entries(state, _WORKSPACE, Workspace)
+    _refuse_twice(state, 'name', (entry.name for entry in workspaces))
+    return workspaces
+
+
+@scopes.register('services')
+def check_services(state: State) -> tuple[Entry, ...]:
+    """Check the services: unique names.
+
+    Parameters
+    ----------
+    state : State
+        The undecoded entries.
+
+    Returns
+    -------
+    tuple of Service
+        The entries without a fault.
+    """
+    _refuse_empty(state)
+    services = _build_entries(state, _SERVICE, Service)
+    _refuse_twice(state, 'name', (service.name for service in services))
+    return services
+
+
+@scopes.register('rules')
+def check_rules(state: State) -> tuple[Entry, ...]:
+    """Check the routing rules: no pair of names stands twice.
+
+    Parameters
+    ----------
+    state : State
+        The undecoded entries.
+
+    Returns
+    -------
+    tuple of RoutingRule
+        The entries without a fault.
+    """
+    _refuse_empty(state)
+    rules = _build_entries(state, _RULE, RoutingRule)
+    pairs = (f'{rule.workspace} and {rule.service}' for rule in rules)
+    _refuse_twice(state, 'workspace and service', pairs)
+    return rules
+
+
+@scopes.register(SCOPE_TARGETS)
+def check_targets(state: State) -> tuple[Entry, ...]:
+    """Check the targets of a pool: unique names and addresses.
+
+    An empty list is accepted: it retires the pool.
+
+    Parameters
+    ----------
+    state : State
+        The undecoded entries.
+
+    Returns
+    -------
+    tuple of Target
+        The entries without a fault.
+    """
+    try:
+        pool = read_name(state.pool)
+    except FieldError as error:
+        state.faults.add('scope', f'pool {error.problem}', error.remedy)
+        return ()
+
+    build = functools.partial(Target, pool=pool)
+    targets = _build_entries(state, _TARGET, build)
+    _refuse_twice(state, 'name', (target.name for target in targets))
+    _refuse_twice(
+        state,
+        'address and port',
+        (f'{target.address} {target.port}' for target in targets),
+    )
+    return targets
+
+
+def _build_entries(
+    state: State,
+    fields: dict[str, Field],
+    build: Callable[..., _Built],
+) -> tuple[_Built, ...]:
+    found = (
+        read_entry(entry, state.locate(index), fields, state.faults)
+        for index, entry in enumerate(state.entries)
+    )
+    return tuple(build(**values) for values in found if values is not None)
+
+
+def _refuse_empty(state: State) -> None:
+    if not state.entries:
+        state.faults.add(
+            f'scope {state.scope}, state',
+            'is an empty list',
+            'write the whole state, with at least one entry',
+        )
+
+
+def _refuse_twice(state: State, key: str, names: Iterable[object]) -> None:
+    for name, count in Counter(names).items():
+        if count > 1:
+            state.faults.add(
+                f'scope {state.scope}, state',
+                f'{key} {name} stands {count} times',
+                'keep one',
+            )
+
+
+def _refuse_excess(state: State, key: str, total: float) -> None:
+    if total > 1:
+        state.faults.add(
+            f'scope {state.scope}, state',
+            f'the values of {key} add up to {total:g}',
+            'let them add up to 1 at most',
+        )
--- /dev/null
+++ b/hornbeampulley/membership/_tickets.py
@@ -0,0 +1,189 @@
+"""Change tickets: numbered, each with the whole new state of one scope."""
+
+import dataclasses
+import functools
+import json
+from collections import Counter
+from typing import Final, NoReturn
+
+import xxhash
+
+from hornbeampulley.errors import TicketError
+from hornbeampulley.membership._fields import (
+    FaultList,
+    FieldError,
+    IntegerReader,
+    show,
+)
+from hornbeampulley.membership._scopes import (
+    SCOPE_TARGETS,
+    Entry,
+    State,
+    scopes,
+)
+
+MAX_TICKET_BYTES: Final = 1_048_576
+MAX_TICKET_NUMBER: Final = 2**63 - 1
+_KEYS: Final = ('ticket', 'scope', 'state')
+_read_number: Final = IntegerReader(1, MAX_TICKET_NUMBER)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """A change ticket without a fault.
+
+    Attributes
+    ----------
+    number : int
+        Grows with each change of the scope.
+    scope : str
+        What the ticket replaces.
+    state : tuple
+        The whole new state: entries from ``hornbeampulley.configuration``.
+    digest : str
+        Hash of the content; equal for texts that differ only in layout.
+    text : bytes
+        The text as it was read.
+    """
+
+    number: int
+    scope: str
+    state: tuple[Entry, ...]
+    digest: str
+    text: bytes = dataclasses.field(repr=False)
+
+
+def parse_ticket(text: bytes) -> Ticket:
+    """Read a change ticket and check it as a whole.
+
+    Parameters
+    ----------
+    text : bytes
+        JSON with the keys ``ticket``, ``scope`` and ``state``.
+
+    Returns
+    -------
+    Ticket
+        The ticket.
+
+    Raises
+    ------
+    TicketError
+        Lists every fault.
+    """
+    faults = FaultList()
+    document = decode_document(text, faults)
+    if document is None:
+        raise TicketError(faults.collect())
+    number = _check_number(document, faults)
+    state = _check_state(document, faults)
+    found = faults.collect()
+    if found:
+        raise TicketError(found)
+    scope = str(document['scope'])
+    return Ticket(number, scope, state, _hash_document(document), text)
+
+
+def decode_document(
+    text: bytes,
+    faults: FaultList,
+) -> dict[str, object] | None:
+    """Decode a JSON object strictly.
+
+    Parameters
+    ----------
+    text : bytes
+        UTF-8 text; keys that stand twice and numbers that JSON does not have
+        are faults.
+    faults : FaultList
+        Takes the faults.
+
+    Returns
+    -------
+    dict or None
+        The object; None if it cannot be decoded.
+    """
+    if len(text) > MAX_TICKET_BYTES:
+        faults.add(
+            'the text',
+            f'has {len(text)} bytes',
+            f'write at most {MAX_TICKET_BYTES} bytes',
+        )
+        return None
+
+    try:
+        document = json.loads(
+            text.decode('utf-8'),
+            object_pairs_hook=functools.partial(_build_object, faults),
+            parse_constant=_refuse_constant,
+        )
+    except (ValueError, RecursionError) as error:
+        faults.add('the text', f'is not JSON: {error}', 'write it whole')
+        return None
+    if not isinstance(document, dict):
+        faults.add('the text', f'is {show(document)}', 'write an object')
+        return None
+    return document
+
+
+def _build_object(
+    faults: FaultList,
+    pairs: list[tuple[str, object]],
+) -> dict[str, object]:
+    built = dict(pairs)
+    if len(built) < len(pairs):
+        counts = Counter(key for key, _ in pairs)
+        for key, count in counts.items():
+            if count > 1:
+                faults.add(
+                    'the text',
+                    f'key {show(key)} stands twice in one object',
+                    'keep one',
+                )
+    return built
+
+
+def _refuse_constant(name: str) -> NoReturn:
+    raise ValueError(f'{name} is not a number')
+
+
+def _check_number(document: dict[str, object], faults: FaultList) -> int:
+    for key in document:
+        if key not in _KEYS:
+            faults.add(
+                'the ticket',
+                f'has unknown key {show(key)}',
+                f'use {", ".join(_KEYS)}',
+            )
+    try:
+        return _read_number(document.get('ticket'))
+    except FieldError as error:
+        faults.add('ticket', error.problem, error.remedy)
+        return 0
+
+
+def _check_state(
+    document: dict[str, object],
+    faults: FaultList,
+) -> tuple[Entry, ...]:
+    scope = document.get('scope')
+    entries = document.get('state')
+    checkers = dict(scopes)
+    kind, slash, _ = str(scope).partition('/')
+    is_known = kind in checkers and bool(slash) == (kind == SCOPE_TARGETS)
+    if not isinstance(scope, str) or not is_known:
+        known = ', '.join(
+            f'{name}/<pool>' if name == SCOPE_TARGETS else name
+            for name in checkers
+        )
+        faults.add('scope', f'is {show(scope)}', f'use one of {known}')
+    if not isinstance(entries, list):
+        faults.add('state', f'is {show(entries)}', 'write a list of entries')
+    if not isinstance(entries, list) or not is_known:
+        return ()
+    return checkers[kind](State(str(scope), entries, faults))
+
+
+def _hash_document(document: dict[str, object]) -> str:
+    canonical = json.dumps(document, sort_keys=True, separators=(',', ':'))
+    return xxhash.xxh3_64_hexdigest(canonical.encode('ascii'))
