--- a/hornbeampulley/configuration.py
+++ b/hornbeampulley/configuration.py
@@ -79,6 +79,8 @@
         Whether a call may be run twice (idempotent).
     output_tokens : int
         Expected length of an answer in tokens, before any was seen.
+    path : str
+        Path of the call on its targets.
     """
 
     name: str
@@ -86,6 +88,7 @@
     kind: ServiceKind = ServiceKind.MODEL
     repeatable: bool = True
     output_tokens: int = 200
+    path: str = '/generate'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/hornbeampulley/pipeline/_admissions.py
@@ -0,0 +1,60 @@
+"""What a caller is told when its request id is not admitted."""
+
+from typing import Final
+
+from hornbeampulley.identity import Admission, Ran
+from hornbeampulley.pipeline._problems import Problem, ProblemError
+
+RETRY_MS: Final = 1000.0
+
+_PROBLEMS: Final = {
+    Admission.HANDLED: Problem(
+        410,
+        'answer no longer kept',
+        'the request of this id was handled and its answer is no longer '
+        'kept; look the outcome up where it was filed',
+        Ran.UNKNOWN,
+    ),
+    Admission.EXPIRED_LEASE: Problem(
+        409,
+        'id lease expired',
+        'the id lease has expired; ask /v1/entries for a new one and send '
+        'the request under a new id',
+    ),
+    Admission.UNKNOWN_LEASE: Problem(
+        400,
+        'id lease unknown',
+        'this entry never granted the id lease; ask /v1/entries for one',
+    ),
+    Admission.WRONG_WORKSPACE: Problem(
+        403,
+        'id of another workspace',
+        'the id lease was granted to another workspace; ask /v1/entries for '
+        'one of your own',
+        Ran.UNKNOWN,
+    ),
+    Admission.WINDOW_FULL: Problem(
+        503,
+        'entry full',
+        'too many requests are open at this entry; repeat the request with '
+        'the same id, or ask /v1/entries for another entry',
+        Ran.UNKNOWN,
+        RETRY_MS,
+    ),
+}
+
+
+def refuse_admission(admission: Admission) -> ProblemError:
+    """Return the error for an id that is not admitted.
+
+    Parameters
+    ----------
+    admission : Admission
+        Why not.
+
+    Returns
+    -------
+    ProblemError
+        To be raised.
+    """
+    return ProblemError(_PROBLEMS[admission])
--- /dev/null
+++ b/hornbeampulley/pipeline/_callers.py
@@ -0,0 +1,324 @@
+"""The interface to callers: an ASGI application."""
+
+import dataclasses
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, Protocol
+
+import trio
+
+from hornbeampulley.errors import LedgerFullError, RequestIdError
+from hornbeampulley.identity import Ran, RequestId
+from hornbeampulley.pipeline._answers import Answer, decode_answer
+from hornbeampulley.pipeline._exchanges import (
+    CallerGoneError,
+    Exchange,
+    Receive,
+    Send,
+)
+from hornbeampulley.pipeline._filters import run_filters
+from hornbeampulley.pipeline._forwarding import Forwarder
+from hornbeampulley.pipeline._home import Home
+from hornbeampulley.pipeline._problems import Problem, ProblemError
+from hornbeampulley.pipeline._requests import Incoming, Request
+from hornbeampulley.registry import Registry
+
+KEEP_ENTRIES_MS: Final = 30_000
+RETRY_MS: Final = 1000.0
+_REQUESTS_PATH: Final = '/v1/requests'
+_log = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryAddress:
+    """An entry that callers can use.
+
+    Attributes
+    ----------
+    url : str
+        Base of its URLs.
+    incarnation : str
+        Its incarnation.
+    availability_zone : str
+        Where it stands.
+    load : int
+        Requests open at it.
+    """
+
+    url: str
+    incarnation: str
+    availability_zone: str
+    load: int
+
+
+class EntryDirectory(Protocol):
+    """What the interface to callers reads of the fleet."""
+
+    def list_entries(self) -> tuple[EntryAddress, ...]:
+        """List the entries that callers can use, best first."""
+
+    def find_entry(self, incarnation: str) -> EntryAddress | None:
+        """Find an entry, draining ones included."""
+
+
+class CallerInterface:
+    """The ASGI application that callers talk to.
+
+    Parameters
+    ----------
+    home : Home
+        Holds the requests.
+    directory : EntryDirectory
+        The entries of the fleet.
+    forwarder : Forwarder
+        Passes requests on to their homes.
+    nursery : trio.Nursery
+        Runs the requests, whether or not their callers stay.
+    max_body_bytes : int
+        Bound on a request's body.
+    """
+
+    def __init__(
+        self,
+        home: Home,
+        directory: EntryDirectory,
+        forwarder: Forwarder,
+        nursery: trio.Nursery,
+        max_body_bytes: int,
+    ) -> None:
+        self.home = home
+        self.directory = directory
+        self.forwarder = forwarder
+        self.nursery = nursery
+        self.max_body_bytes = max_body_bytes
+
+    async def __call__(
+        self,
+        scope: dict[str, Any],
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Serve one ASGI connection scope."""
+        if scope['type'] == 'lifespan':
+            await _serve_lifespan(receive, send)
+        elif scope['type'] == 'http':
+            await self._serve_exchange(Exchange(scope, receive, send))
+
+    async def submit(self, incoming: Incoming) -> Answer:
+        """Admit a request and let it run.
+
+        Parameters
+        ----------
+        incoming : Incoming
+            What the caller sent.
+
+        Returns
+        -------
+        Answer
+            Grows while the request runs.
+        """
+        admitted = self.home.admit(incoming)
+        if isinstance(admitted, Request):
+            self.nursery.start_soon(run_filters, self.home, admitted)
+            admitted = admitted.answer
+        return admitted
+
+    async def _serve_exchange(self, exchange: Exchange) -> None:
+        try:
+            await _find_endpoint(exchange)(self, exchange)
+        except ProblemError as error:
+            await exchange.send_problem(error.problem)
+        except (RequestIdError, LedgerFullError) as error:
+            await exchange.send_problem(_explain_id_error(error))
+        except CallerGoneError:
+            _log.info('event=caller_gone path=%s', exchange.path)
+
+
+Endpoint = Callable[[CallerInterface, Exchange], Awaitable[None]]
+
+endpoints: Final[Registry[Endpoint]] = Registry('endpoint')
+"""Maps a method and the start of a path to the function that serves it."""
+
+
+@endpoints.register('GET /v1/entries')
+async def serve_entries(caller: CallerInterface, exchange: Exchange) -> None:
+    """Tell which entries to use and grant a lease of ids.
+
+    Parameters
+    ----------
+    caller : CallerInterface
+        The application.
+    exchange : Exchange
+        With the query ``workspace``.
+    """
+    workspace = exchange.query.get('workspace', '')
+    home = caller.home
+    if workspace not in home.view.configuration.workspaces:
+        raise ProblemError(
+            Problem(
+                404,
+                'unknown workspace',
+                f'no workspace {workspace!r} is in force; name one in the '
+                'query, as in /v1/entries?workspace=NAME',
+            ),
+        )
+    document: dict[str, Any] = {
+        'entries': [
+            dataclasses.asdict(entry)
+            for entry in caller.directory.list_entries()
+        ],
+        'keep_ms': KEEP_ENTRIES_MS,
+    }
+    if not home.is_draining:
+        lease = home.ledger.grant(workspace, home.clock.now())
+        document['ids'] = dataclasses.asdict(lease)
+    await exchange.send_json(document)
+
+
+@endpoints.register('POST /v1/requests')
+async def serve_request(caller: CallerInterface, exchange: Exchange) -> None:
+    """Run a request, or attach to one that was sent before.
+
+    Parameters
+    ----------
+    caller : CallerInterface
+        The application.
+    exchange : Exchange
+        With the request's headers and body.
+    """
+    body = await exchange.read_body(caller.max_body_bytes)
+    incoming = _read_incoming(exchange, body)
+    if _is_foreign(caller, incoming.id_text):
+        await caller.forwarder.forward(exchange, incoming)
+        return
+    answer = await caller.submit(incoming)
+    await exchange.send_answer(answer)
+
+
+@endpoints.register('GET /v1/requests')
+async def serve_attachment(
+    caller: CallerInterface,
+    exchange: Exchange,
+) -> None:
+    """Send the answer of a request that was sent before, from its start.
+
+    Parameters
+    ----------
+    caller : CallerInterface
+        The application.
+    exchange : Exchange
+        With the request id in its path.
+    """
+    id_text = _read_id(exchange)
+    if _is_foreign(caller, id_text):
+        await caller.forwarder.forward(exchange, _read_incoming(exchange, b''))
+        return
+    answer = _find_answer(caller.home, RequestId.parse(id_text))
+    await exchange.send_answer(answer)
+
+
+@endpoints.register('DELETE /v1/requests')
+async def serve_cancellation(
+    caller: CallerInterface,
+    exchange: Exchange,
+) -> None:
+    """Cancel a request.
+
+    Parameters
+    ----------
+    caller : CallerInterface
+        The application.
+    exchange : Exchange
+        With the request id in its path.
+    """
+    id_text = _read_id(exchange)
+    if _is_foreign(caller, id_text):
+        await caller.forwarder.forward(exchange, _read_incoming(exchange, b''))
+        return
+    is_cancelled = caller.home.cancel(id_text)
+    await exchange.send_json({'cancelled': is_cancelled})
+
+
+def _explain_id_error(error: RequestIdError | LedgerFullError) -> Problem:
+    if isinstance(error, RequestIdError):
+        return Problem(400, 'bad id', str(error))
+    return Problem(503, 'entry full', str(error), Ran.NO, RETRY_MS)
+
+
+def _find_answer(home: Home, request_id: RequestId) -> Answer:
+    request = home.find(str(request_id))
+    if request is not None:
+        return request.answer
+    kept = home.ledger.find_answer(request_id)
+    if kept is not None:
+        return decode_answer(kept)
+    raise ProblemError(
+        Problem(
+            404,
+            'no answer',
+            'no request of this id is open here and no answer is kept; send '
+            'the request itself with this id',
+            home.ledger.find_ran(request_id, home.clock.now()),
+        ),
+    )
+
+
+def _find_endpoint(exchange: Exchange) -> Endpoint:
+    parts = exchange.path.split('/')[:3]
+    wanted = f'{exchange.method} {"/".join(parts)}'
+    for name, endpoint in endpoints:
+        if name == wanted:
+            return endpoint
+    known = ', '.join(dict(endpoints))
+    raise ProblemError(
+        Problem(404, 'no such path', f'use one of: {known}'),
+    )
+
+
+def _read_id(exchange: Exchange) -> str:
+    return exchange.path.removeprefix(_REQUESTS_PATH).strip('/')
+
+
+def _is_foreign(caller: CallerInterface, id_text: str) -> bool:
+    if not id_text:
+        return False
+    request_id = RequestId.parse(id_text)
+    return request_id.incarnation != caller.home.incarnation
+
+
+def _read_incoming(exchange: Exchange, body: bytes) -> Incoming:
+    headers = exchange.headers
+    return Incoming(
+        workspace=headers.get('hornbeam-workspace', ''),
+        service=headers.get('hornbeam-service', ''),
+        body=body,
+        id_text=_read_id(exchange),
+        idempotency_key=headers.get('idempotency-key', ''),
+        deadline_in_ms=_read_deadline(headers.get('hornbeam-deadline-ms')),
+    )
+
+
+def _read_deadline(text: str | None) -> float:
+    if text is None:
+        return 0
+    try:
+        deadline_ms = int(text)
+    except ValueError:
+        deadline_ms = 0
+    if deadline_ms <= 0:
+        raise ProblemError(
+            Problem(
+                400,
+                'bad deadline',
+                'Hornbeam-Deadline-Ms must be a whole number of ms above 0',
+            ),
+        )
+    return deadline_ms
+
+
+async def _serve_lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        message = await receive()
+        await send({'type': f'{message["type"]}.complete'})
+        if message['type'] == 'lifespan.shutdown':
+            return
--- /dev/null
+++ b/hornbeampulley/pipeline/_content.py
@@ -0,0 +1,164 @@
+"""What a request's body says of its cost."""
+
+import dataclasses
+import json
+from collections.abc import Callable
+from typing import Any, Final
+
+import xxhash
+
+from hornbeampulley.configuration import ServiceKind
+from hornbeampulley.pipeline._problems import Problem, ProblemError
+from hornbeampulley.registry import Registry
+from hornbeampulley.wire import HASH_MASK
+
+TOKEN_BYTES: Final = 4
+BLOCK_TOKENS: Final = 64
+_BLOCK_BYTES: Final = TOKEN_BYTES * BLOCK_TOKENS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Content:
+    """What is known of a request's cost before it runs.
+
+    Attributes
+    ----------
+    fingerprint : int
+        Hash of the body.
+    prompt_tokens : int
+        Estimated length of the prompt.
+    output_tokens : int
+        Bound on the answer set by the caller; 0 if none.
+    block_hashes : tuple of int
+        Chained hashes of the prompt's full blocks.
+    """
+
+    fingerprint: int
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    block_hashes: tuple[int, ...] = ()
+
+
+inspectors: Final[Registry[Callable[[bytes], Content]]] = Registry('inspector')
+"""Maps kinds of services to functions from a body to its `Content`."""
+
+
+def inspect_content(kind: ServiceKind, body: bytes) -> Content:
+    """Inspect the body of a request.
+
+    Parameters
+    ----------
+    kind : ServiceKind
+        Kind of the service asked for.
+    body : bytes
+        As the caller sent it.
+
+    Returns
+    -------
+    Content
+        What it will cost.
+
+    Raises
+    ------
+    ProblemError
+        If the body is not what the kind of service takes.
+    """
+    return inspectors.find(kind.value)(body)
+
+
+@inspectors.register(ServiceKind.PLAIN.value)
+def inspect_plain(body: bytes) -> Content:
+    """Inspect the body of a call to a plain service.
+
+    Parameters
+    ----------
+    body : bytes
+        Anything.
+
+    Returns
+    -------
+    Content
+        Only its fingerprint.
+    """
+    return Content(_hash(body))
+
+
+@inspectors.register(ServiceKind.MODEL.value)
+def inspect_prompt(body: bytes) -> Content:
+    """Inspect the body of a request to a model engine.
+
+    Parameters
+    ----------
+    body : bytes
+        JSON with ``prompt`` and perhaps ``max_tokens``.
+
+    Returns
+    -------
+    Content
+        Lengths and block hashes of the prompt.
+
+    Raises
+    ------
+    ProblemError
+        If the body is not such JSON.
+    """
+    document = _parse_object(body)
+    prompt = document.get('prompt')
+    max_tokens = document.get('max_tokens', 0)
+    if not isinstance(prompt, str) or not prompt:
+        raise _refuse('prompt must be a text that is not empty')
+    if not isinstance(max_tokens, int) or not 0 <= max_tokens < HASH_MASK:
+        raise _refuse('max_tokens must be a whole number, 0 or more')
+    encoded = prompt.encode(errors='surrogatepass')
+    return Content(
+        fingerprint=_hash(body),
+        prompt_tokens=-(-len(encoded) // TOKEN_BYTES),
+        output_tokens=min(max_tokens, 2**31 - 1),
+        block_hashes=hash_blocks(encoded),
+    )
+
+
+def hash_blocks(encoded: bytes) -> tuple[int, ...]:
+    """Hash the full blocks of a prompt, each chained to the one before.
+
+    Parameters
+    ----------
+    encoded : bytes
+        The prompt in UTF-8.
+
+    Returns
+    -------
+    tuple of int
+        One hash a block, first block first; without their top bit.
+    """
+    hashes = []
+    previous = 0
+    for start in range(0, len(encoded) - _BLOCK_BYTES + 1, _BLOCK_BYTES):
+        block = encoded[start : start + _BLOCK_BYTES]
+        previous = xxhash.xxh3_64_intdigest(block, seed=previous)
+        hashes.append(previous & HASH_MASK)
+    return tuple(hashes)
+
+
+def _hash(body: bytes) -> int:
+    return xxhash.xxh3_64_intdigest(body) & HASH_MASK
+
+
+def _parse_object(body: bytes) -> dict[str, Any]:
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise _refuse(f'the body is not JSON ({error})') from error
+    if not isinstance(document, dict):
+        raise _refuse('the body must be a JSON object')
+    return document
+
+
+def _refuse(fault: str) -> ProblemError:
+    return ProblemError(
+        Problem(
+            400,
+            'invalid body',
+            f'{fault}; send {{"prompt": "...", "max_tokens": 100}}',
+        ),
+    )
--- /dev/null
+++ b/hornbeampulley/pipeline/_filters.py
@@ -0,0 +1,332 @@
+"""The filters that a request passes at its home, in order.
+
+Each filter takes the home and the request and returns when the request may
+pass on. It raises `ProblemError` to end the request.
+"""
+
+import dataclasses
+import functools
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import trio
+
+from hornbeampulley.configuration import Target
+from hornbeampulley.decisions import (
+    Outcome,
+    Progress,
+    Reason,
+    Refuse,
+    Release,
+    Withdraw,
+)
+from hornbeampulley.errors import (
+    NoRouteError,
+    UnknownServiceError,
+    UnknownWorkspaceError,
+)
+from hornbeampulley.identity import Ran, State
+from hornbeampulley.pipeline._calls import CallEnd, TargetCall
+from hornbeampulley.pipeline._content import inspect_content
+from hornbeampulley.pipeline._home import Home
+from hornbeampulley.pipeline._problems import Problem, ProblemError
+from hornbeampulley.pipeline._requests import Request
+from hornbeampulley.pipeline._runners import (
+    cancel_stream,
+    export_stream,
+    run_call,
+)
+from hornbeampulley.pipeline._targets import TargetUnreachableError
+from hornbeampulley.registry import Registry
+
+REPORT_EVERY_MS: Final = 1000.0
+_log = logging.getLogger(__name__)
+
+Filter = Callable[[Home, Request], Awaitable[None]]
+
+filters: Final[Registry[Filter]] = Registry('filter')
+"""Maps names to filters in the order in which requests pass them."""
+
+_STATUS_OF_REASON: Final = {
+    Reason.SHED: 503,
+    Reason.DEADLINE: 504,
+    Reason.QUARANTINED: 422,
+    Reason.DUPLICATE_KEY: 409,
+    Reason.NO_TARGET: 503,
+}
+_DETAIL_OF_REASON: Final = {
+    Reason.SHED: 'the pool has no room for this request; send it again under '
+    'a new id after the time given',
+    Reason.DEADLINE: 'the deadline cannot be met; send the request with a '
+    'later one',
+    Reason.QUARANTINED: 'this content crashed targets; change it before '
+    'sending it again',
+    Reason.DUPLICATE_KEY: 'a request with this idempotency key was leased '
+    'before; look up its outcome',
+    Reason.NO_TARGET: 'no target of the pool can take the request; send it '
+    'again under a new id after the time given',
+}
+
+
+async def run_filters(home: Home, request: Request) -> None:
+    """Pass a request through all filters; its answer is whole afterwards.
+
+    Parameters
+    ----------
+    home : Home
+        The request's home.
+    request : Request
+        Just admitted.
+    """
+    try:
+        for _name, run_filter in filters:
+            await run_filter(home, request)
+    except ProblemError as error:
+        request.answer.end_with(error.problem)
+    except Exception:
+        _log.exception('event=request_failed request=%s', request.request_id)
+        request.answer.end_with(_explain_failure(home, request))
+    _keep_answer(home, request)
+    home.close(request)
+
+
+@filters.register('drain')
+async def refuse_when_draining(home: Home, request: Request) -> None:
+    """Refuse new requests while the process shuts down.
+
+    Parameters
+    ----------
+    home : Home
+        The request's home.
+    request : Request
+        Just admitted.
+    """
+    if home.is_draining:
+        raise ProblemError(
+            Problem(
+                503,
+                'draining',
+                'this entry is shutting down; ask /v1/entries at another one '
+                'and send the request there under a new id',
+                retry_after_ms=1,
+            ),
+        )
+
+
+@filters.register('route')
+async def route_request(home: Home, request: Request) -> None:
+    """Find workspace, service and tier.
+
+    Parameters
+    ----------
+    home : Home
+        The request's home.
+    request : Request
+        Its route is set.
+    """
+    incoming = request.incoming
+    try:
+        request.route = home.view.configuration.find_route(
+            incoming.workspace,
+            incoming.service,
+        )
+    except (UnknownWorkspaceError, UnknownServiceError, NoRouteError) as error:
+        raise ProblemError(Problem(404, 'no route', str(error))) from error
+
+
+@filters.register('inspect')
+async def inspect_request(_home: Home, request: Request) -> None:
+    """Estimate what the request will cost.
+
+    Parameters
+    ----------
+    _home : Home
+        Not used.
+    request : Request
+        Its content is set.
+    """
+    request.content = inspect_content(
+        request.route.service.kind,
+        request.incoming.body,
+    )
+
+
+@filters.register('serve')
+async def serve_request(home: Home, request: Request) -> None:
+    """Wait for a lease and dispatch, until the request has ended.
+
+    Parameters
+    ----------
+    home : Home
+        The request's home.
+    request : Request
+        Its answer is whole afterwards.
+    """
+    now_ms = home.clock.now()
+    channel = home.find_channel(request.pool)
+    channel.send(request.to_reserve(home.incarnation, now_ms))
+    while True:
+        await _wait_for_lease(home, request)
+        end = await _dispatch(home, request)
+        if end.outcome not in {Outcome.NOT_SENT, Outcome.PREEMPTED}:
+            break
+    _conclude(home, request, end)
+
+
+async def _wait_for_lease(home: Home, request: Request) -> None:
+    await request.decided.wait()
+    request.decided = trio.Event()
+    if request.is_cancelled:
+        request_id = str(request.request_id)
+        channel = home.find_channel(request.pool)
+        channel.send(Withdraw(request_id))
+        raise ProblemError(_explain_cancellation(home, request))
+    if request.refusal is not None:
+        raise ProblemError(_explain_refusal(request.refusal))
+
+
+async def _dispatch(home: Home, request: Request) -> CallEnd:
+    target = home.view.configuration.targets.get(request.lease.target)
+    end = CallEnd(Outcome.NOT_SENT)
+    if target is not None:
+        request.call = _form_call(home, request, target)
+        kind = request.route.service.kind
+        end = await run_call(home.client, kind, request.call)
+    if end.outcome is Outcome.PREEMPTED:
+        end = await _stop_call(home, request, end)
+    request.call = None
+    request.lease = None
+    _send_release(home, request, end)
+    return end
+
+
+def _form_call(home: Home, request: Request, target: Target) -> TargetCall:
+    call = TargetCall(
+        call_id=str(request.request_id),
+        target=target,
+        path=request.route.service.path,
+        body=request.incoming.body,
+        answer=request.answer,
+        mark_dispatched=functools.partial(_mark_dispatched, home, request),
+        report=functools.partial(_report_progress, home, request),
+        kv_state=request.kv_state,
+    )
+    if request.previous is not None:
+        call.output_tokens = request.previous.output_tokens
+        call.cached_tokens = request.previous.cached_tokens
+    return call
+
+
+def _mark_dispatched(home: Home, request: Request) -> None:
+    now_ms = home.clock.now()
+    if now_ms > request.lease_expires_ms:
+        raise TargetUnreachableError(
+            'the lease expired before the dispatch; a new one is asked for',
+        )
+    if request.kv_state:
+        return
+    home.ledger.mark_dispatched(request.request_id)
+    _log.info(
+        'event=dispatched request=%s target=%s waited_ms=%.0f',
+        request.request_id,
+        request.lease.target,
+        now_ms - request.arrived_ms,
+    )
+
+
+def _report_progress(home: Home, request: Request, call: TargetCall) -> None:
+    now_ms = home.clock.now()
+    if now_ms - request.reported_ms < REPORT_EVERY_MS:
+        return
+    request.reported_ms = now_ms
+    home.find_channel(request.pool).send(
+        Progress(
+            call.call_id,
+            call.output_tokens,
+            call.first_token_ms,
+        ),
+    )
+
+
+async def _stop_call(home: Home, request: Request, end: CallEnd) -> CallEnd:
+    if request.is_cancelled:
+        await cancel_stream(home.client, request.call)
+        return dataclasses.replace(end, outcome=Outcome.CANCELLED)
+    request.kv_state = await export_stream(home.client, request.call)
+    request.previous = end
+    if request.kv_state:
+        return end
+    # The engine keeps the stream, so it is read on where it runs.
+    request.call.scope = trio.CancelScope()
+    kind = request.route.service.kind
+    return await run_call(home.client, kind, request.call)
+
+
+def _send_release(home: Home, request: Request, end: CallEnd) -> None:
+    home.find_channel(request.pool).send(
+        Release(
+            str(request.request_id),
+            end.outcome,
+            end.output_tokens,
+            end.first_token_ms,
+            end.duration_ms,
+            end.cached_tokens,
+        ),
+    )
+
+
+def _conclude(home: Home, request: Request, end: CallEnd) -> None:
+    if end.outcome is Outcome.DONE:
+        request.answer.end()
+    elif end.outcome is Outcome.CANCELLED:
+        request.answer.end_with(_explain_cancellation(home, request))
+    else:
+        request.answer.end_with(_explain_failure(home, request))
+
+
+def _explain_refusal(refusal: Refuse) -> Problem:
+    return Problem(
+        _STATUS_OF_REASON[refusal.reason],
+        refusal.reason.value.replace('_', ' '),
+        _DETAIL_OF_REASON[refusal.reason],
+        Ran.YES if refusal.ran else Ran.NO,
+        refusal.retry_after_ms,
+    )
+
+
+def _find_ran(home: Home, request: Request) -> Ran:
+    state = home.ledger.find_state(request.request_id)
+    return Ran.NO if state is State.WAITING else Ran.UNKNOWN
+
+
+def _explain_cancellation(home: Home, request: Request) -> Problem:
+    return Problem(
+        499,
+        'cancelled',
+        'the caller cancelled the request; send it again under a new id if '
+        'it is wanted after all',
+        _find_ran(home, request),
+    )
+
+
+def _explain_failure(home: Home, request: Request) -> Problem:
+    return Problem(
+        502,
+        'target failed',
+        'the target broke off before the answer was whole; look the outcome '
+        'up before sending the request again',
+        _find_ran(home, request),
+    )
+
+
+def _keep_answer(home: Home, request: Request) -> None:
+    now_ms = home.clock.now()
+    kept = request.answer.encode()
+    state = home.ledger.find_state(request.request_id)
+    if state is State.WAITING:
+        home.ledger.refuse(request.request_id, kept, now_ms)
+    elif request.answer.headers.get('hornbeam-ran') == Ran.YES.value:
+        home.ledger.finish(request.request_id, kept, now_ms)
+    else:
+        home.ledger.fail(request.request_id, kept, now_ms)
--- /dev/null
+++ b/hornbeampulley/pipeline/_forwarding.py
@@ -0,0 +1,226 @@
+"""Requests whose home is another entry."""
+
+import dataclasses
+import logging
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any, Final
+
+import httpcore
+
+from hornbeampulley.clock import to_seconds
+from hornbeampulley.identity import Ran, RequestId
+from hornbeampulley.pipeline._exchanges import Exchange
+from hornbeampulley.pipeline._problems import Problem, ProblemError
+from hornbeampulley.pipeline._requests import Incoming
+
+CONNECT_TIMEOUT_MS: Final = 1000.0
+SILENCE_MS: Final = 10_000.0
+MAX_ATTEMPTS: Final = 30
+RETRY_MS: Final = 100.0
+FORWARDED: Final = 'hornbeam-forwarded'
+_log = logging.getLogger(__name__)
+
+_PASSED_HEADERS: Final = (
+    'hornbeam-workspace',
+    'hornbeam-service',
+    'hornbeam-deadline-ms',
+    'idempotency-key',
+    'content-type',
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forwarded:
+    """A request to be passed on.
+
+    Attributes
+    ----------
+    method, url : str
+        Of the request at its home.
+    headers : tuple of pairs
+        Headers that the home reads.
+    body : bytes
+        As the caller sent it.
+    """
+
+    method: str
+    url: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class Forwarder:
+    """Passes requests on to their homes and their answers back.
+
+    Parameters
+    ----------
+    find_url : callable
+        Returns the base URL of the entry of an incarnation, or None.
+    ask_fate : async callable
+        Returns True if a request of a lost home surely never ran.
+    local_address : str
+        Address of this host.
+    """
+
+    def __init__(
+        self,
+        find_url: Callable[[str], str | None],
+        ask_fate: Callable[[Incoming], Awaitable[bool]],
+        local_address: str,
+    ) -> None:
+        self._find_url = find_url
+        self._ask_fate = ask_fate
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=1000,
+            max_keepalive_connections=0,
+            local_address=local_address,
+        )
+
+    async def forward(self, exchange: Exchange, incoming: Incoming) -> None:
+        """Pass a request on and send its answer to the caller.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            With the caller.
+        incoming : Incoming
+            What the caller sent.
+
+        Raises
+        ------
+        ProblemError
+            If the home cannot be reached.
+        """
+        incarnation = RequestId.parse(incoming.id_text).incarnation
+        base = self._find_url(incarnation)
+        if base is None or FORWARDED in exchange.headers:
+            raise await self._explain_loss(incoming)
+        forwarded = _form_forwarded(exchange, base, incoming.body)
+        relay = _Relay(self._pool, forwarded)
+        if not await relay.connect():
+            raise await self._explain_loss(incoming)
+        await exchange.send_stream(
+            relay.status,
+            relay.headers,
+            relay.read(),
+        )
+
+    async def _explain_loss(self, incoming: Incoming) -> ProblemError:
+        if await self._ask_fate(incoming):
+            return ProblemError(
+                Problem(
+                    503,
+                    'home lost',
+                    'the entry that held this request is gone and never '
+                    'dispatched it; send it again under a new id',
+                    Ran.NO,
+                    RETRY_MS,
+                ),
+            )
+        return ProblemError(
+            Problem(
+                504,
+                'outcome unknown',
+                'the entry that held this request cannot be reached, so its '
+                'outcome is unknown; look it up where it was filed before '
+                'sending it again under a new id',
+                Ran.UNKNOWN,
+            ),
+        )
+
+
+class _Relay:
+    """Reads an answer from its home, again after a break, without gaps."""
+
+    def __init__(
+        self,
+        pool: httpcore.AsyncConnectionPool,
+        forwarded: Forwarded,
+    ) -> None:
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self._pool = pool
+        self._forwarded = forwarded
+        self._sent_bytes = 0
+        self._response: httpcore.Response | None = None
+
+    async def connect(self) -> bool:
+        """Send the request; True once the answer has started."""
+        for _ in range(MAX_ATTEMPTS):
+            try:
+                await self._open()
+            except httpcore.ReadTimeout:
+                # The same id attaches to the same run, so it is safe to ask
+                # again on a new connection.
+                continue
+            except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+                _log.info('event=forward_failed error=%r', error)
+                return False
+            except httpcore.TimeoutException:
+                return False
+            return True
+        return False
+
+    async def read(self) -> AsyncIterator[bytes]:
+        """Yield the body; reconnect and skip what was sent after a break."""
+        while True:
+            skip = self._sent_bytes
+            try:
+                async for chunk in self._response.aiter_stream():
+                    fresh = chunk[skip:]
+                    skip = max(skip - len(chunk), 0)
+                    self._sent_bytes += len(fresh)
+                    yield fresh
+            except (httpcore.ReadTimeout, httpcore.NetworkError):
+                await self._response.aclose()
+                if await self.connect():
+                    continue
+            await self._response.aclose()
+            return
+
+    async def _open(self) -> None:
+        timeouts = {
+            'connect': to_seconds(CONNECT_TIMEOUT_MS),
+            'pool': to_seconds(CONNECT_TIMEOUT_MS),
+            'read': to_seconds(SILENCE_MS),
+            'write': to_seconds(SILENCE_MS),
+        }
+        request = httpcore.Request(
+            self._forwarded.method,
+            self._forwarded.url,
+            headers=list(self._forwarded.headers),
+            content=self._forwarded.body,
+            extensions={'timeout': timeouts},
+        )
+        self._response = await self._pool.handle_async_request(request)
+        self.status = self._response.status
+        self.headers = _read_headers(self._response)
+
+
+def _form_forwarded(exchange: Exchange, base: str, body: bytes) -> Forwarded:
+    headers = [
+        (name, exchange.headers[name])
+        for name in _PASSED_HEADERS
+        if name in exchange.headers
+    ]
+    headers.append((FORWARDED, '1'))
+    headers.append(('content-length', str(len(body))))
+    return Forwarded(
+        exchange.method,
+        f'{base}{exchange.path}',
+        tuple(headers),
+        body,
+    )
+
+
+def _read_headers(response: httpcore.Response) -> dict[str, Any]:
+    passed = ('content-type', 'retry-after')
+    decoded = {
+        name.decode('latin-1').lower(): text.decode('latin-1')
+        for name, text in response.headers
+    }
+    return {
+        name: text
+        for name, text in decoded.items()
+        if name in passed or name.startswith('hornbeam-')
+    }
--- /dev/null
+++ b/hornbeampulley/pipeline/_home.py
@@ -0,0 +1,263 @@
+"""The home of requests: admits, dispatches and answers each of them once."""
+
+import logging
+from collections.abc import Iterable
+from typing import Protocol
+
+import trio
+
+from hornbeampulley import decisions
+from hornbeampulley.configuration import Configuration
+from hornbeampulley.identity import Admission, Ledger, RequestId
+from hornbeampulley.pipeline._admissions import refuse_admission
+from hornbeampulley.pipeline._answers import Answer, decode_answer
+from hornbeampulley.pipeline._channels import PoolChannel
+from hornbeampulley.pipeline._problems import Problem, ProblemError
+from hornbeampulley.pipeline._requests import Incoming, Request
+from hornbeampulley.pipeline._targets import TargetClient
+
+_log = logging.getLogger(__name__)
+
+
+class FleetView(Protocol):
+    """What a home reads of the fleet."""
+
+    configuration: Configuration
+    leaving: frozenset[str]
+
+    def count_entries(self) -> int:
+        """Count the entries that are believed to live."""
+
+
+class Home:
+    """Holds the open requests of one entry process.
+
+    Parameters
+    ----------
+    ledger : Ledger
+        What it remembers of its ids.
+    view : FleetView
+        What it knows of the fleet.
+    client : TargetClient
+        For calls to targets.
+
+    Attributes
+    ----------
+    is_draining : bool
+        Whether new requests are refused.
+    """
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        view: FleetView,
+        client: TargetClient,
+    ) -> None:
+        self.ledger = ledger
+        self.view = view
+        self.client = client
+        self.clock = client.clock
+        self.is_draining = False
+        self._requests: dict[str, Request] = {}
+        self._channels: dict[str, PoolChannel] = {}
+        self._emptied = trio.Event()
+
+    @property
+    def incarnation(self) -> str:
+        """Incarnation of this process."""
+        return self.ledger.incarnation
+
+    @property
+    def open_count(self) -> int:
+        """Number of open requests."""
+        return len(self._requests)
+
+    def admit(self, incoming: Incoming) -> Request | Answer:
+        """Admit a request, or find the answer of one admitted before.
+
+        Parameters
+        ----------
+        incoming : Incoming
+            What the caller sent.
+
+        Returns
+        -------
+        Request or Answer
+            A new request, to be run; or the answer of a known one.
+
+        Raises
+        ------
+        ProblemError
+            If it is refused.
+        """
+        if not incoming.id_text:
+            return self._assign(incoming)
+        request_id = RequestId.parse(incoming.id_text)
+        now_ms = self.clock.now()
+        admission = self.ledger.admit(request_id, incoming.workspace, now_ms)
+        match admission:
+            case Admission.NEW:
+                return self._open(request_id, incoming)
+            case Admission.RUNNING:
+                return self._requests[str(request_id)].answer
+            case Admission.KEPT:
+                return decode_answer(self.ledger.find_answer(request_id))
+        raise refuse_admission(admission)
+
+    def close(self, request: Request) -> None:
+        """Forget a request whose answer is whole.
+
+        Parameters
+        ----------
+        request : Request
+            Ended in the ledger.
+        """
+        self._requests.pop(str(request.request_id), None)
+        if not self._requests:
+            self._emptied.set()
+
+    def find(self, request_id: str) -> Request | None:
+        """Find an open request.
+
+        Parameters
+        ----------
+        request_id : str
+            Its id.
+
+        Returns
+        -------
+        Request or None
+            None if no request of that id is open.
+        """
+        return self._requests.get(request_id)
+
+    def find_channel(self, pool: str) -> PoolChannel:
+        """Return the channel of a pool, made when first asked for.
+
+        Parameters
+        ----------
+        pool : str
+            Name of the pool.
+
+        Returns
+        -------
+        PoolChannel
+            Where the pool's events go.
+        """
+        if pool not in self._channels:
+            self._channels[pool] = PoolChannel(pool, self, self.clock.now)
+        return self._channels[pool]
+
+    def cancel(self, request_id: str) -> bool:
+        """Cancel an open request.
+
+        Parameters
+        ----------
+        request_id : str
+            Its id.
+
+        Returns
+        -------
+        bool
+            False if none of that id is open.
+        """
+        request = self.find(request_id)
+        if request is None:
+            return False
+        request.is_cancelled = True
+        request.decided.set()
+        if request.call is not None:
+            request.call.scope.cancel()
+        return True
+
+    def list_reserves(self, pool: str) -> Iterable[decisions.Reserve]:
+        """List an event for each open request of a pool.
+
+        Parameters
+        ----------
+        pool : str
+            Name of the pool.
+
+        Yields
+        ------
+        Reserve
+            With its target if it runs already.
+        """
+        now_ms = self.clock.now()
+        for request in self._requests.values():
+            if request.pool == pool:
+                yield request.to_reserve(self.incarnation, now_ms)
+
+    def act(self, action: decisions.Action) -> None:
+        """Carry out what the scheduler decided.
+
+        Parameters
+        ----------
+        action : Action
+            A lease, a refusal or a preemption; late ones are ignored.
+        """
+        match action:
+            case decisions.Lease():
+                self._take_lease(action)
+            case decisions.Refuse():
+                self._take_refusal(action)
+            case decisions.Preempt():
+                self._take_preemption(action)
+
+    def tick(self) -> None:
+        """Let time pass; call it a few times a second."""
+        self.ledger.sweep(self.clock.now())
+        for channel in self._channels.values():
+            channel.tick(
+                self.view.configuration,
+                self.view.leaving,
+                self.view.count_entries(),
+            )
+
+    async def drain(self) -> None:
+        """Refuse new requests and wait until none is open."""
+        self.is_draining = True
+        while self._requests:
+            self._emptied = trio.Event()
+            await self._emptied.wait()
+
+    def _assign(self, incoming: Incoming) -> Request:
+        service = self.view.configuration.services.get(incoming.service)
+        if service is not None and not service.repeatable:
+            raise ProblemError(
+                Problem(
+                    400,
+                    'id needed',
+                    f'calls of service {service.name} may not be repeated; '
+                    'ask /v1/entries for a lease of ids and send one',
+                ),
+            )
+        now_ms = self.clock.now()
+        request_id = self.ledger.assign(incoming.workspace, now_ms)
+        return self._open(request_id, incoming)
+
+    def _open(self, request_id: RequestId, incoming: Incoming) -> Request:
+        now_ms = self.clock.now()
+        request = Request(request_id, incoming, now_ms, Answer())
+        self._requests[str(request_id)] = request
+        return request
+
+    def _take_lease(self, lease: decisions.Lease) -> None:
+        request = self._requests.get(lease.request_id)
+        if request is None or request.call is not None:
+            _log.info('event=lease_unused request=%s', lease.request_id)
+            return
+        request.lease = lease
+        request.lease_expires_ms = self.clock.now() + lease.valid_ms
+        request.decided.set()
+
+    def _take_refusal(self, refusal: decisions.Refuse) -> None:
+        request = self._requests.get(refusal.request_id)
+        if request is not None and request.call is None:
+            request.refusal = refusal
+            request.decided.set()
+
+    def _take_preemption(self, preemption: decisions.Preempt) -> None:
+        request = self._requests.get(preemption.request_id)
+        if request is not None and request.call is not None:
+            request.call.scope.cancel()
--- /dev/null
+++ b/hornbeampulley/pipeline/_problems.py
@@ -0,0 +1,92 @@
+"""Refusals in the problem form of RFC 9457."""
+
+import dataclasses
+import json
+import math
+from typing import Any, Final
+
+from hornbeampulley.clock import MS_PER_SECOND
+from hornbeampulley.errors import HornbeamError
+from hornbeampulley.identity import Ran
+
+PROBLEM_TYPE: Final = 'application/problem+json'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """A final answer that is not a target's.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status code.
+    title : str
+        Short name of the kind of problem.
+    detail : str
+        What happened and the remedy.
+    ran : Ran
+        Whether the request was run.
+    retry_after_ms : float
+        When to ask again under a new id; 0 if asking again does not help.
+    """
+
+    status: int
+    title: str
+    detail: str
+    ran: Ran = Ran.NO
+    retry_after_ms: float = 0
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """HTTP headers of the answer."""
+        headers = {
+            'content-type': PROBLEM_TYPE,
+            'hornbeam-ran': self.ran.value,
+        }
+        if self.retry_after_ms:
+            seconds = math.ceil(self.retry_after_ms / MS_PER_SECOND)
+            headers['retry-after'] = str(seconds)
+        return headers
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the members of the problem object.
+
+        Returns
+        -------
+        dict
+            Ready for ``json.dumps``.
+        """
+        members: dict[str, Any] = {
+            'type': f'urn:hornbeampulley:{self.title.replace(" ", "-")}',
+            'title': self.title,
+            'status': self.status,
+            'detail': self.detail,
+            'ran': self.ran.value,
+        }
+        if self.retry_after_ms:
+            members['retry_after_ms'] = math.ceil(self.retry_after_ms)
+        return members
+
+    def encode(self) -> bytes:
+        """Return the body of the answer.
+
+        Returns
+        -------
+        bytes
+            JSON text.
+        """
+        return json.dumps(self.to_json()).encode()
+
+
+class ProblemError(HornbeamError):
+    """Ends a request with a problem.
+
+    Parameters
+    ----------
+    problem : Problem
+        What the caller is told.
+    """
+
+    def __init__(self, problem: Problem) -> None:
+        super().__init__(problem.detail)
+        self.problem = problem
--- /dev/null
+++ b/hornbeampulley/pipeline/_runners.py
@@ -0,0 +1,271 @@
+"""How a call runs at each kind of target."""
+
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any, Final
+
+import httpcore
+import trio
+
+from hornbeampulley.clock import to_seconds
+from hornbeampulley.configuration import ServiceKind
+from hornbeampulley.decisions import Outcome
+from hornbeampulley.pipeline._calls import CallEnd, TargetCall
+from hornbeampulley.pipeline._targets import (
+    STALL_MS,
+    TargetBrokenError,
+    TargetClient,
+    TargetUnreachableError,
+)
+from hornbeampulley.registry import Registry
+
+PLAIN_TIMEOUT_MS: Final = 30_000.0
+RESUME_PAUSE_MS: Final = 50.0
+MAX_RESUMES: Final = 60
+HTTP_OK: Final = 200
+HTTP_NOT_FOUND: Final = 404
+
+Runner = Callable[[TargetClient, TargetCall], Awaitable[Outcome]]
+
+runners: Final[Registry[Runner]] = Registry('runner')
+"""Maps kinds of services to functions that run a call to its end."""
+
+
+async def run_call(
+    client: TargetClient,
+    kind: ServiceKind,
+    call: TargetCall,
+) -> CallEnd:
+    """Run a call to its end, or until its scope is cancelled.
+
+    Parameters
+    ----------
+    client : TargetClient
+        For the connections.
+    kind : ServiceKind
+        Kind of the service.
+    call : TargetCall
+        What to run; its answer grows meanwhile.
+
+    Returns
+    -------
+    CallEnd
+        What happened.
+    """
+    outcome = Outcome.PREEMPTED
+    with call.scope:
+        outcome = await runners.find(kind.value)(client, call)
+    if call.is_done:
+        outcome = Outcome.DONE
+    return call.end(outcome, client.clock.now())
+
+
+@runners.register(ServiceKind.PLAIN.value)
+async def run_plain(client: TargetClient, call: TargetCall) -> Outcome:
+    """Run a call at a plain service.
+
+    Parameters
+    ----------
+    client : TargetClient
+        For the connection.
+    call : TargetCall
+        What to run.
+
+    Returns
+    -------
+    Outcome
+        What happened.
+    """
+    headers = {
+        'content-type': 'application/json',
+        'call-id': call.call_id,
+    }
+    try:
+        async with client.open_call(call, headers, PLAIN_TIMEOUT_MS) as reply:
+            await _copy_whole(call, reply)
+    except TargetUnreachableError:
+        return Outcome.NOT_SENT
+    except TargetBrokenError:
+        return Outcome.FAILED if call.is_sent else Outcome.NOT_SENT
+    return Outcome.DONE
+
+
+@runners.register(ServiceKind.MODEL.value)
+async def run_model(client: TargetClient, call: TargetCall) -> Outcome:
+    """Run a stream at a model engine; resume it when a connection breaks.
+
+    Parameters
+    ----------
+    client : TargetClient
+        For the connections.
+    call : TargetCall
+        What to run.
+
+    Returns
+    -------
+    Outcome
+        What happened.
+    """
+    outcome = None
+    if not call.is_sent:
+        outcome = await _start_stream(client, call)
+    resumes = 0
+    while outcome is None and resumes < MAX_RESUMES:
+        resumes += 1
+        outcome = await _resume_stream(client, call)
+        await trio.sleep(to_seconds(RESUME_PAUSE_MS))
+    return outcome or Outcome.FAILED
+
+
+async def export_stream(client: TargetClient, call: TargetCall) -> str:
+    """Stop a stream and take its state from the engine.
+
+    Parameters
+    ----------
+    client : TargetClient
+        For the connection.
+    call : TargetCall
+        A call that has been cancelled here.
+
+    Returns
+    -------
+    str
+        The state; empty if the engine did not give it.
+    """
+    path = f'/streams/{call.call_id}/export'
+    try:
+        reply = await client.fetch(call.target, 'POST', path)
+    except (TargetUnreachableError, TargetBrokenError):
+        return ''
+    if reply.status != HTTP_OK:
+        return ''
+    return str(json.loads(reply.body).get('state', ''))
+
+
+async def cancel_stream(client: TargetClient, call: TargetCall) -> None:
+    """Tell an engine to stop a stream.
+
+    Parameters
+    ----------
+    client : TargetClient
+        For the connection.
+    call : TargetCall
+        A call that has been cancelled here.
+    """
+    try:
+        await client.fetch(call.target, 'DELETE', f'/streams/{call.call_id}')
+    except (TargetUnreachableError, TargetBrokenError):
+        # The engine drops a stream that nobody reads.
+        return
+
+
+async def _start_stream(
+    client: TargetClient,
+    call: TargetCall,
+) -> Outcome | None:
+    headers = {
+        'content-type': 'application/json',
+        'stream-id': call.call_id,
+    }
+    if call.kv_state:
+        headers['kv-state'] = call.kv_state
+    try:
+        async with client.open_call(call, headers, STALL_MS) as reply:
+            return await _copy_stream(client, call, reply)
+    except TargetUnreachableError:
+        return Outcome.NOT_SENT
+    except TargetBrokenError:
+        return None if call.is_sent else Outcome.NOT_SENT
+
+
+async def _resume_stream(
+    client: TargetClient,
+    call: TargetCall,
+) -> Outcome | None:
+    path = f'/streams/{call.call_id}?from={call.output_tokens}'
+    try:
+        async with client.open_stream(call.target, path) as reply:
+            if reply.status == HTTP_NOT_FOUND:
+                return Outcome.CRASHED
+            return await _copy_stream(client, call, reply)
+    except TargetUnreachableError:
+        return Outcome.CRASHED
+    except TargetBrokenError:
+        return None
+
+
+async def _copy_stream(
+    client: TargetClient,
+    call: TargetCall,
+    reply: httpcore.Response,
+) -> Outcome | None:
+    if reply.status != HTTP_OK:
+        return await _copy_refusal(call, reply)
+    if not call.answer.status:
+        call.answer.start(reply.status, _form_headers(call, reply))
+    async for line in _split_lines(reply):
+        _take_line(client, call, line)
+    return Outcome.DONE if call.is_done else None
+
+
+async def _copy_refusal(call: TargetCall, reply: httpcore.Response) -> Outcome:
+    if call.answer.status:
+        return Outcome.FAILED
+    await _copy_whole(call, reply)
+    return Outcome.DONE
+
+
+async def _copy_whole(call: TargetCall, reply: httpcore.Response) -> None:
+    body = await reply.aread()
+    call.answer.start(reply.status, _form_headers(call, reply))
+    call.answer.extend(body)
+    call.is_done = True
+
+
+async def _split_lines(reply: httpcore.Response) -> AsyncIterator[bytes]:
+    buffer = b''
+    async for chunk in reply.aiter_stream():
+        *lines, buffer = (buffer + chunk).split(b'\n')
+        for line in lines:
+            yield line
+
+
+def _take_line(client: TargetClient, call: TargetCall, line: bytes) -> None:
+    document = _parse_line(line)
+    if 'token' in document:
+        if document['token'] < call.output_tokens:
+            return
+        call.output_tokens = document['token'] + 1
+    elif 'cached_tokens' in document:
+        if call.cached_tokens >= 0:
+            return
+        call.cached_tokens = document['cached_tokens']
+    call.is_done = 'done' in document
+    call.answer.extend(b'%b\n' % line)
+    if call.output_tokens and not call.first_token_ms:
+        call.first_token_ms = client.clock.now() - call.started_ms
+    call.report(call)
+
+
+def _parse_line(line: bytes) -> dict[str, Any]:
+    try:
+        document = json.loads(line)
+    except ValueError as error:
+        raise TargetBrokenError(
+            'a target sent a line that is not JSON; check its version',
+        ) from error
+    return document if isinstance(document, dict) else {}
+
+
+def _form_headers(
+    call: TargetCall,
+    reply: httpcore.Response,
+) -> dict[str, str]:
+    headers = {
+        name.decode().lower(): value.decode() for name, value in reply.headers
+    }
+    return {
+        'content-type': headers.get('content-type', 'application/json'),
+        'hornbeam-target': call.target.name,
+        'hornbeam-ran': 'yes',
+    }
--- a/hornbeampulley/wire/__init__.py
+++ b/hornbeampulley/wire/__init__.py
@@ -2,10 +2,11 @@
 
 from hornbeampulley.wire._conversions import (
     HASH_MASK,
-    read_progress,
-    read_release,
-    read_reserve,
+    read_action,
+    read_event,
     write_action,
+    write_event,
+    write_reserve,
 )
 from hornbeampulley.wire._frames import (
     MAX_FRAME_BYTES,
@@ -31,9 +32,10 @@
     'decode_body',
     'encode_frame',
     'open_stream',
-    'read_progress',
-    'read_release',
-    'read_reserve',
+    'read_action',
+    'read_event',
     'serve_links',
     'write_action',
+    'write_event',
+    'write_reserve',
 )
--- a/hornbeampulley/wire/_conversions.py
+++ b/hornbeampulley/wire/_conversions.py
@@ -1,102 +1,133 @@
 """Between the decision core's messages and the peer protocol."""
 
-from typing import Final
+from typing import Any, Final
 
 from hornbeampulley import decisions
+from hornbeampulley.errors import WireError
+from hornbeampulley.registry import Registry
 from hornbeampulley.wire.generated.peer import ttypes
 
 HASH_MASK: Final = (1 << 63) - 1
 """Hashes travel as signed 64-bit numbers; the top bit is dropped."""
 
+_EVENTS: Final[Registry[Any]] = Registry('event')
+_ACTIONS: Final[Registry[Any]] = Registry('action')
 
-def read_reserve(
-    message: ttypes.Reserve,
-    home: str,
+
+def write_reserve(
+    event: decisions.Reserve,
+    pool: str,
+    id_lease_age_ms: float,
     now_ms: float,
-) -> decisions.Reserve:
-    """Convert a reserve as received.
+) -> ttypes.Reserve:
+    """Convert a reserve for the scheduler of a pool.
 
     Parameters
     ----------
-    message : ttypes.Reserve
-        As received; its deadline is a duration.
-    home : str
-        Incarnation of the sender.
+    event : decisions.Reserve
+        Its deadline is a moment of the sender's clock.
+    pool : str
+        Pool that is to serve it.
+    id_lease_age_ms : float
+        Age of the id lease that its request id belongs to.
     now_ms : float
-        The receiver's time.
+        The sender's time.
 
     Returns
     -------
-    decisions.Reserve
-        Its deadline is a moment of the receiver's clock.
+    ttypes.Reserve
+        Its deadline is a duration.
     """
-    deadline_ms = 0.0
-    if message.deadline_in_ms:
-        deadline_ms = now_ms + message.deadline_in_ms
-    return decisions.Reserve(
-        request_id=message.request_id,
-        home=home,
-        workspace=message.workspace,
-        service=message.service_name,
-        tier=message.tier,
-        prompt_tokens=message.prompt_tokens,
-        output_tokens=message.output_tokens,
-        block_hashes=tuple(message.block_hashes),
-        fingerprint=message.fingerprint,
-        deadline_ms=deadline_ms,
-        idempotency_key=message.idempotency_key,
-        repeatable=message.repeatable,
-        target=message.target,
-        waited_ms=message.waited_ms,
+    deadline_in_ms = 0.0
+    if event.deadline_ms:
+        deadline_in_ms = max(event.deadline_ms - now_ms, 1)
+    return ttypes.Reserve(
+        request_id=event.request_id,
+        workspace=event.workspace,
+        service_name=event.service,
+        tier=event.tier,
+        prompt_tokens=event.prompt_tokens,
+        output_tokens=event.output_tokens,
+        block_hashes=list(event.block_hashes),
+        fingerprint=event.fingerprint,
+        deadline_in_ms=deadline_in_ms,
+        idempotency_key=event.idempotency_key,
+        repeatable=event.repeatable,
+        target=event.target,
+        waited_ms=event.waited_ms,
+        pool=pool,
+        id_lease_age_ms=id_lease_age_ms,
     )
 
 
-def read_release(message: ttypes.Release) -> decisions.Release:
-    """Convert a release as received.
+def write_event(
+    event: decisions.Withdraw | decisions.Progress | decisions.Release,
+) -> Any:
+    """Convert an event, other than a reserve, for a scheduler.
 
     Parameters
     ----------
-    message : ttypes.Release
-        As received.
+    event : Withdraw, Progress or Release
+        From a home.
 
     Returns
     -------
-    decisions.Release
-        For the core.
+    thrift struct
+        To send.
     """
-    return decisions.Release(
-        message.request_id,
-        decisions.Outcome(message.outcome),
-        message.output_tokens,
-        message.first_token_ms,
-        message.duration_ms,
-        message.cached_tokens,
+    match event:
+        case decisions.Withdraw():
+            return ttypes.Withdraw(event.request_id)
+        case decisions.Progress():
+            return ttypes.Progress(
+                event.request_id,
+                event.output_tokens,
+                event.first_token_ms,
+            )
+    return ttypes.Release(
+        event.request_id,
+        event.outcome.value,
+        event.output_tokens,
+        event.first_token_ms,
+        event.duration_ms,
+        event.cached_tokens,
     )
 
 
-def read_progress(message: ttypes.Progress) -> decisions.Progress:
-    """Convert a progress as received.
+def read_event(
+    message: Any,
+    home: str,
+    now_ms: float,
+) -> decisions.Event:
+    """Convert a message of a home for the core.
 
     Parameters
     ----------
-    message : ttypes.Progress
-        As received.
+    message : thrift struct
+        A reserve, withdraw, progress or release.
+    home : str
+        Incarnation of the sender.
+    now_ms : float
+        The receiver's time.
 
     Returns
     -------
-    decisions.Progress
-        For the core.
+    Event
+        Its moments are of the receiver's clock.
+
+    Raises
+    ------
+    WireError
+        If a field is missing or not one of the values allowed.
     """
-    return decisions.Progress(
-        message.request_id,
-        message.output_tokens,
-        message.first_token_ms,
-    )
+    reader = _EVENTS.find(type(message).__name__)
+    try:
+        return reader(message, home, now_ms)
+    except (TypeError, ValueError) as error:
+        raise _explain_malformed(message) from error
 
 
-def write_action(
-    action: decisions.Lease | decisions.Refuse | decisions.Preempt,
-) -> ttypes.Lease | ttypes.Refuse | ttypes.Preempt:
+def write_action(action: decisions.Action) -> Any:
     """Convert an action for the home that it is meant for.
 
     Parameters
@@ -124,5 +155,130 @@
                 action.ran,
                 action.retry_after_ms,
             )
-        case decisions.Preempt():
-            return ttypes.Preempt(action.request_id, action.target)
+    return ttypes.Preempt(action.request_id, action.target)
+
+
+def read_action(message: Any, home: str) -> decisions.Action:
+    """Convert a message of a scheduler for a home.
+
+    Parameters
+    ----------
+    message : thrift struct
+        A lease, refuse or preempt.
+    home : str
+        Incarnation of this home.
+
+    Returns
+    -------
+    Action
+        As the core returned it.
+
+    Raises
+    ------
+    WireError
+        If a field is missing or not one of the values allowed.
+    """
+    reader = _ACTIONS.find(type(message).__name__)
+    try:
+        return reader(message, home)
+    except (TypeError, ValueError) as error:
+        raise _explain_malformed(message) from error
+
+
+@_EVENTS.register('Reserve')
+def _read_reserve(
+    message: ttypes.Reserve,
+    home: str,
+    now_ms: float,
+) -> decisions.Reserve:
+    deadline_ms = 0.0
+    if message.deadline_in_ms:
+        deadline_ms = now_ms + message.deadline_in_ms
+    return decisions.Reserve(
+        request_id=message.request_id,
+        home=home,
+        workspace=message.workspace,
+        service=message.service_name,
+        tier=message.tier,
+        prompt_tokens=message.prompt_tokens,
+        output_tokens=message.output_tokens,
+        block_hashes=tuple(message.block_hashes),
+        fingerprint=message.fingerprint,
+        deadline_ms=deadline_ms,
+        idempotency_key=message.idempotency_key,
+        repeatable=message.repeatable,
+        target=message.target,
+        waited_ms=message.waited_ms,
+    )
+
+
+@_EVENTS.register('Withdraw')
+def _read_withdraw(
+    message: ttypes.Withdraw,
+    _home: str,
+    _now_ms: float,
+) -> decisions.Withdraw:
+    return decisions.Withdraw(message.request_id)
+
+
+@_EVENTS.register('Progress')
+def _read_progress(
+    message: ttypes.Progress,
+    _home: str,
+    _now_ms: float,
+) -> decisions.Progress:
+    return decisions.Progress(
+        message.request_id,
+        message.output_tokens,
+        message.first_token_ms,
+    )
+
+
+@_EVENTS.register('Release')
+def _read_release(
+    message: ttypes.Release,
+    _home: str,
+    _now_ms: float,
+) -> decisions.Release:
+    return decisions.Release(
+        message.request_id,
+        decisions.Outcome(message.outcome),
+        message.output_tokens,
+        message.first_token_ms,
+        message.duration_ms,
+        message.cached_tokens,
+    )
+
+
+@_ACTIONS.register('Lease')
+def _read_lease(message: ttypes.Lease, home: str) -> decisions.Lease:
+    return decisions.Lease(
+        message.request_id,
+        home,
+        message.target,
+        message.valid_ms,
+        message.resume,
+    )
+
+
+@_ACTIONS.register('Refuse')
+def _read_refuse(message: ttypes.Refuse, home: str) -> decisions.Refuse:
+    return decisions.Refuse(
+        message.request_id,
+        home,
+        decisions.Reason(message.reason),
+        message.ran,
+        message.retry_after_ms,
+    )
+
+
+@_ACTIONS.register('Preempt')
+def _read_preempt(message: ttypes.Preempt, home: str) -> decisions.Preempt:
+    return decisions.Preempt(message.request_id, home, message.target)
+
+
+def _explain_malformed(message: Any) -> WireError:
+    return WireError(
+        f'a peer sent a malformed {type(message).__name__}; restart it with '
+        'the version that runs here',
+    )
--- a/hornbeampulley/wire/_links.py
+++ b/hornbeampulley/wire/_links.py
@@ -73,6 +73,11 @@
         """Whether the link has ended."""
         return self._cancel_scope.cancel_called
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether the peer was not heard for `SILENCE_MS`."""
+        return self._clock.now() - self.heard_ms >= SILENCE_MS
+
     def send(self, *messages: Any) -> None:
         """Queue messages; never blocks.
 
@@ -112,6 +117,10 @@
         decoder = FrameDecoder()
         try:
             while received := await self._stream.receive_some(_RECEIVE_BYTES):
+                # What waited while this process or the peer was paused is
+                # out of date; both start again with a new link.
+                if self.is_silent:
+                    break
                 self.heard_ms = self._clock.now()
                 for frame in decoder.feed(received):
                     self._accept(frame, handle)
@@ -151,7 +160,7 @@
 
     async def _beat(self) -> None:
         self._wakeup.set()
-        while self._clock.now() - self.heard_ms < SILENCE_MS:
+        while not self.is_silent:
             self.send(self._make_heartbeat())
             await trio.sleep(to_seconds(HEARTBEAT_MS))
         _log.info('event=link_silent')
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -71,12 +71,41 @@
         list(wire.FrameDecoder().feed(b'\xff\xff\xff\xff'))
 
 
-def test_conversion_of_events_and_actions():
-    event = wire.read_reserve(make_reserve(), 'home', now_ms=50)
-    assert event.deadline_ms == 150
-    assert event.block_hashes == (1, wire.HASH_MASK)
-    lease = wire.write_action(decisions.Lease('r', 'home', 'target', 20))
-    assert lease == ttypes.Lease('r', 'target', 20, False)
+EVENTS = (
+    decisions.Reserve('r', 'home', 'w', 's', 't', 5, 6, (1, 2), 7, 90.0),
+    decisions.Withdraw('r'),
+    decisions.Progress('r', 3, 40.0),
+    decisions.Release('r', decisions.Outcome.DONE, 3, 40.0, 50.0, 2),
+)
+ACTIONS = (
+    decisions.Lease('r', 'home', 'target', 20.0, resume=True),
+    decisions.Refuse('r', 'home', decisions.Reason.SHED, False, 30.0),
+    decisions.Preempt('r', 'home', 'target'),
+)
+
+
+@pytest.mark.parametrize('event', EVENTS)
+def test_events_come_back_as_they_were(event):
+    if isinstance(event, decisions.Reserve):
+        message = wire.write_reserve(event, 'p', 0, now_ms=10)
+    else:
+        message = wire.write_event(event)
+    sent = wire.decode_body(wire.encode_frame([message])[4:]).messages[0]
+    assert wire.read_event(sent, 'home', now_ms=10) == event
+
+
+@pytest.mark.parametrize('action', ACTIONS)
+def test_actions_come_back_as_they_were(action):
+    message = wire.write_action(action)
+    sent = wire.decode_body(wire.encode_frame([message])[4:]).messages[0]
+    assert wire.read_action(sent, 'home') == action
+
+
+def test_malformed_messages_are_wire_errors():
+    with pytest.raises(WireError, match='malformed Release'):
+        wire.read_event(ttypes.Release('r', 'flown'), 'home', 0)
+    with pytest.raises(WireError, match='malformed Reserve'):
+        wire.read_event(ttypes.Reserve('r'), 'home', 0)
 
 
 async def run_pair(handle):
