--- a/hornbeampulley/decisions/__init__.py
+++ b/hornbeampulley/decisions/__init__.py
@@ -1,5 +1,6 @@
 """The pure decision core: events in, actions out."""
 
+from hornbeampulley.decisions._core import Core
 from hornbeampulley.decisions._messages import (
     Action,
     CacheEvent,
@@ -23,17 +24,20 @@
     Withdraw,
 )
 from hornbeampulley.decisions._policies import Policy, policies
+from hornbeampulley.decisions._views import PoolState, TargetView
 
 __all__ = (
     'Action',
     'CacheEvent',
     'Configure',
+    'Core',
     'Event',
     'HomeLost',
     'Lease',
     'LoadReport',
     'Outcome',
     'Policy',
+    'PoolState',
     'Preempt',
     'Progress',
     'Quarantine',
@@ -42,6 +46,7 @@
     'Release',
     'Reserve',
     'TargetDown',
+    'TargetView',
     'TargetsLeaving',
     'Tick',
     'Warn',
--- /dev/null
+++ b/hornbeampulley/decisions/_core.py
@@ -0,0 +1,239 @@
+"""The decision core: takes events and returns actions."""
+
+import random
+from collections.abc import Callable
+from typing import Any, Final
+
+from hornbeampulley.decisions._completion import Completion, mark_running
+from hornbeampulley.decisions._cost import CostModel
+from hornbeampulley.decisions._dispatch import Dispatcher
+from hornbeampulley.decisions._fleet import Fleet
+from hornbeampulley.decisions._messages import (
+    Action,
+    CacheEvent,
+    Configure,
+    Event,
+    HomeLost,
+    LoadReport,
+    Progress,
+    Quarantine,
+    Reason,
+    Release,
+    Reserve,
+    TargetDown,
+    TargetsLeaving,
+    Tick,
+    Withdraw,
+)
+from hornbeampulley.decisions._policies import policies
+from hornbeampulley.decisions._preemption import Preemptor
+from hornbeampulley.decisions._requests import Request
+from hornbeampulley.decisions._shedding import Shedder
+from hornbeampulley.decisions._state import State
+from hornbeampulley.decisions._views import PoolState, describe_state
+
+_Handler = Callable[[Any], None]
+
+POLICY_NAME: Final = 'hornbeam'
+
+
+class Core:
+    """Decides for one pool shard; does no I/O and reads no clock.
+
+    A driver passes every event to ``handle`` in the order in which it came
+    and carries out the actions returned. A core leases nothing before the
+    first ``Configure``. Each lease is outstanding until its ``Release`` or
+    the ``HomeLost`` of its home. ``Tick`` is to be sent a few times a second.
+
+    Parameters
+    ----------
+    pool : str
+        Name of the pool.
+    seed : int
+        Seed of the random numbers.
+    is_takeover : bool
+        Whether other schedulers' leases may be outstanding, so that the
+        concurrency limits start low.
+    """
+
+    def __init__(
+        self,
+        pool: str,
+        seed: int = 0,
+        is_takeover: bool = False,
+    ) -> None:
+        cost = CostModel()
+        fleet = Fleet(cost, is_takeover)
+        self._state = State(pool, random.Random(seed), cost, fleet)
+        self._dispatcher = Dispatcher(self._state)
+        self._shedder = Shedder(self._state)
+        self._preemptor = Preemptor(self._state)
+        self._completion = Completion(self._state, self._preemptor)
+        self._handlers: dict[type, _Handler] = {
+            Reserve: self._reserve,
+            Withdraw: self._withdraw,
+            Progress: self._completion.progress,
+            Release: self._completion.release,
+            LoadReport: self._report_load,
+            CacheEvent: self._state.index.apply,
+            Configure: self._configure,
+            TargetsLeaving: self._set_leaving,
+            TargetDown: self._take_down,
+            HomeLost: self._lose_home,
+            Quarantine: self._convict,
+            Tick: self._tick,
+        }
+
+    def handle(self, event: Event, now_ms: float) -> tuple[Action, ...]:
+        """Take an event and return what is to be done about it.
+
+        Parameters
+        ----------
+        event : Event
+            What happened.
+        now_ms : float
+            The current time; must not decrease from call to call.
+
+        Returns
+        -------
+        tuple of Action
+            In the order in which they are to be carried out.
+        """
+        self._state.now_ms = max(now_ms, self._state.now_ms)
+        self._state.actions = []
+        self._handlers[type(event)](event)
+        if self._state.configuration is not None:
+            self._shedder.shed_late()
+            self._dispatcher.dispatch()
+            self._preemptor.preempt()
+            self._shedder.shed()
+        return tuple(self._state.actions)
+
+    def describe(self) -> PoolState:
+        """Describe the pool for status pages.
+
+        Returns
+        -------
+        PoolState
+            A copy that later events do not change.
+        """
+        return describe_state(self._state)
+
+    def explain(self, request_id: str) -> tuple[str, ...]:
+        """Explain what was decided about a request lately.
+
+        Parameters
+        ----------
+        request_id : str
+            Id of the request.
+
+        Returns
+        -------
+        tuple of str
+            One line for each decision, the oldest first.
+        """
+        return self._state.history.list_lines(request_id)
+
+    def _reserve(self, event: Reserve) -> None:
+        known = self._state.ledger.find(event.request_id)
+        target = self._state.fleet.find(event.target)
+        if known is not None:
+            if known.is_waiting and target is not None:
+                self._state.queue.remove(known)
+                mark_running(self._state, known, target)
+            return
+        if target is not None:
+            mark_running(self._state, self._add(event), target)
+        elif not self._state.ledger.has_ended(event.request_id):
+            self._admit(self._add(event))
+
+    def _add(self, event: Reserve) -> Request:
+        state = self._state
+        request = Request(
+            event,
+            state.queue.find_rank(event.tier),
+            state.now_ms - event.waited_ms,
+            state.cost.price(event),
+        )
+        state.ledger.add(request)
+        return request
+
+    def _admit(self, request: Request) -> None:
+        reserve = request.reserve
+        if self._state.quarantine.is_convicted(reserve.fingerprint):
+            self._state.refuse(request, Reason.QUARANTINED)
+        elif self._state.ledger.is_key_taken(reserve, self._state.now_ms):
+            self._state.refuse(request, Reason.DUPLICATE_KEY)
+        else:
+            self._state.queue.push(request)
+            self._state.note(request, 'wait', reserve.tier)
+
+    def _withdraw(self, event: Withdraw) -> None:
+        request = self._state.ledger.find(event.request_id)
+        if request is not None and request.is_waiting:
+            self._state.queue.remove(request)
+            self._state.ledger.end(request)
+            self._state.note(request, 'withdraw')
+
+    def _report_load(self, event: LoadReport) -> None:
+        target = self._state.fleet.find(event.target)
+        if target is not None:
+            reported_ms = self._state.now_ms - event.age_ms
+            target.report(event.running + event.queued, reported_ms)
+            target.health.hear(reported_ms)
+            self._state.fleet.refresh(target, self._state.now_ms)
+
+    def _configure(self, event: Configure) -> None:
+        state = self._state
+        configuration = event.configuration
+        state.configuration = configuration
+        targets = configuration.list_pool(state.pool)
+        for target in targets:
+            state.index.add_target(target.name, target.cache_blocks)
+        state.queue.configure(configuration.tiers, configuration.workspaces)
+        tiers = configuration.tiers.values()
+        for gone in state.fleet.configure(targets, tiers, state.now_ms):
+            state.index.remove_target(gone)
+            state.cost.forget(gone)
+        for service in configuration.services.values():
+            state.cost.declare_length(service.name, service.output_tokens)
+
+    def _set_leaving(self, event: TargetsLeaving) -> None:
+        self._state.fleet.set_leaving(event.targets, self._state.now_ms)
+
+    def _take_down(self, event: TargetDown) -> None:
+        self._completion.crash(event.target)
+
+    def _lose_home(self, event: HomeLost) -> None:
+        self._completion.lose_home(event.home)
+
+    def _convict(self, event: Quarantine) -> None:
+        if not self._state.quarantine.is_convicted(event.fingerprint):
+            self._state.quarantine.convict(event.fingerprint)
+            self._completion.refuse_waiting(event.fingerprint)
+
+    def _tick(self, _: Tick) -> None:
+        self._state.drain.advance(self._state.now_ms)
+        self._completion.check_overdue()
+        for target in self._state.fleet:
+            if not target.health.is_healthy:
+                self._state.fleet.refresh(target, self._state.now_ms)
+
+
+@policies.register(POLICY_NAME)
+def make_core(pool: str, seed: int) -> Core:
+    """Make a core for a pool.
+
+    Parameters
+    ----------
+    pool : str
+        Name of the pool.
+    seed : int
+        Seed of the random numbers.
+
+    Returns
+    -------
+    Core
+        A core that knows no target yet.
+    """
+    return Core(pool, seed)
--- /dev/null
+++ b/hornbeampulley/decisions/_cost.py
@@ -0,0 +1,205 @@
+"""Learnt costs: rates per target, output lengths and call times per service."""
+
+import dataclasses
+from typing import Final
+
+from hornbeampulley.decisions._messages import Release, Reserve
+from hornbeampulley.decisions._requests import Request
+
+DEFAULT_PREFILL_MS: Final = 0.2
+DEFAULT_STEP_MS: Final = 20.0
+DEFAULT_CALL_MS: Final = 50.0
+DEFAULT_OUTPUT_TOKENS: Final = 200
+OVERHEAD_TOKENS: Final = 32
+OUTPUT_QUANTILE: Final = 0.6
+QUANTILE_STEP: Final = 0.05
+RATE_WEIGHT: Final = 0.1
+POOL_WEIGHT: Final = 0.02
+CROWDING: Final = 0.5
+MIN_PRICE_MS: Final = 0.1
+
+
+@dataclasses.dataclass(slots=True)
+class Rates:
+    """Speed of a target or of the average of a pool.
+
+    Attributes
+    ----------
+    prefill_ms : float
+        Time to prefill one prompt token.
+    step_ms : float
+        Time to produce one output token.
+    pace : float
+        Duration of plain calls relative to the pool's average.
+    """
+
+    prefill_ms: float = DEFAULT_PREFILL_MS
+    step_ms: float = DEFAULT_STEP_MS
+    pace: float = 1
+
+
+def smooth(old: float, sample: float, weight: float) -> float:
+    """Return the exponentially weighted mean after one more sample."""
+    return old + weight * (sample - old)
+
+
+class CostModel:
+    """Predicts what requests cost, from what homes saw complete."""
+
+    def __init__(self) -> None:
+        self._pool = Rates()
+        self._targets: dict[str, Rates] = {}
+        self._lengths: dict[str, float] = {}
+        self._calls: dict[str, float] = {}
+        self._samples = 0
+
+    def declare_length(self, service: str, output_tokens: int) -> None:
+        """Take the operator's expected output length, if none was learnt."""
+        self._lengths.setdefault(service, float(max(output_tokens, 1)))
+
+    def expect_output(self, reserve: Reserve) -> float:
+        """Return the expected number of output tokens of a request."""
+        length = self._lengths.get(reserve.service, DEFAULT_OUTPUT_TOKENS)
+        if reserve.output_tokens:
+            return min(length, reserve.output_tokens)
+        return length
+
+    def price(self, reserve: Reserve, cached_tokens: int = 0) -> float:
+        """Return the expected cost in ms at the pool's average rates."""
+        if not reserve.prompt_tokens:
+            return self._call_ms(reserve.service)
+        return self._price_tokens(
+            reserve.prompt_tokens - cached_tokens,
+            self.expect_output(reserve),
+        )
+
+    def price_actual(self, request: Request, release: Release) -> float:
+        """Return what a request did cost, at the pool's average rates."""
+        if not request.reserve.prompt_tokens:
+            return max(release.duration_ms, MIN_PRICE_MS)
+        prefilled = request.uncached_tokens if release.first_token_ms else 0
+        return self._price_tokens(prefilled, release.output_tokens)
+
+    def price_first_token(self, request: Request) -> float:
+        """Return the expected delay of the first token on an average target."""
+        tokens = request.uncached_tokens + OVERHEAD_TOKENS
+        return tokens * self._pool.prefill_ms
+
+    def expect_ms(
+        self,
+        target: str,
+        reserve: Reserve,
+        cached_tokens: float,
+        load: float,
+    ) -> float:
+        """Return the expected time to complete a request on a target.
+
+        Parameters
+        ----------
+        target : str
+            Name of the target.
+        reserve : Reserve
+            The request.
+        cached_tokens : float
+            Prompt tokens expected in the target's cache.
+        load : float
+            Share of the target's limit in use.
+
+        Returns
+        -------
+        float
+            Milliseconds from dispatch to the last token.
+        """
+        rates = self._targets.get(target, self._pool)
+        crowding = 1 + CROWDING * load
+        if not reserve.prompt_tokens:
+            return self._call_ms(reserve.service) * rates.pace * crowding
+        prefill = reserve.prompt_tokens - cached_tokens + OVERHEAD_TOKENS
+        steps = self.expect_output(reserve) * rates.step_ms
+        return (prefill * rates.prefill_ms + steps) * crowding
+
+    def rate(self, target: str) -> float:
+        """Return a target's slowness; 1 is the pool's average."""
+        rates = self._targets.get(target, self._pool)
+        prefill = rates.prefill_ms / self._pool.prefill_ms
+        return rates.pace * (prefill + rates.step_ms / self._pool.step_ms) / 2
+
+    def learn(self, request: Request, release: Release) -> None:
+        """Learn from a completed request."""
+        self._samples += 1
+        rates = self._targets.get(request.target)
+        if rates is None:
+            rates = dataclasses.replace(self._pool)
+            self._targets[request.target] = rates
+        if request.reserve.prompt_tokens:
+            self._learn_tokens(rates, request, release)
+        elif release.duration_ms > 0:
+            self._learn_call(rates, request.reserve.service, release)
+
+    def forget(self, target: str) -> None:
+        """Drop what was learnt about a target that is gone."""
+        self._targets.pop(target, None)
+
+    def _learn_tokens(
+        self,
+        rates: Rates,
+        request: Request,
+        release: Release,
+    ) -> None:
+        if release.first_token_ms > 0:
+            tokens = request.uncached_tokens + OVERHEAD_TOKENS
+            sample = release.first_token_ms / tokens
+            pool_weight = self._weigh_pool()
+            self._pool.prefill_ms = smooth(
+                self._pool.prefill_ms,
+                sample,
+                pool_weight,
+            )
+            rates.prefill_ms = smooth(rates.prefill_ms, sample, RATE_WEIGHT)
+        streaming_ms = release.duration_ms - release.first_token_ms
+        if release.output_tokens > 1 and streaming_ms > 0:
+            sample = streaming_ms / (release.output_tokens - 1)
+            pool_weight = self._weigh_pool()
+            self._pool.step_ms = smooth(
+                self._pool.step_ms,
+                sample,
+                pool_weight,
+            )
+            rates.step_ms = smooth(rates.step_ms, sample, RATE_WEIGHT)
+        self._learn_length(request.reserve.service, release.output_tokens)
+
+    def _learn_call(
+        self,
+        rates: Rates,
+        service: str,
+        release: Release,
+    ) -> None:
+        expected = self._call_ms(service)
+        rates.pace = smooth(
+            rates.pace,
+            release.duration_ms / max(expected, MIN_PRICE_MS),
+            RATE_WEIGHT,
+        )
+        self._calls[service] = smooth(
+            expected,
+            release.duration_ms,
+            self._weigh_pool(),
+        )
+
+    def _learn_length(self, service: str, output_tokens: int) -> None:
+        length = self._lengths.get(service, float(DEFAULT_OUTPUT_TOKENS))
+        if output_tokens > length:
+            length *= 1 + QUANTILE_STEP * OUTPUT_QUANTILE
+        else:
+            length *= 1 - QUANTILE_STEP * (1 - OUTPUT_QUANTILE)
+        self._lengths[service] = max(length, 1)
+
+    def _weigh_pool(self) -> float:
+        return max(POOL_WEIGHT, 1 / self._samples)
+
+    def _call_ms(self, service: str) -> float:
+        return self._calls.get(service, DEFAULT_CALL_MS)
+
+    def _price_tokens(self, prefilled: float, produced: float) -> float:
+        prefill_ms = (prefilled + OVERHEAD_TOKENS) * self._pool.prefill_ms
+        return prefill_ms + produced * self._pool.step_ms
--- /dev/null
+++ b/hornbeampulley/decisions/_dispatch.py
@@ -0,0 +1,163 @@
+"""The loop that gives leases while targets have room."""
+
+from typing import Final
+
+from hornbeampulley.decisions._messages import Lease, Reason
+from hornbeampulley.decisions._placement import Match
+from hornbeampulley.decisions._requests import Request, Stage
+from hornbeampulley.decisions._state import State
+from hornbeampulley.decisions._targets import TargetState
+
+LEASE_VALID_MS: Final = 1000.0
+
+
+class Dispatcher:
+    """Gives leases in order, each to the target that completes it first.
+
+    Parameters
+    ----------
+    state : State
+        The state of the core.
+    """
+
+    def __init__(self, state: State) -> None:
+        self._state = state
+        self._reserved: TargetState | None = None
+
+    def dispatch(self) -> None:
+        """Give all leases that can be given now."""
+        self._dispatch_alone()
+        while True:
+            rank = self._state.queue.choose_rank(self._state.fleet.has_room)
+            if rank is None:
+                return
+            self._dispatch_one(rank)
+
+    def _dispatch_one(self, rank: int) -> None:
+        request = self._state.queue.pop(rank)
+        fingerprint = request.reserve.fingerprint
+        if self._state.quarantine.is_convicted(fingerprint):
+            self._state.refuse(request, Reason.QUARANTINED)
+        elif self._state.quarantine.is_suspect(fingerprint):
+            self._state.queue.set_aside(request)
+            self._state.note(request, 'wait', 'must run alone')
+            self._dispatch_alone()
+        elif self._claim(request):
+            self._place(request)
+
+    def _dispatch_alone(self) -> None:
+        """Run the first suspect on an idle target, or reserve one for it."""
+        if self._reserved is not None and not self._is_usable(self._reserved):
+            self._free_reserved()
+        request = self._state.queue.find_aside()
+        if request is None:
+            self._free_reserved()
+            return
+        self._reserve_target()
+        if self._reserved is None or self._reserved.running:
+            return
+        self._state.queue.remove(request)
+        if self._claim(request):
+            self._lease(request, self._reserved, 0)
+
+    def _reserve_target(self) -> None:
+        if self._reserved is not None:
+            return
+        self._reserved = self._state.fleet.find_calmest()
+        if self._reserved is not None:
+            self._reserved.is_reserved = True
+            self._state.fleet.refresh(self._reserved, self._state.now_ms)
+
+    def _free_reserved(self) -> None:
+        """Give the reserved target back once nothing runs alone on it."""
+        reserved = self._reserved
+        if reserved is None or (reserved.running and reserved.slots):
+            return
+        reserved.is_reserved = False
+        self._reserved = None
+        self._state.fleet.refresh(reserved, self._state.now_ms)
+
+    def _is_usable(self, state: TargetState) -> bool:
+        return state.slots > 0 and self._state.fleet.find(state.name) is state
+
+    def _claim(self, request: Request) -> bool:
+        is_free = self._state.ledger.claim_key(
+            request.reserve,
+            self._state.now_ms,
+        )
+        if not is_free:
+            self._state.refuse(request, Reason.DUPLICATE_KEY)
+        return is_free
+
+    def _place(self, request: Request) -> None:
+        match = self._state.index.match(request.reserve.block_hashes)
+        best = min(
+            self._list_candidates(request, match),
+            key=lambda state: (self._score(request, state, match), state.name),
+        )
+        cached = self._count_cached(request, best, match)
+        self._lease(request, best, int(cached))
+
+    def _list_candidates(
+        self,
+        request: Request,
+        match: Match,
+    ) -> list[TargetState]:
+        fleet = self._state.fleet
+        candidates = fleet.list_candidates(request.rank)
+        for name in self._state.index.list_holders(match):
+            state = fleet.find(name)
+            if state is not None and state not in candidates:
+                if fleet.can_take(state, request.rank, self._state.now_ms):
+                    candidates.append(state)
+        return candidates
+
+    def _score(
+        self,
+        request: Request,
+        state: TargetState,
+        match: Match,
+    ) -> float:
+        return self._state.cost.expect_ms(
+            state.name,
+            request.reserve,
+            self._count_cached(request, state, match),
+            state.estimate_load(self._state.now_ms),
+        )
+
+    def _count_cached(
+        self,
+        request: Request,
+        state: TargetState,
+        match: Match,
+    ) -> float:
+        blocks = len(request.reserve.block_hashes)
+        if not blocks:
+            return 0
+        share = self._state.index.expect_cached(state.name, match) / blocks
+        return share * request.reserve.prompt_tokens
+
+    def _lease(
+        self,
+        request: Request,
+        state: TargetState,
+        cached_tokens: int,
+    ) -> None:
+        request.stage = Stage.RUNNING
+        request.cached_tokens = cached_tokens
+        request.charged = False
+        request.sampled = False
+        self._state.fleet.start(state, request, self._state.now_ms)
+        self._state.index.insert(state.name, request.reserve.block_hashes)
+        self._state.queue.note_dispatch(request.rank)
+        self._state.retries.earn(request.reserve.workspace)
+        self._state.note(request, 'lease', state.name)
+        self._state.actions.append(
+            Lease(
+                request.request_id,
+                request.reserve.home,
+                state.name,
+                LEASE_VALID_MS,
+                request.resume,
+            ),
+        )
--- /dev/null
+++ b/hornbeampulley/decisions/_fleet.py
@@ -0,0 +1,253 @@
+"""The targets of a pool and which of them have room."""
+
+import heapq
+import math
+from collections.abc import Iterable, Iterator
+from typing import Final
+
+from hornbeampulley.configuration import Target, Tier
+from hornbeampulley.decisions._cost import CostModel
+from hornbeampulley.decisions._limits import AdaptiveLimit
+from hornbeampulley.decisions._requests import Request
+from hornbeampulley.decisions._targets import TargetState
+
+CANDIDATES: Final = 4
+MAX_EJECTED_SHARE: Final = 0.5
+STALE_ENTRIES: Final = 64
+
+
+class Fleet:
+    """Finds targets with room without looking at all of them.
+
+    For each rank a heap holds the targets with room by their load and speed;
+    entries become stale when the state of their target changes.
+
+    Parameters
+    ----------
+    cost : CostModel
+        Gives the speed of targets.
+    is_takeover : bool
+        Whether limits start low.
+    """
+
+    def __init__(self, cost: CostModel, is_takeover: bool = False) -> None:
+        self.capacity = 0
+        self.stopping = 0
+        self.top = 0
+        self._cost = cost
+        self._is_takeover = is_takeover
+        self._states: dict[str, TargetState] = {}
+        self._headroom: dict[int, float] = {0: 0.0}
+        self._heaps: dict[int, list[tuple[float, int, str]]] = {0: []}
+        self._leaving: frozenset[str] = frozenset()
+        self._recent_sum = 0.0
+
+    def __iter__(self) -> Iterator[TargetState]:
+        """Iterate over the targets."""
+        return iter(tuple(self._states.values()))
+
+    @property
+    def names(self) -> list[str]:
+        """Return the names of the targets."""
+        return list(self._states)
+
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether there is no target, or all are leaving."""
+        return all(state.is_leaving for state in self._states.values())
+
+    def find(self, name: str) -> TargetState | None:
+        """Return a target."""
+        return self._states.get(name)
+
+    def configure(
+        self,
+        targets: Iterable[Target],
+        tiers: Iterable[Tier],
+        now_ms: float,
+    ) -> list[str]:
+        """Take targets and tiers.
+
+        Parameters
+        ----------
+        targets : iterable of Target
+            The targets of the pool.
+        tiers : iterable of Tier
+            All tiers.
+        now_ms : float
+            The current time.
+
+        Returns
+        -------
+        list of str
+            Names of the targets that are gone and run nothing.
+        """
+        known = {target.name: target for target in targets}
+        for target in known.values():
+            self._add(target)
+        self._set_headroom(sorted(tiers, key=lambda tier: tier.rank))
+        for state in self:
+            state.is_leaving = self._is_leaving(state.name, known)
+            self.refresh(state, now_ms)
+        return self._remove_gone(known)
+
+    def set_leaving(self, names: frozenset[str], now_ms: float) -> None:
+        """Take the whole set of leaving targets."""
+        for state in self:
+            was_listed = state.name in self._leaving
+            if was_listed or state.name in names:
+                state.is_leaving = state.name in names
+                self.refresh(state, now_ms)
+        self._leaving = names
+
+    def refresh(self, state: TargetState, now_ms: float) -> None:
+        """Place a target anew among the candidates after a change."""
+        state.version += 1
+        self.capacity += state.slots - state.counted_slots
+        state.counted_slots = state.slots
+        key = self._cost.rate(state.name) * (1 + state.estimate_load(now_ms))
+        for rank, heap in self._heaps.items():
+            if self._has_room(state, rank, now_ms):
+                heapq.heappush(heap, (key, state.version, state.name))
+                self._compact(heap)
+
+    def has_room(self, rank: int) -> bool:
+        """Tell whether any target has room for a rank."""
+        heap = self._heaps[self._clip(rank)]
+        while heap and not self._is_valid(heap[0]):
+            heapq.heappop(heap)
+        return bool(heap)
+
+    def list_candidates(self, rank: int) -> list[TargetState]:
+        """List a few targets with room, the least loaded first."""
+        heap = self._heaps[self._clip(rank)]
+        entries: list[tuple[float, int, str]] = []
+        while heap and len(entries) < CANDIDATES:
+            entry = heapq.heappop(heap)
+            if self._is_valid(entry):
+                entries.append(entry)
+        for valid in entries:
+            heapq.heappush(heap, valid)
+        return [self._states[name] for _, _, name in entries]
+
+    def can_take(self, state: TargetState, rank: int, now_ms: float) -> bool:
+        """Tell whether a target has room for a rank."""
+        return self._has_room(state, self._clip(rank), now_ms)
+
+    def start(
+        self,
+        state: TargetState,
+        request: Request,
+        now_ms: float,
+    ) -> None:
+        """Count a request as running on a target."""
+        state.add(request)
+        request.target = state.name
+        request.leased_ms = now_ms
+        if not state.health.is_healthy:
+            state.health.start_probe(now_ms)
+        self.refresh(state, now_ms)
+
+    def finish(self, request: Request, now_ms: float) -> None:
+        """Count a request as no longer running."""
+        if request.stopping:
+            request.stopping = False
+            self.stopping -= 1
+        state = self._states[request.target]
+        state.remove(request)
+        self.refresh(state, now_ms)
+
+    def stop(self, request: Request) -> None:
+        """Note that a preemption is under way."""
+        request.stopping = True
+        self.stopping += 1
+
+    def observe(self, state: TargetState, ratio: float, now_ms: float) -> bool:
+        """Judge a target by a completed request.
+
+        Parameters
+        ----------
+        state : TargetState
+            The target.
+        ratio : float
+            Duration of the request relative to the price of its work.
+        now_ms : float
+            The current time.
+
+        Returns
+        -------
+        bool
+            True if the target's condition has changed.
+        """
+        condition = state.health.condition
+        before = state.health.recent
+        others = max(len(self._states) - 1, 1)
+        pool_ratio = (self._recent_sum - before) / others
+        state.health.observe(ratio, pool_ratio, now_ms)
+        self._recent_sum += state.health.recent - before
+        if not state.health.is_healthy and self._has_too_few():
+            state.health.pardon()
+        if state.health.condition is condition:
+            return False
+        if state.health.is_healthy:
+            state.limit.restart()
+        return True
+
+    def find_calmest(self) -> TargetState | None:
+        """Return the healthy target that runs least."""
+        states = [state for state in self if state.slots]
+        return min(states, key=lambda state: len(state.running), default=None)
+
+    def _add(self, target: Target) -> None:
+        state = self._states.get(target.name)
+        if state is None:
+            limit = AdaptiveLimit(target.slots, self._is_takeover)
+            self._states[target.name] = TargetState(target, limit)
+            return
+        state.target = target
+        state.limit.set_ceiling(target.slots)
+
+    def _remove_gone(self, known: dict[str, Target]) -> list[str]:
+        gone = [
+            name
+            for name in self.names
+            if name not in known and not self._states[name].running
+        ]
+        for name in gone:
+            self._recent_sum -= self._states.pop(name).health.recent
+        return gone
+
+    def _set_headroom(self, tiers: list[Tier]) -> None:
+        self._headroom = {}
+        kept = 0.0
+        for tier in tiers:
+            self._headroom.setdefault(tier.rank, kept)
+            kept += tier.headroom
+        lowest = max(self._headroom, default=-1)
+        self._headroom[lowest + 1] = kept
+        self.top = min(self._headroom)
+        self._heaps = {rank: [] for rank in self._headroom}
+
+    def _is_leaving(self, name: str, known: dict[str, Target]) -> bool:
+        return name in self._leaving or name not in known
+
+    def _has_room(self, state: TargetState, rank: int, now_ms: float) -> bool:
+        return state.has_room(rank, self._headroom[rank], self.top, now_ms)
+
+    def _clip(self, rank: int) -> int:
+        return rank if rank in self._heaps else max(self._heaps)
+
+    def _is_valid(self, entry: tuple[float, int, str]) -> bool:
+        state = self._states.get(entry[2])
+        return state is not None and state.version == entry[1]
+
+    def _compact(self, heap: list[tuple[float, int, str]]) -> None:
+        if len(heap) > 4 * len(self._states) + STALE_ENTRIES:
+            valid = [entry for entry in heap if self._is_valid(entry)]
+            heap.clear()
+            heap.extend(sorted(valid))
+
+    def _has_too_few(self) -> bool:
+        ejected = sum(not state.health.is_healthy for state in self)
+        allowed = math.floor(len(self._states) * MAX_EJECTED_SHARE)
+        return ejected > allowed
--- /dev/null
+++ b/hornbeampulley/decisions/_lanes.py
@@ -0,0 +1,91 @@
+"""The waiting requests of one workspace in one tier."""
+
+import collections
+import heapq
+from typing import Final
+
+from hornbeampulley.decisions._requests import Request
+
+AGEING: Final = 3.0
+STALE_ENTRIES: Final = 64
+
+
+class Lane:
+    """Orders requests short before long, with a bound on overtaking.
+
+    A request is overtaken only by those that arrive within ``AGEING`` times
+    its own price. Removed requests leave stale entries, which are skipped.
+
+    Parameters
+    ----------
+    name : str
+        Name of the workspace.
+    share : float
+        Weight of the workspace.
+    """
+
+    def __init__(self, name: str, share: float) -> None:
+        self.name = name
+        self.share = share
+        self.served = 0.0
+        self.backlog = 0.0
+        self.count = 0
+        self._order: list[tuple[float, int, Request]] = []
+        self._newest: collections.deque[tuple[int, Request]] = (
+            collections.deque()
+        )
+
+    @property
+    def finish(self) -> float:
+        """Return the virtual time at which its backlog would be served."""
+        return self.served + self.backlog / self.share
+
+    def add(self, request: Request) -> None:
+        """Add a request whose serial is new."""
+        key = request.arrived_ms + AGEING * request.price_ms
+        heapq.heappush(self._order, (key, request.serial, request))
+        if request.resume:
+            self._newest.appendleft((request.serial, request))
+        else:
+            self._newest.append((request.serial, request))
+        self.count += 1
+        self.backlog += request.price_ms
+
+    def pop_first(self) -> Request:
+        """Remove the request to be served next."""
+        while True:
+            _, serial, request = heapq.heappop(self._order)
+            if request.serial == serial:
+                self.discard(request)
+                return request
+
+    def pop_newest(self) -> Request:
+        """Remove the request to be shed next."""
+        while True:
+            serial, request = self._newest.pop()
+            if request.serial == serial:
+                self.discard(request)
+                return request
+
+    def discard(self, request: Request) -> None:
+        """Remove a request wherever it stands."""
+        request.serial = 0
+        self.count -= 1
+        self.backlog -= request.price_ms
+        if not self.count:
+            self.backlog = 0
+        if len(self._newest) > 2 * self.count + STALE_ENTRIES:
+            self._compact()
+
+    def charge(self, cost_ms: float) -> None:
+        """Add served cost; negative if less was used than expected."""
+        self.served += cost_ms / self.share
+
+    def _compact(self) -> None:
+        self._order = [
+            item for item in self._order if item[2].serial == item[1]
+        ]
+        heapq.heapify(self._order)
+        self._newest = collections.deque(
+            item for item in self._newest if item[1].serial == item[0]
+        )
--- /dev/null
+++ b/hornbeampulley/decisions/_limits.py
@@ -0,0 +1,84 @@
+"""Adaptive concurrency limit of a target, from its delay to first token."""
+
+import math
+from typing import Final
+
+from hornbeampulley.decisions._cost import smooth
+
+TOLERANCE: Final = 3.0
+RECENT_WEIGHT: Final = 0.2
+BASELINE_RISE: Final = 0.01
+BASELINE_FALL: Final = 0.1
+DECREASE: Final = 0.8
+DECREASE_PAUSE_MS: Final = 1000.0
+SLOW_START: Final = 0.25
+
+
+class AdaptiveLimit:
+    """Additive increase and multiplicative decrease below a ceiling.
+
+    Parameters
+    ----------
+    ceiling : int
+        Requests that the target can run side by side.
+    is_low : bool
+        Whether to start low, as after a takeover.
+    """
+
+    def __init__(self, ceiling: int, is_low: bool = False) -> None:
+        self._ceiling = max(ceiling, 1)
+        self._size = float(self._ceiling)
+        self._baseline = 0.0
+        self._recent = 0.0
+        self._decreased_ms = -math.inf
+        if is_low:
+            self.restart()
+
+    @property
+    def slots(self) -> int:
+        """Return how many requests may run now."""
+        return int(self._size)
+
+    def set_ceiling(self, ceiling: int) -> None:
+        """Take a new ceiling from a change ticket."""
+        ceiling = max(ceiling, 1)
+        if ceiling != self._ceiling:
+            self._ceiling = ceiling
+            self._size = float(ceiling)
+
+    def restart(self) -> None:
+        """Start low again."""
+        self._size = self._floor()
+
+    def observe(self, sample: float, now_ms: float) -> None:
+        """Adjust the limit after a first token.
+
+        Parameters
+        ----------
+        sample : float
+            Delay to the first token per prompt token that was prefilled.
+        now_ms : float
+            The current time.
+        """
+        self._learn(sample)
+        if self._recent <= TOLERANCE * self._baseline:
+            self.grow()
+        elif now_ms - self._decreased_ms >= DECREASE_PAUSE_MS:
+            self._decreased_ms = now_ms
+            self._size = max(self._size * DECREASE, self._floor())
+
+    def grow(self) -> None:
+        """Raise the limit by one after as many samples as it allows."""
+        self._size = min(self._size + 1 / self._size, float(self._ceiling))
+
+    def _learn(self, sample: float) -> None:
+        if not self._baseline:
+            self._baseline = sample
+            self._recent = sample
+        rises = sample > self._baseline
+        weight = BASELINE_RISE if rises else BASELINE_FALL
+        self._baseline = smooth(self._baseline, sample, weight)
+        self._recent = smooth(self._recent, sample, RECENT_WEIGHT)
+
+    def _floor(self) -> float:
+        return float(max(math.ceil(self._ceiling * SLOW_START), 1))
--- /dev/null
+++ b/hornbeampulley/decisions/_placement.py
@@ -0,0 +1,180 @@
+"""Which prompt blocks the targets hold, and how far that is trusted."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from hornbeampulley.decisions._cost import smooth
+from hornbeampulley.decisions._messages import CacheEvent
+
+DEFAULT_CACHE_BLOCKS: Final = 4096
+GAP_TRUST: Final = 0.8
+TRUST_WEIGHT: Final = 0.1
+MIN_TRUST: Final = 0.2
+MAX_HOLDERS: Final = 8
+
+
+class _Cache:
+    """Blocks that one target is thought to hold, least recent first."""
+
+    def __init__(self, number: int, capacity: int) -> None:
+        self.bit = 1 << number
+        self.capacity = capacity or DEFAULT_CACHE_BLOCKS
+        self.blocks: dict[int, None] = {}
+        self.sequence = 0
+        self.trust = 1.0
+
+
+class Match:
+    """Targets that hold a prefix of a prompt.
+
+    Parameters
+    ----------
+    steps : list of (int, int)
+        Depth in blocks and mask of the targets that hold as much, by
+        increasing depth.
+    """
+
+    def __init__(self, steps: list[tuple[int, int]]) -> None:
+        self._steps = steps
+
+    def depth(self, bit: int) -> int:
+        """Return how many blocks the target of a bit holds."""
+        for depth, mask in reversed(self._steps):
+            if mask & bit:
+                return depth
+        return 0
+
+    def iterate_bits(self) -> Iterator[int]:
+        """Iterate over a few bits of holders, the longest prefix first."""
+        seen = 0
+        for _, mask in reversed(self._steps):
+            rest = mask & ~seen
+            while rest and seen.bit_count() < MAX_HOLDERS:
+                bit = rest & -rest
+                rest ^= bit
+                seen |= bit
+                yield bit
+
+
+class PrefixIndex:
+    """Maps block hashes to the targets that hold them.
+
+    Each target has a bit, so that a walk along a prompt costs the same at
+    any number of targets.
+    """
+
+    def __init__(self) -> None:
+        self._caches: dict[str, _Cache] = {}
+        self._names: dict[int, str] = {}
+        self._holders: dict[int, int] = {}
+
+    def add_target(self, name: str, capacity: int) -> None:
+        """Start an empty cache, or change the capacity of a known one."""
+        cache = self._caches.get(name)
+        if cache is None:
+            number = self._find_number()
+            cache = _Cache(number, capacity)
+            self._caches[name] = cache
+            self._names[cache.bit] = name
+        cache.capacity = capacity or DEFAULT_CACHE_BLOCKS
+
+    def remove_target(self, name: str) -> None:
+        """Forget a target and its blocks."""
+        self.clear(name)
+        cache = self._caches.pop(name, None)
+        if cache is not None:
+            self._names.pop(cache.bit)
+
+    def clear(self, name: str) -> None:
+        """Forget the blocks of a target, as it restarted."""
+        cache = self._caches.get(name)
+        if cache is not None:
+            for block in tuple(cache.blocks):
+                self._drop(cache, block)
+            cache.sequence = 0
+
+    def match(self, blocks: tuple[int, ...]) -> Match:
+        """Find the targets that hold a prefix of a prompt."""
+        steps: list[tuple[int, int]] = []
+        mask = -1
+        for depth, block in enumerate(blocks):
+            held = mask & self._holders.get(block, 0)
+            if held != mask and depth:
+                steps.append((depth, mask))
+            mask = held
+            if not mask:
+                return Match(steps)
+        if blocks:
+            steps.append((len(blocks), mask))
+        return Match(steps)
+
+    def list_holders(self, match: Match) -> list[str]:
+        """List a few targets of a match, the longest prefix first."""
+        return [self._names[bit] for bit in match.iterate_bits()]
+
+    def expect_cached(self, name: str, match: Match) -> float:
+        """Return the blocks of a match that a target is trusted to hold."""
+        cache = self._caches[name]
+        return match.depth(cache.bit) * cache.trust
+
+    def insert(self, name: str, blocks: tuple[int, ...]) -> None:
+        """Note that a target prefills a prompt.
+
+        The last blocks count as least recent, since engines evict the end
+        of a prefix before its start.
+        """
+        cache = self._caches.get(name)
+        if cache is None:
+            return
+        for block in reversed(blocks[: cache.capacity]):
+            if block in cache.blocks:
+                cache.blocks.pop(block)
+            else:
+                self._holders[block] = self._holders.get(block, 0) | cache.bit
+            cache.blocks[block] = None
+        while len(cache.blocks) > cache.capacity:
+            self._drop(cache, next(iter(cache.blocks)))
+
+    def apply(self, event: CacheEvent) -> None:
+        """Correct a target's blocks by its own word."""
+        cache = self._caches.get(event.target)
+        if cache is None or event.sequence <= cache.sequence:
+            return
+        if cache.sequence and event.sequence > cache.sequence + 1:
+            cache.trust = max(cache.trust * GAP_TRUST, MIN_TRUST)
+        cache.sequence = event.sequence
+        for block in event.removed:
+            self._drop(cache, block)
+        self.insert(event.target, event.added)
+
+    def confirm(self, name: str, expected: int, found: int) -> None:
+        """Learn trust from what an engine found in its cache.
+
+        Parameters
+        ----------
+        name : str
+            Name of the target.
+        expected, found : int
+            Prompt tokens expected in the cache and found there.
+        """
+        cache = self._caches.get(name)
+        if cache is None or expected <= 0:
+            return
+        share = min(found * cache.trust / expected, 1)
+        cache.trust = max(smooth(cache.trust, share, TRUST_WEIGHT), MIN_TRUST)
+
+    def _drop(self, cache: _Cache, block: int) -> None:
+        if block not in cache.blocks:
+            return
+        cache.blocks.pop(block)
+        mask = self._holders[block] & ~cache.bit
+        if mask:
+            self._holders[block] = mask
+        else:
+            self._holders.pop(block)
+
+    def _find_number(self) -> int:
+        number = 0
+        while 1 << number in self._names:
+            number += 1
+        return number
--- /dev/null
+++ b/hornbeampulley/decisions/_preemption.py
@@ -0,0 +1,72 @@
+"""Preemption of running streams when the top tier finds no room."""
+
+from typing import Final
+
+from hornbeampulley.decisions._messages import Preempt
+from hornbeampulley.decisions._requests import Request
+from hornbeampulley.decisions._state import State
+from hornbeampulley.decisions._targets import TargetState
+
+SAMPLED_TARGETS: Final = 16
+
+
+class Preemptor:
+    """Stops the stream of the lowest tier that wastes least.
+
+    Parameters
+    ----------
+    state : State
+        The state of the core.
+    """
+
+    def __init__(self, state: State) -> None:
+        self._state = state
+
+    def preempt(self) -> None:
+        """Order one stop for each top request that finds no room."""
+        fleet = self._state.fleet
+        if fleet.has_room(fleet.top):
+            return
+        waiting = self._state.queue.count_ready(fleet.top)
+        while fleet.stopping < waiting:
+            victim = self._find_victim()
+            if victim is None:
+                return
+            self.stop(victim)
+
+    def stop(self, request: Request) -> None:
+        """Order a running request to stop and wait again."""
+        self._state.fleet.stop(request)
+        self._state.note(request, 'preempt', request.target)
+        self._state.actions.append(
+            Preempt(request.request_id, request.reserve.home, request.target),
+        )
+
+    def _find_victim(self) -> Request | None:
+        fleet = self._state.fleet
+        names = fleet.names
+        if len(names) > SAMPLED_TARGETS:
+            names = self._state.random.sample(names, SAMPLED_TARGETS)
+        victims = [
+            request
+            for name in names
+            for request in self._list_victims(fleet.find(name))
+        ]
+        return min(victims, key=self._weigh, default=None)
+
+    def _list_victims(self, state: TargetState | None) -> list[Request]:
+        if state is None or state.is_reserved or not state.slots:
+            return []
+        return [
+            request
+            for request in state.running.values()
+            if self._can_stop(request)
+        ]
+
+    def _can_stop(self, request: Request) -> bool:
+        if request.stopping or not request.reserve.repeatable:
+            return False
+        return request.rank > self._state.fleet.top
+
+    def _weigh(self, request: Request) -> tuple[int, float]:
+        return (-request.rank, self._state.now_ms - request.leased_ms)
--- /dev/null
+++ b/hornbeampulley/decisions/_queue.py
@@ -0,0 +1,173 @@
+"""The waiting requests of a pool, by tier."""
+
+from collections.abc import Callable, Iterator, Mapping
+from typing import Final
+
+from hornbeampulley.configuration import Tier, Workspace
+from hornbeampulley.decisions._requests import Request, Stage
+from hornbeampulley.decisions._tiers import TierQueue
+
+MAX_CREDIT: Final = 2.0
+
+
+class WaitingQueue:
+    """Orders tiers by rank, with a floor on the dispatches of lower ones."""
+
+    def __init__(self) -> None:
+        self._ranks: dict[str, int] = {}
+        self._floors: dict[int, float] = {}
+        self._credits: dict[int, float] = {}
+        self._shares: dict[str, float] = {}
+        self._tiers: dict[int, TierQueue] = {}
+        self._serial = 0
+
+    @property
+    def count(self) -> int:
+        """Return how many requests wait."""
+        return sum(tier.count for tier in self._tiers.values())
+
+    @property
+    def work_ms(self) -> float:
+        """Return the price of the waiting requests without a deadline."""
+        return sum(tier.work_ms for tier in self._tiers.values())
+
+    @property
+    def ranks(self) -> list[int]:
+        """Return the ranks in use, the most urgent first."""
+        return sorted(self._tiers)
+
+    def configure(
+        self,
+        tiers: Mapping[str, Tier],
+        workspaces: Mapping[str, Workspace],
+    ) -> None:
+        """Take tiers and workspaces; requests that wait are sorted anew."""
+        ranks = {tier.name: tier.rank for tier in tiers.values()}
+        waiting = [] if ranks == self._ranks else list(self._drain())
+        self._ranks = ranks
+        self._floors = {tier.rank: tier.floor for tier in tiers.values()}
+        self._shares = {
+            workspace.name: workspace.share for workspace in workspaces.values()
+        }
+        for rank in self._ranks.values():
+            self._open(rank)
+        for request in reversed(waiting):
+            request.rank = self.find_rank(request.reserve.tier)
+            self.push(request)
+
+    def find_rank(self, tier: str) -> int:
+        """Return the rank of a tier; an unknown one comes last."""
+        lowest = max(self._ranks.values(), default=0)
+        return self._ranks.get(tier, lowest + 1)
+
+    def push(self, request: Request) -> None:
+        """Add a request."""
+        self._serial += 1
+        request.serial = self._serial
+        request.stage = Stage.WAITING
+        share = self._shares.get(request.reserve.workspace, 1.0)
+        self._open(request.rank).push(request, share)
+
+    def pop(self, rank: int) -> Request:
+        """Remove the request of a rank that is to be leased next."""
+        return self._tiers[rank].pop()
+
+    def remove(self, request: Request) -> None:
+        """Remove a waiting request."""
+        self._tiers[request.rank].remove(request)
+
+    def set_aside(self, request: Request) -> None:
+        """Keep a popped request until a target is idle."""
+        self._tiers[request.rank].set_aside(request)
+
+    def find_aside(self) -> Request | None:
+        """Return the most urgent request that must run alone."""
+        for rank in self.ranks:
+            aside = self._tiers[rank].aside
+            if aside:
+                return next(iter(aside.values()))
+        return None
+
+    def pop_worst(self) -> Request:
+        """Remove the request that is to be shed next."""
+        return self._tiers[self.lowest_rank()].pop_worst()
+
+    def lowest_rank(self) -> int:
+        """Return the least urgent rank that waits, or -1."""
+        waiting = [rank for rank in self._tiers if self._tiers[rank].count]
+        return max(waiting, default=-1)
+
+    def choose_rank(self, has_room: Callable[[int], bool]) -> int | None:
+        """Choose the rank to be served next.
+
+        Parameters
+        ----------
+        has_room : callable
+            Tells whether any target has room for a rank.
+
+        Returns
+        -------
+        int or None
+            The rank; none if there is no room for the most urgent request.
+        """
+        ready = [rank for rank in self.ranks if self._tiers[rank].ready]
+        for rank in ready:
+            if self._credits.get(rank, 0) >= 1 and has_room(rank):
+                return rank
+        if ready and has_room(ready[0]):
+            return ready[0]
+        return None
+
+    def note_dispatch(self, rank: int) -> None:
+        """Credit the waiting tiers that have a floor; debit the one served."""
+        for waiting, floor in self._floors.items():
+            if floor and self._tiers[waiting].ready:
+                credit = self._credits.get(waiting, 0) + floor
+                self._credits[waiting] = min(credit, MAX_CREDIT)
+        if self._credits.get(rank, 0):
+            self._credits[rank] = max(self._credits[rank] - 1, 0)
+
+    def count_ready(self, rank: int) -> int:
+        """Return how many requests of a rank can be leased to any target."""
+        return self._open(rank).ready
+
+    def count_tiers(self) -> dict[str, int]:
+        """Return how many requests wait, by name of tier."""
+        return {
+            name: self._tiers[rank].count for name, rank in self._ranks.items()
+        }
+
+    def sum_work(self, rank: int) -> float:
+        """Return the price of what waits at a rank or above."""
+        return sum(
+            tier.work_ms
+            for waiting, tier in self._tiers.items()
+            if waiting <= rank
+        )
+
+    def mark_late(self, now_ms: float) -> None:
+        """Move requests that cannot meet their deadline behind the others."""
+        for tier in self._tiers.values():
+            tier.mark_late(now_ms)
+
+    def list_late(self) -> list[Request]:
+        """List the late requests of the lowest tier that waits."""
+        rank = self.lowest_rank()
+        return self._tiers[rank].late if rank >= 0 else []
+
+    def correct(self, request: Request, difference_ms: float) -> None:
+        """Charge the difference of a request's actual and expected cost."""
+        tier = self._open(request.rank)
+        tier.correct(request.reserve.workspace, difference_ms)
+
+    def _open(self, rank: int) -> TierQueue:
+        if rank not in self._tiers:
+            self._tiers[rank] = TierQueue()
+        return self._tiers[rank]
+
+    def _drain(self) -> Iterator[Request]:
+        for rank in self.ranks:
+            while self._tiers[rank].count:
+                yield self._tiers[rank].pop_worst()
+        self._tiers.clear()
+        self._credits.clear()
--- /dev/null
+++ b/hornbeampulley/decisions/_requests.py
@@ -0,0 +1,81 @@
+"""What the core knows of one request."""
+
+import dataclasses
+import enum
+
+from hornbeampulley.decisions._messages import Reserve
+
+
+class Stage(enum.Enum):
+    """Where a request stands."""
+
+    WAITING = 'waiting'
+    RUNNING = 'running'
+    ENDED = 'ended'
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Request:
+    """A request from its reservation to its end.
+
+    Attributes
+    ----------
+    reserve : Reserve
+        The reservation.
+    rank : int
+        Rank of its tier.
+    arrived_ms : float
+        When it began to wait, anywhere.
+    price_ms : float
+        Expected cost at the pool's average rates.
+    stage : Stage
+        Where it stands.
+    serial : int
+        Number of its valid queue entry; older entries are stale.
+    target : str
+        Where it runs.
+    leased_ms : float
+        When its lease was given.
+    cached_tokens : int
+        Prompt tokens expected in the target's cache.
+    output_tokens : int
+        Tokens seen so far.
+    resume : bool
+        Whether it was preempted before.
+    stopping : bool
+        Whether its preemption is under way.
+    charged : bool
+        Whether a crash of its target is counted against it.
+    sampled : bool
+        Whether its delay has been used to judge the target.
+    """
+
+    reserve: Reserve
+    rank: int
+    arrived_ms: float
+    price_ms: float
+    stage: Stage = Stage.WAITING
+    serial: int = 0
+    target: str = ''
+    leased_ms: float = 0
+    cached_tokens: int = 0
+    output_tokens: int = 0
+    resume: bool = False
+    stopping: bool = False
+    charged: bool = False
+    sampled: bool = False
+
+    @property
+    def request_id(self) -> str:
+        """Return the id given by the caller's home."""
+        return self.reserve.request_id
+
+    @property
+    def uncached_tokens(self) -> int:
+        """Return the prompt tokens that the target is expected to prefill."""
+        return max(self.reserve.prompt_tokens - self.cached_tokens, 0)
+
+    @property
+    def is_waiting(self) -> bool:
+        """Tell whether it waits for a lease."""
+        return self.stage is Stage.WAITING
--- /dev/null
+++ b/hornbeampulley/decisions/_shedding.py
@@ -0,0 +1,50 @@
+"""Strict shedding: the lowest tier first, and there who is over its share."""
+
+from typing import Final
+
+from hornbeampulley.decisions._messages import Reason
+from hornbeampulley.decisions._state import State
+
+MAX_DRAIN_MS: Final = 15000.0
+MAX_WAITING: Final = 120000
+
+
+class Shedder:
+    """Refuses waiting requests when room or time runs out.
+
+    Parameters
+    ----------
+    state : State
+        The state of the core.
+    """
+
+    def __init__(self, state: State) -> None:
+        self._state = state
+
+    def shed(self) -> None:
+        """Refuse what is too much or has no target."""
+        while self._state.queue.count and self._state.fleet.is_empty:
+            self._refuse_worst(Reason.NO_TARGET)
+        while self._is_excessive():
+            self._refuse_worst(Reason.SHED)
+
+    def shed_late(self) -> None:
+        """Refuse what cannot meet its deadline, in the lowest tier only."""
+        queue = self._state.queue
+        queue.mark_late(self._state.now_ms)
+        for request in queue.list_late():
+            queue.remove(request)
+            self._state.refuse(request, Reason.DEADLINE)
+
+    def _is_excessive(self) -> bool:
+        queue = self._state.queue
+        capacity = max(self._state.fleet.capacity, 1)
+        if queue.count <= capacity:
+            return False
+        if queue.count > MAX_WAITING:
+            return True
+        return queue.work_ms > MAX_DRAIN_MS * capacity
+
+    def _refuse_worst(self, reason: Reason) -> None:
+        request = self._state.queue.pop_worst()
+        self._state.refuse(request, reason)
--- /dev/null
+++ b/hornbeampulley/decisions/_state.py
@@ -0,0 +1,76 @@
+"""What the parts of the core share."""
+
+import dataclasses
+import random
+
+from hornbeampulley.configuration import Configuration
+from hornbeampulley.decisions._cost import CostModel
+from hornbeampulley.decisions._drain import DrainRate
+from hornbeampulley.decisions._fleet import Fleet
+from hornbeampulley.decisions._history import History
+from hornbeampulley.decisions._ledger import Ledger, RetryBudget
+from hornbeampulley.decisions._messages import Action, Reason, Refuse, Warn
+from hornbeampulley.decisions._placement import PrefixIndex
+from hornbeampulley.decisions._quarantine import QuarantineList
+from hornbeampulley.decisions._queue import WaitingQueue
+from hornbeampulley.decisions._requests import Request
+
+MIN_RETRY_MS = 100.0
+RETRY_JITTER = 0.2
+
+
+@dataclasses.dataclass(slots=True)
+class State:
+    """The state of a core and the actions of the event in hand."""
+
+    pool: str
+    random: random.Random
+    cost: CostModel
+    fleet: Fleet
+    now_ms: float = 0
+    configuration: Configuration | None = None
+    index: PrefixIndex = dataclasses.field(default_factory=PrefixIndex)
+    queue: WaitingQueue = dataclasses.field(default_factory=WaitingQueue)
+    ledger: Ledger = dataclasses.field(default_factory=Ledger)
+    retries: RetryBudget = dataclasses.field(default_factory=RetryBudget)
+    quarantine: QuarantineList = dataclasses.field(
+        default_factory=QuarantineList,
+    )
+    drain: DrainRate = dataclasses.field(default_factory=DrainRate)
+    history: History = dataclasses.field(default_factory=History)
+    actions: list[Action] = dataclasses.field(default_factory=list)
+
+    def note(self, request: Request, decision: str, detail: str = '') -> None:
+        """Record a decision about a request."""
+        self.history.add(request.request_id, self.now_ms, decision, detail)
+
+    def warn(self, event: str, subject: str) -> None:
+        """Return a warning with the actions."""
+        self.actions.append(Warn(event, subject))
+
+    def refuse(
+        self,
+        request: Request,
+        reason: Reason,
+        ran: bool = False,
+    ) -> None:
+        """Refuse a request that stands in no queue and runs nowhere."""
+        self.ledger.end(request)
+        self.note(request, 'refuse', reason.value)
+        self.actions.append(
+            Refuse(
+                request.request_id,
+                request.reserve.home,
+                reason,
+                ran or request.resume,
+                self._estimate_retry(request, reason),
+            ),
+        )
+
+    def _estimate_retry(self, request: Request, reason: Reason) -> float:
+        if reason in {Reason.QUARANTINED, Reason.DUPLICATE_KEY}:
+            return 0
+        work_ms = self.queue.sum_work(request.rank) + request.price_ms
+        wait_ms = work_ms / self.drain.estimate(self.fleet.capacity)
+        jitter = 1 + RETRY_JITTER * self.random.random()
+        return max(wait_ms, MIN_RETRY_MS) * jitter
--- /dev/null
+++ b/hornbeampulley/decisions/_tiers.py
@@ -0,0 +1,160 @@
+"""The waiting requests of one tier, in weighted fair order by workspace."""
+
+import heapq
+import math
+
+from hornbeampulley.decisions._lanes import STALE_ENTRIES, Lane
+from hornbeampulley.decisions._requests import Request
+
+
+class TierQueue:
+    """Waiting requests of a tier.
+
+    Most stand in the lane of their workspace. Those that can no longer meet
+    their deadline stand behind all lanes, and those that must run alone stand
+    aside until a target is idle.
+    """
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.work_ms = 0.0
+        self.aside: dict[str, Request] = {}
+        self._late: dict[str, Request] = {}
+        self._lanes: dict[str, Lane] = {}
+        self._order: list[tuple[float, str]] = []
+        self._excess: list[tuple[float, str]] = []
+        self._deadlines: list[tuple[float, int, Request]] = []
+        self._virtual = 0.0
+
+    @property
+    def ready(self) -> int:
+        """Return how many requests can be leased to any target."""
+        return self.count - len(self.aside)
+
+    @property
+    def late(self) -> list[Request]:
+        """Return the requests that cannot meet their deadline."""
+        return list(self._late.values())
+
+    def push(self, request: Request, share: float) -> None:
+        """Add a request whose serial is new."""
+        lane = self._find_lane(request.reserve.workspace, share)
+        if not lane.count:
+            lane.served = max(lane.served, self._virtual)
+        lane.add(request)
+        self._list(lane)
+        self._count(request, 1)
+        deadline_ms = request.reserve.deadline_ms
+        if deadline_ms:
+            latest_ms = deadline_ms - request.price_ms
+            entry = (latest_ms, request.serial, request)
+            heapq.heappush(self._deadlines, entry)
+
+    def pop(self) -> Request:
+        """Remove the request to be leased next; ``ready`` must not be 0."""
+        lane = self._pop_lane()
+        if lane is None:
+            request = self._late.pop(next(iter(self._late)))
+        else:
+            request = lane.pop_first()
+            self._virtual = max(self._virtual, lane.served)
+            lane.charge(request.price_ms)
+            self._list(lane)
+        self._count(request, -1)
+        return request
+
+    def pop_worst(self) -> Request:
+        """Remove the request to be shed next; ``count`` must not be 0.
+
+        It is the newest of the workspace that is most over its share.
+        """
+        lane = self._find_excess()
+        if lane is not None:
+            request = lane.pop_newest()
+            self._list(lane)
+        elif self._late:
+            request = self._late.popitem()[1]
+        else:
+            request = self.aside.popitem()[1]
+        self._count(request, -1)
+        return request
+
+    def remove(self, request: Request) -> None:
+        """Remove a waiting request wherever it stands."""
+        name = request.request_id
+        if name in self.aside:
+            self.aside.pop(name)
+        elif name in self._late:
+            self._late.pop(name)
+        else:
+            self._lanes[request.reserve.workspace].discard(request)
+        self._count(request, -1)
+
+    def set_aside(self, request: Request) -> None:
+        """Keep a popped request until a target is idle."""
+        self.aside[request.request_id] = request
+        self._count(request, 1)
+
+    def mark_late(self, now_ms: float) -> None:
+        """Move requests that cannot meet their deadline behind the others."""
+        while self._deadlines and self._deadlines[0][0] < now_ms:
+            _, serial, request = heapq.heappop(self._deadlines)
+            if request.serial == serial:
+                self._lanes[request.reserve.workspace].discard(request)
+                self._late[request.request_id] = request
+
+    def correct(self, workspace: str, difference_ms: float) -> None:
+        """Charge a workspace the difference of actual and expected cost."""
+        lane = self._lanes.get(workspace)
+        if lane is not None:
+            lane.charge(difference_ms)
+            self._list(lane)
+
+    def _find_lane(self, workspace: str, share: float) -> Lane:
+        lane = self._lanes.get(workspace)
+        if lane is None:
+            lane = Lane(workspace, share)
+            self._lanes[workspace] = lane
+        lane.share = share
+        return lane
+
+    def _list(self, lane: Lane) -> None:
+        if lane.count:
+            heapq.heappush(self._order, (lane.served, lane.name))
+            heapq.heappush(self._excess, (-lane.finish, lane.name))
+        longest = max(len(self._order), len(self._excess))
+        if longest > 4 * len(self._lanes) + STALE_ENTRIES:
+            self._compact()
+
+    def _compact(self) -> None:
+        lanes = [lane for lane in self._lanes.values() if lane.count]
+        self._order = [(lane.served, lane.name) for lane in lanes]
+        self._excess = [(-lane.finish, lane.name) for lane in lanes]
+        heapq.heapify(self._order)
+        heapq.heapify(self._excess)
+
+    def _pop_lane(self) -> Lane | None:
+        while self._order:
+            served, name = heapq.heappop(self._order)
+            lane = self._lanes[name]
+            if lane.count and lane.served == served:
+                return lane
+        return None
+
+    def _find_excess(self) -> Lane | None:
+        while self._excess:
+            finish, name = self._excess[0]
+            lane = self._lanes[name]
+            if lane.count and math.isclose(-finish, lane.finish):
+                return lane
+            heapq.heappop(self._excess)
+            if lane.count and -finish > lane.finish:
+                heapq.heappush(self._excess, (-lane.finish, name))
+        return None
+
+    def _count(self, request: Request, number: int) -> None:
+        self.count += number
+        if not request.reserve.deadline_ms:
+            self.work_ms += number * request.price_ms
+        if not self.count:
+            self.work_ms = 0
