--- a/standins/_faults.py
+++ b/standins/_faults.py
@@ -3,6 +3,8 @@
 from collections import OrderedDict
 from typing import Any, Final
 
+from standins._messages import HttpError, Request, Response, respond_json
+
 UP: Final = 'up'
 SILENT: Final = 'silent'
 SLOW: Final = 'slow'
@@ -62,3 +64,12 @@
             self.slowness = float(factor)
         else:
             raise ValueError(f'no fault {mode!r}; use up, silent or slow:10')
+
+    def answer(self, request: Request) -> Response:
+        """Set the fault that a request names, or raise status 400."""
+        mode = str(request.read_json().get('mode'))
+        try:
+            self.apply(mode, request.peer)
+        except ValueError as error:
+            raise HttpError(400, str(error)) from None
+        return respond_json({'mode': mode})
