--- a/tests/asgi.py
+++ b/tests/asgi.py
@@ -48,7 +48,6 @@
 
     async def run(self):
         await self.application(self.scope, self.receive, self.send)
-        return self.answer
 
     async def receive(self):
         if self.inbox:
@@ -71,4 +70,6 @@
 
 
 async def call(application, method, target, body=b'', **headers):
-    return await Call(application, method, target, body, **headers).run()
+    request = Call(application, method, target, body, **headers)
+    await request.run()
+    return request.answer
--- a/tests/test_standins_engine.py
+++ b/tests/test_standins_engine.py
@@ -30,17 +30,23 @@
     )
 
 
+async def generate(*arguments, **headers):
+    request = generation(*arguments, **headers)
+    await request.run()
+    return request.answer
+
+
 def text_of(answer):
     return ''.join(line.get('text', '') for line in answer.lines)
 
 
 def test_answer_is_a_function_of_the_prompt():
     async def scenario(engine):
-        answer = await generation(engine, 's').run()
+        answer = await generate(engine, 's')
         assert answer.lines[0] == {'cached_tokens': 0, 'prompt_tokens': 2}
         assert text_of(answer) == compose_answer('hello', 5)
         assert answer.lines[-1] == {'done': True, 'output_tokens': 5}
-        assert (await generation(engine, 's').run()).status == 409
+        assert (await generate(engine, 's')).status == 409
         counters = (await call(engine, 'GET', '/counters')).document
         assert counters['runs'] == {'s': 1}
 
@@ -52,7 +58,7 @@
         ended = []
 
         async def follow(name):
-            await generation(engine, name).run()
+            await generate(engine, name)
             ended.append(name)
 
         async with trio.open_nursery() as nursery:
@@ -69,8 +75,8 @@
 def test_prefix_is_cached_and_published():
     async def scenario(engine):
         prompt = 'x' * 256 + 'y' * 256 + 'z'
-        await generation(engine, 'a', prompt).run()
-        answer = await generation(engine, 'b', prompt).run()
+        await generate(engine, 'a', prompt)
+        answer = await generate(engine, 'b', prompt)
         assert answer.lines[0]['cached_tokens'] == 128
         first = xxhash.xxh3_64_intdigest(b'x' * 256, seed=0)
         second = xxhash.xxh3_64_intdigest(b'y' * 256, seed=first)
@@ -86,7 +92,7 @@
 def test_cache_drops_the_least_recently_used():
     async def scenario(engine):
         for name in 'abc':
-            await generation(engine, name, name * 256).run()
+            await generate(engine, name, name * 256)
         events = await call(engine, 'GET', '/cache-events?after=2')
         (event,) = events.document['events']
         assert event['removed'] == list(hash_blocks(b'a' * 256))
@@ -98,7 +104,7 @@
     async def scenario(engine):
         for number in range(20):
             prompt = f'{number:02}' * 128
-            await generation(engine, str(number), prompt, 1).run()
+            await generate(engine, str(number), prompt, 1)
         events = await call(engine, 'GET', '/cache-events')
         sequences = [event['sequence'] for event in events.document['events']]
         assert 0 < len(sequences) < 20
@@ -163,16 +169,16 @@
             state = (await call(engine, 'POST', '/streams/s/export')).document
         assert reader.answer.lines[-1]['reason'] == 'exported'
         application = other.build_application()
-        refused = generation(
+        refused = await generate(
             application, 's', prompt, 20, kv_state=state['state']
         )
-        assert (await refused.run()).status == 409
+        assert refused.status == 409
         await call(application, 'POST', '/streams/import', state)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(other.batch.work)
-            rest = await generation(
+            rest = await generate(
                 application, 's', prompt, 20, kv_state=state['state']
-            ).run()
+            )
             nursery.cancel_scope.cancel()
         assert rest.lines[0]['cached_tokens'] == 250
         text = text_of(reader.answer) + text_of(rest)
@@ -203,7 +209,7 @@
 
 def test_marked_prompt_crashes_the_engine():
     async def scenario(engine):
-        await generation(engine, 's', 'a poison pill').run()
+        await generate(engine, 's', 'a poison pill')
         counters = (await call(engine, 'GET', '/counters')).document
         assert counters['crashes'] == 1
 
@@ -229,10 +235,10 @@
 def test_slowness_stretches_the_steps():
     async def scenario(engine):
         start = trio.current_time()
-        await generation(engine, 'a').run()
+        await generate(engine, 'a')
         middle = trio.current_time()
         await call(engine, 'POST', '/fault', {'mode': 'slow:10'})
-        await generation(engine, 'b').run()
+        await generate(engine, 'b')
         slow = trio.current_time() - middle
         assert round(slow / (middle - start)) == 10
 
