Keep the ticket of the highest number and read the host list

Cause: a stale service, a restarted process or two operators at once must never turn an accepted ticket back. Ruled out: taking the later arrival of two tickets of one number, since processes would then swap for ever; the one in force stays and the conflict names the number that settles it. Change: TicketStore with typed outcomes and a 64-bit serial over all scopes. The host list takes the form of a ticket of scope hosts numbered by its version, so that one store and one spread carry both.

--- a/hornbeampulley/membership/_assembly.py
+++ b/hornbeampulley/membership/_assembly.py
@@ -13,6 +13,7 @@
     Workspace,
 )
 from hornbeampulley.errors import Fault
+from hornbeampulley.membership._hosts import SCOPE_HOSTS
 from hornbeampulley.membership._tickets import Ticket
 
 _Kind = TypeVar('_Kind', Tier, Workspace, Service, Target, RoutingRule)
@@ -47,7 +48,11 @@
         },
         targets=targets,
         rules=tuple(_select(ordered, RoutingRule)),
-        numbers={ticket.scope: ticket.number for ticket in ordered},
+        numbers={
+            ticket.scope: ticket.number
+            for ticket in ordered
+            if ticket.scope != SCOPE_HOSTS
+        },
     )
 
 
--- a/hornbeampulley/membership/_fields.py
+++ b/hornbeampulley/membership/_fields.py
@@ -1,12 +1,13 @@
 """Typed fields of the entries of a change ticket."""
 
 import dataclasses
+import enum
 import ipaddress
 import re
 from collections.abc import Callable, Mapping
 from typing import Final
 
-from hornbeampulley.configuration import ANY, ServiceKind
+from hornbeampulley.configuration import ANY
 from hornbeampulley.errors import Fault, HornbeamError
 
 MAX_FAULTS: Final = 1000
@@ -164,15 +165,6 @@
     raise FieldError(f'is {show(content)}', 'write true or false')
 
 
-def read_kind(content: object) -> ServiceKind:
-    """Read a kind of service."""
-    kinds = {kind.value: kind for kind in ServiceKind}
-    if isinstance(content, str) and content in kinds:
-        return kinds[content]
-    accepted = ' or '.join(f'"{name}"' for name in kinds)
-    raise FieldError(f'is {show(content)}', f'write {accepted}')
-
-
 def read_address(content: object) -> str:
     """Read an IP address."""
     try:
@@ -184,6 +176,42 @@
         ) from error
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChoiceReader:
+    """Reads one of the values of an enumeration.
+
+    Attributes
+    ----------
+    choices : mapping
+        Maps the accepted texts to members.
+    """
+
+    choices: Mapping[str, enum.Enum]
+
+    def __call__(self, content: object) -> enum.Enum:
+        """Return the member or raise ``FieldError``."""
+        if isinstance(content, str) and content in self.choices:
+            return self.choices[content]
+        accepted = ' or '.join(f'"{name}"' for name in self.choices)
+        raise FieldError(f'is {show(content)}', f'write {accepted}')
+
+
+def make_choice_reader(choices: type[enum.Enum]) -> ChoiceReader:
+    """Return a reader of an enumeration's values.
+
+    Parameters
+    ----------
+    choices : type
+        The enumeration.
+
+    Returns
+    -------
+    ChoiceReader
+        The reader.
+    """
+    return ChoiceReader({member.value: member for member in choices})
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class IntegerReader:
     """Reads whole numbers within bounds.
--- a/hornbeampulley/membership/_scopes.py
+++ b/hornbeampulley/membership/_scopes.py
@@ -9,6 +9,7 @@
 from hornbeampulley.configuration import (
     RoutingRule,
     Service,
+    ServiceKind,
     Target,
     Tier,
     Workspace,
@@ -19,10 +20,10 @@
     FieldError,
     IntegerReader,
     NumberReader,
+    make_choice_reader,
     read_address,
     read_entry,
     read_flag,
-    read_kind,
     read_label,
     read_name,
     read_name_or_any,
@@ -33,6 +34,7 @@
 Entry = Tier | Workspace | Service | RoutingRule | Target
 _Built = TypeVar('_Built')
 _read_part: Final = NumberReader(0, 1)
+_read_kind: Final = make_choice_reader(ServiceKind)
 _read_count: Final = IntegerReader(1, 1_000_000)
 
 
@@ -97,7 +99,7 @@
 _SERVICE: Final = _list_fields(
     Field('name', read_name, required=True),
     Field('pool', read_name, required=True),
-    Field('kind', read_kind),
+    Field('kind', _read_kind),
     Field('repeatable', read_flag),
     Field('output_tokens', _read_count),
 )
@@ -111,7 +113,7 @@
     Field('address', read_address, required=True),
     Field('port', IntegerReader(1, 65535), required=True),
     Field('availability_zone', read_name, required=True),
-    Field('kind', read_kind),
+    Field('kind', _read_kind),
     Field('slots', IntegerReader(1, 100_000)),
     Field('generation', read_label),
     Field('checks_fencing', read_flag),
--- /dev/null
+++ b/hornbeampulley/membership/_store.py
@@ -0,0 +1,338 @@
+"""The change tickets in force; a number never goes back."""
+
+import dataclasses
+from collections.abc import Mapping
+
+import xxhash
+
+from hornbeampulley.errors import Fault, FaultsError
+from hornbeampulley.membership._tickets import Ticket, parse_document
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stamp:
+    """Which ticket of a scope is meant.
+
+    Attributes
+    ----------
+    scope : str
+        The ticket's scope.
+    number : int
+        The ticket's number.
+    digest : str
+        Hash of the ticket's content.
+    """
+
+    scope: str
+    number: int
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Applied:
+    """The ticket offered is in force now.
+
+    Attributes
+    ----------
+    ticket : Ticket
+        The ticket.
+    source : str
+        Who offered it.
+    previous_number : int
+        Number that was in force before; 0 if none.
+    """
+
+    ticket: Ticket
+    source: str
+    previous_number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stale:
+    """The ticket offered is older than the one in force.
+
+    Attributes
+    ----------
+    scope : str
+        The scope.
+    number : int
+        The number offered.
+    number_in_force : int
+        The number kept.
+    source : str
+        Who offered it.
+    """
+
+    scope: str
+    number: int
+    number_in_force: int
+    source: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Same:
+    """The ticket offered is in force already.
+
+    Attributes
+    ----------
+    scope : str
+        The scope.
+    number : int
+        The number.
+    """
+
+    scope: str
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict:
+    """Two tickets carry one number; the one in force is kept.
+
+    Attributes
+    ----------
+    scope : str
+        The scope.
+    number : int
+        The number of both.
+    digest : str
+        Hash of the one in force.
+    other_digest : str
+        Hash of the one offered.
+    source : str
+        Who offered it.
+    """
+
+    scope: str
+    number: int
+    digest: str
+    other_digest: str
+    source: str
+
+    def __str__(self) -> str:
+        """Return the conflict with its remedy."""
+        return (
+            f'scope {self.scope}: two tickets carry number {self.number}; '
+            f'{self.digest} stays in force, {self.other_digest} from '
+            f'{self.source} does not; write the state wanted as a ticket '
+            f'numbered {self.number + 1} or higher'
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rejected:
+    """The text offered has faults; what was in force stays.
+
+    Attributes
+    ----------
+    faults : tuple of Fault
+        Every fault found.
+    source : str
+        Who offered it.
+    """
+
+    faults: tuple[Fault, ...]
+    source: str
+
+
+Outcome = Applied | Stale | Same | Conflict | Rejected
+
+
+class TicketStore:
+    """Holds the ticket in force of each scope."""
+
+    def __init__(self) -> None:
+        self._tickets: dict[str, Ticket] = {}
+        self._applied_ms: dict[str, float] = {}
+        self._conflicts: dict[str, Conflict] = {}
+        self._serial = _hash_stamps(())
+
+    def offer(self, text: bytes, source: str, now_ms: float) -> Outcome:
+        """Take a ticket if its number is higher than the one in force.
+
+        Parameters
+        ----------
+        text : bytes
+            Text of a change ticket or of a host list.
+        source : str
+            Where it comes from, for messages.
+        now_ms : float
+            The current time.
+
+        Returns
+        -------
+        Applied, Stale, Same, Conflict or Rejected
+            What became of it.
+        """
+        for held in self._tickets.values():
+            if held.text == text:
+                return Same(held.scope, held.number)
+        try:
+            ticket = parse_document(text)
+        except FaultsError as error:
+            return Rejected(error.faults, source)
+        known = self.compare(get_stamp(ticket), source)
+        return known or self._apply(ticket, source, now_ms)
+
+    def compare(
+        self,
+        stamp: Stamp,
+        source: str,
+    ) -> Stale | Same | Conflict | None:
+        """Compare a ticket with the one in force by its stamp alone.
+
+        Parameters
+        ----------
+        stamp : Stamp
+            The ticket's stamp.
+        source : str
+            Where it comes from, for messages.
+
+        Returns
+        -------
+        Stale, Same, Conflict or None
+            None if the ticket is newer than the one in force.
+        """
+        held = self._tickets.get(stamp.scope)
+        if held is None or stamp.number > held.number:
+            return None
+        if stamp.number < held.number:
+            return Stale(stamp.scope, stamp.number, held.number, source)
+        if stamp.digest == held.digest:
+            return Same(stamp.scope, stamp.number)
+        conflict = Conflict(
+            stamp.scope,
+            stamp.number,
+            held.digest,
+            stamp.digest,
+            source,
+        )
+        self._conflicts[stamp.scope] = conflict
+        return conflict
+
+    def digest(self) -> int:
+        """Return the serial of all tickets in force.
+
+        Returns
+        -------
+        int
+            64 bits; equal on two processes that hold the same tickets.
+        """
+        return self._serial
+
+    def summary(self) -> dict[str, Stamp]:
+        """Return the stamps of all tickets in force.
+
+        Returns
+        -------
+        dict
+            Maps scopes to stamps.
+        """
+        return {
+            scope: get_stamp(ticket) for scope, ticket in self._tickets.items()
+        }
+
+    def list_newer_than(
+        self,
+        summary: Mapping[str, Stamp],
+    ) -> tuple[Ticket, ...]:
+        """List the tickets that another process lacks.
+
+        Parameters
+        ----------
+        summary : mapping
+            Maps scopes to the other's stamps.
+
+        Returns
+        -------
+        tuple of Ticket
+            Those whose number is higher than the other's.
+        """
+        return tuple(
+            ticket
+            for scope, ticket in self._tickets.items()
+            if scope not in summary or ticket.number > summary[scope].number
+        )
+
+    def find(self, scope: str) -> Ticket | None:
+        """Return the ticket in force.
+
+        Parameters
+        ----------
+        scope : str
+            The scope.
+
+        Returns
+        -------
+        Ticket or None
+            None if no ticket of the scope is in force.
+        """
+        return self._tickets.get(scope)
+
+    def list_tickets(self) -> tuple[Ticket, ...]:
+        """List the tickets in force.
+
+        Returns
+        -------
+        tuple of Ticket
+            One a scope.
+        """
+        return tuple(self._tickets.values())
+
+    def list_conflicts(self) -> tuple[Conflict, ...]:
+        """List the conflicts that no higher number has settled yet.
+
+        Returns
+        -------
+        tuple of Conflict
+            The latest of each scope.
+        """
+        return tuple(self._conflicts.values())
+
+    def get_age_ms(self, scope: str, now_ms: float) -> float:
+        """Return for how long a ticket has been in force here.
+
+        Parameters
+        ----------
+        scope : str
+            The scope.
+        now_ms : float
+            The current time.
+
+        Returns
+        -------
+        float
+            Infinite if none is in force.
+        """
+        return now_ms - self._applied_ms.get(scope, float('-inf'))
+
+    def _apply(self, ticket: Ticket, source: str, now_ms: float) -> Applied:
+        held = self._tickets.get(ticket.scope)
+        self._tickets[ticket.scope] = ticket
+        self._applied_ms[ticket.scope] = now_ms
+        self._conflicts.pop(ticket.scope, None)
+        self._serial = _hash_stamps(tuple(self.summary().values()))
+        return Applied(ticket, source, held.number if held else 0)
+
+
+def get_stamp(ticket: Ticket) -> Stamp:
+    """Return the stamp of a ticket.
+
+    Parameters
+    ----------
+    ticket : Ticket
+        The ticket.
+
+    Returns
+    -------
+    Stamp
+        Its scope, number and digest.
+    """
+    return Stamp(ticket.scope, ticket.number, ticket.digest)
+
+
+def _hash_stamps(stamps: tuple[Stamp, ...]) -> int:
+    lines = sorted(
+        f'{stamp.scope} {stamp.number} {stamp.digest}' for stamp in stamps
+    )
+    return xxhash.xxh3_64_intdigest('\n'.join(lines).encode('utf-8'))
--- a/hornbeampulley/membership/_tickets.py
+++ b/hornbeampulley/membership/_tickets.py
@@ -15,6 +15,12 @@
     IntegerReader,
     show,
 )
+from hornbeampulley.membership._hosts import (
+    SCOPE_HOSTS,
+    Host,
+    HostListError,
+    check_hosts,
+)
 from hornbeampulley.membership._scopes import (
     SCOPE_TARGETS,
     Entry,
@@ -39,7 +45,8 @@
     scope : str
         What the ticket replaces.
     state : tuple
-        The whole new state: entries from ``hornbeampulley.configuration``.
+        The whole new state: entries from ``hornbeampulley.configuration``, or
+        hosts.
     digest : str
         Hash of the content; equal for texts that differ only in layout.
     text : bytes
@@ -48,7 +55,7 @@
 
     number: int
     scope: str
-    state: tuple[Entry, ...]
+    state: tuple[Entry | Host, ...]
     digest: str
     text: bytes = dataclasses.field(repr=False)
 
@@ -75,13 +82,59 @@
     document = decode_document(text, faults)
     if document is None:
         raise TicketError(faults.collect())
-    number = _check_number(document, faults)
-    state = _check_state(document, faults)
-    found = faults.collect()
-    if found:
-        raise TicketError(found)
-    scope = str(document['scope'])
-    return Ticket(number, scope, state, _hash_document(document), text)
+    return _check_ticket(document, text, faults)
+
+
+def parse_hosts(text: bytes) -> Ticket:
+    """Read a host list and check it as a whole.
+
+    Parameters
+    ----------
+    text : bytes
+        JSON with the keys ``version`` and ``hosts``.
+
+    Returns
+    -------
+    Ticket
+        Of scope ``hosts``; its number is the version and its state the hosts.
+
+    Raises
+    ------
+    HostListError
+        Lists every fault.
+    """
+    faults = FaultList()
+    document = decode_document(text, faults)
+    if document is None:
+        raise HostListError(faults.collect())
+    return _check_host_list(document, text, faults)
+
+
+def parse_document(text: bytes) -> Ticket:
+    """Read a change ticket or a host list, whichever the text is.
+
+    Parameters
+    ----------
+    text : bytes
+        JSON; a host list is told by its key ``hosts``.
+
+    Returns
+    -------
+    Ticket
+        The ticket, or the host list in the form of a ticket.
+
+    Raises
+    ------
+    TicketError, HostListError
+        Lists every fault.
+    """
+    faults = FaultList()
+    document = decode_document(text, faults)
+    if document is None:
+        raise TicketError(faults.collect())
+    if SCOPE_HOSTS in document:
+        return _check_host_list(document, text, faults)
+    return _check_ticket(document, text, faults)
 
 
 def decode_document(
@@ -126,6 +179,33 @@
     return document
 
 
+def _check_ticket(
+    document: dict[str, object],
+    text: bytes,
+    faults: FaultList,
+) -> Ticket:
+    number = _check_number(document, faults)
+    state = _check_state(document, faults)
+    found = faults.collect()
+    if found:
+        raise TicketError(found)
+    scope = str(document['scope'])
+    return Ticket(number, scope, state, _hash_document(document), text)
+
+
+def _check_host_list(
+    document: dict[str, object],
+    text: bytes,
+    faults: FaultList,
+) -> Ticket:
+    listed = check_hosts(document, faults)
+    found = faults.collect()
+    if found:
+        raise HostListError(found)
+    digest = _hash_document(document)
+    return Ticket(listed.version, SCOPE_HOSTS, listed.hosts, digest, text)
+
+
 def _build_object(
     faults: FaultList,
     pairs: list[tuple[str, object]],
