Split the ledger and bound its kept answers in number

Change: id leases move to their own module; each kept answer also counts a fixed size; an oversized answer is not kept; assign takes the lowest counter above all used ones. `finish` takes what ran, so `fail` goes.

--- a/hornbeampulley/identity/_answers.py
+++ b/hornbeampulley/identity/_answers.py
@@ -1,7 +1,11 @@
 """Final answers kept for callers that repeat a request."""
 
+from typing import Final
+
 from hornbeampulley.identity._ids import RequestId
 
+ENTRY_BYTES: Final = 256
+
 
 class Answers:
     """Answers by request id, oldest first, bounded in bytes and in age.
@@ -11,7 +15,8 @@
     retention_ms : float
         How long an answer is kept.
     max_bytes : int
-        Bound on all answers together.
+        Bound on all answers together, each counted with its own length and
+        ``ENTRY_BYTES`` for its bookkeeping.
     """
 
     __slots__ = ('_answers', '_max_bytes', '_retention_ms', '_size_bytes')
@@ -24,7 +29,7 @@
 
     @property
     def size_bytes(self) -> int:
-        """Bytes of all answers kept."""
+        """Size of all answers kept."""
         return self._size_bytes
 
     def __len__(self) -> int:
@@ -50,11 +55,14 @@
         Returns
         -------
         tuple of RequestId
-            The ids whose answers were dropped; the new one too if it is too
-            large.
+            The ids whose answers were dropped, or the new one alone if it is
+            larger than the bound.
         """
+        size_bytes = len(answer) + ENTRY_BYTES
+        if size_bytes > self._max_bytes:
+            return (request_id,)
         self._answers[request_id] = (now_ms, answer)
-        self._size_bytes += len(answer)
+        self._size_bytes += size_bytes
         dropped = []
         while self._size_bytes > self._max_bytes:
             dropped.append(self._drop_oldest())
@@ -103,5 +111,5 @@
     def _drop_oldest(self) -> RequestId:
         request_id = next(iter(self._answers))
         _kept_ms, answer = self._answers.pop(request_id)
-        self._size_bytes -= len(answer)
+        self._size_bytes -= len(answer) + ENTRY_BYTES
         return request_id
--- /dev/null
+++ b/hornbeampulley/identity/_leases.py
@@ -0,0 +1,303 @@
+"""The id leases that a home has granted."""
+
+import dataclasses
+from typing import Final
+
+from hornbeampulley.errors import LedgerFullError
+from hornbeampulley.identity._ids import IdLease, RequestId
+from hornbeampulley.identity._states import Admission, State
+from hornbeampulley.identity._window import Window
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LedgerLimits:
+    """Bounds on what a ledger grants and keeps.
+
+    Attributes
+    ----------
+    lease_lifetime_ms : float
+        How long new ids of an id lease are admitted.
+    lease_count : int
+        Ids of one id lease.
+    window : int
+        Counters of an id lease that are told apart.
+    max_leases : int
+        Id leases remembered for one workspace.
+    max_open : int
+        Requests waiting or dispatched.
+    retention_ms : float
+        How long a final answer is kept.
+    max_answer_bytes : int
+        Bound on all answers kept.
+    """
+
+    lease_lifetime_ms: float = 60_000
+    lease_count: int = 4096
+    window: int = 1024
+    max_leases: int = 1024
+    max_open: int = 4096
+    retention_ms: float = 120_000
+    max_answer_bytes: int = 4 * 1024 * 1024
+
+
+DEFAULT_LIMITS: Final = LedgerLimits()
+_OPEN: Final = frozenset((State.WAITING, State.DISPATCHED))
+
+
+class GrantedLease:
+    """An id lease as its home remembers it.
+
+    Parameters
+    ----------
+    workspace : str
+        Workspace that may use it.
+    expires_ms : float
+        When it stops admitting new ids.
+    limits : LedgerLimits
+        Its size.
+
+    Attributes
+    ----------
+    window : Window
+        The counters used.
+    states : dict
+        Maps the counters of open and kept requests to their states.
+    """
+
+    __slots__ = ('count', 'expires_ms', 'states', 'window', 'workspace')
+
+    def __init__(
+        self,
+        workspace: str,
+        expires_ms: float,
+        limits: LedgerLimits,
+    ) -> None:
+        self.workspace = workspace
+        self.expires_ms = expires_ms
+        self.count = limits.lease_count
+        self.window = Window(limits.window)
+        self.states: dict[int, State] = {}
+
+    def is_open(self, now_ms: float) -> bool:
+        """Tell whether new ids are admitted.
+
+        Parameters
+        ----------
+        now_ms : float
+            The current time.
+
+        Returns
+        -------
+        bool
+            False once the lease has expired.
+        """
+        return now_ms < self.expires_ms
+
+    def judge(self, counter: int, now_ms: float) -> Admission:
+        """Decide what to do with an id of this lease.
+
+        Parameters
+        ----------
+        counter : int
+            Counter of the id.
+        now_ms : float
+            The current time.
+
+        Returns
+        -------
+        Admission
+            ``NEW`` if the counter may be used now.
+        """
+        if self.window.is_used(counter):
+            return self._judge_used(counter)
+        if counter >= self.count:
+            return Admission.UNKNOWN_LEASE
+        if not self.is_open(now_ms):
+            return Admission.EXPIRED_LEASE
+        return Admission.NEW
+
+    def use(self, counter: int) -> None:
+        """Record that a request starts to wait.
+
+        Parameters
+        ----------
+        counter : int
+            A counter that ``judge`` calls new.
+        """
+        self.window.use(counter)
+        self.states[counter] = State.WAITING
+
+    def _judge_used(self, counter: int) -> Admission:
+        state = self.states.get(counter)
+        if state is None:
+            return Admission.HANDLED
+        return Admission.RUNNING if state in _OPEN else Admission.KEPT
+
+
+class GrantedLeases:
+    """All id leases that a home remembers, in order of their expiry.
+
+    Parameters
+    ----------
+    incarnation : str
+        Incarnation of the home.
+    limits : LedgerLimits
+        Their size and number.
+    """
+
+    __slots__ = (
+        '_counts',
+        '_incarnation',
+        '_leases',
+        '_limits',
+        '_next_number',
+        '_own',
+    )
+
+    def __init__(self, incarnation: str, limits: LedgerLimits) -> None:
+        self._incarnation = incarnation
+        self._limits = limits
+        self._leases: dict[int, GrantedLease] = {}
+        self._counts: dict[str, int] = {}
+        self._own: dict[str, IdLease] = {}
+        self._next_number = 1
+
+    def __len__(self) -> int:
+        return len(self._leases)
+
+    def grant(self, workspace: str, now_ms: float) -> IdLease:
+        """Grant an id lease.
+
+        Parameters
+        ----------
+        workspace : str
+            Workspace that may use it.
+        now_ms : float
+            The current time.
+
+        Returns
+        -------
+        IdLease
+            The lease.
+
+        Raises
+        ------
+        LedgerFullError
+            If the workspace holds too many leases.
+        """
+        held = self._counts.get(workspace, 0)
+        if held >= self._limits.max_leases:
+            raise LedgerFullError(
+                f'workspace {workspace!r} holds {held} id leases here; use '
+                'one lease for many requests, or ask another entry',
+            )
+        lifetime_ms = self._limits.lease_lifetime_ms
+        number = self._next_number
+        self._next_number += 1
+        self._counts[workspace] = held + 1
+        self._leases[number] = GrantedLease(
+            workspace,
+            now_ms + lifetime_ms,
+            self._limits,
+        )
+        count = self._limits.lease_count
+        return IdLease(self._incarnation, number, lifetime_ms, count)
+
+    def find(self, number: int) -> GrantedLease | None:
+        """Return a lease.
+
+        Parameters
+        ----------
+        number : int
+            Number of the lease.
+
+        Returns
+        -------
+        GrantedLease or None
+            The lease, or None if it was never granted or is forgotten.
+        """
+        return self._leases.get(number)
+
+    def find_states(self, request_id: RequestId) -> dict[int, State]:
+        """Return the states of the requests under the lease of an id.
+
+        Parameters
+        ----------
+        request_id : RequestId
+            Any id.
+
+        Returns
+        -------
+        dict
+            Maps counters to states; empty if the lease is not held here.
+        """
+        lease = self._leases.get(request_id.lease)
+        if lease is None or request_id.incarnation != self._incarnation:
+            return {}
+        return lease.states
+
+    def is_granted(self, number: int) -> bool:
+        """Tell whether a lease was ever granted.
+
+        Parameters
+        ----------
+        number : int
+            Number of the lease.
+
+        Returns
+        -------
+        bool
+            True also for a lease that is forgotten.
+        """
+        return 0 < number < self._next_number
+
+    def form_own(self, workspace: str, now_ms: float) -> RequestId:
+        """Form an unused id under a lease that the home grants itself.
+
+        Parameters
+        ----------
+        workspace : str
+            Workspace of the caller that sent no id.
+        now_ms : float
+            The current time.
+
+        Returns
+        -------
+        RequestId
+            An id of an open lease.
+
+        Raises
+        ------
+        LedgerFullError
+            If the workspace holds too many leases.
+        """
+        own = self._own.get(workspace)
+        granted = None if own is None else self._leases.get(own.number)
+        if own is not None and granted is not None:
+            counter = granted.window.next_counter
+            if granted.is_open(now_ms) and counter < own.count:
+                return own.form(counter)
+        fresh = self.grant(workspace, now_ms)
+        self._own[workspace] = fresh
+        return fresh.form(0)
+
+    def drop_idle(self, moment_ms: float) -> None:
+        """Forget the leases without open or kept requests.
+
+        Parameters
+        ----------
+        moment_ms : float
+            Only leases that expired at this moment or before are dropped.
+        """
+        for number, lease in tuple(self._leases.items()):
+            if lease.expires_ms > moment_ms:
+                break
+            if not lease.states:
+                self._drop(number)
+
+    def _drop(self, number: int) -> None:
+        workspace = self._leases.pop(number).workspace
+        self._counts[workspace] -= 1
+        if not self._counts[workspace]:
+            self._counts.pop(workspace)
+            self._own.pop(workspace, None)
--- a/hornbeampulley/identity/_ledger.py
+++ b/hornbeampulley/identity/_ledger.py
@@ -1,6 +1,5 @@
 """What a home remembers of its request ids."""
 
-import dataclasses
 from typing import Final
 
 from hornbeampulley.errors import (
@@ -10,72 +9,24 @@
 )
 from hornbeampulley.identity._answers import Answers
 from hornbeampulley.identity._ids import IdLease, RequestId
+from hornbeampulley.identity._leases import (
+    DEFAULT_LIMITS,
+    GrantedLeases,
+    LedgerLimits,
+)
 from hornbeampulley.identity._states import Admission, Ran, State
-from hornbeampulley.identity._window import Window
-
-ID_LEASE_LIFETIME_MS: Final = 60_000.0
-ANSWER_RETENTION_MS: Final = 120_000.0
-ANSWERS_MAX_BYTES: Final = 4 * 1024 * 1024
 
-_OPEN: Final = frozenset((State.WAITING, State.DISPATCHED))
+_ENDS: Final = {
+    Ran.NO: State.REFUSED,
+    Ran.YES: State.DONE,
+    Ran.UNKNOWN: State.UNKNOWN,
+}
 _RAN: Final = {
     State.DONE: Ran.YES,
     State.REFUSED: Ran.NO,
 }
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LedgerLimits:
-    """Bounds on what a ledger grants and keeps.
-
-    Attributes
-    ----------
-    lease_lifetime_ms : float
-        How long new ids of an id lease are admitted.
-    lease_count : int
-        Ids of one id lease.
-    window : int
-        Counters of an id lease that are told apart.
-    max_leases : int
-        Id leases remembered for one workspace.
-    max_open : int
-        Requests waiting or dispatched.
-    retention_ms : float
-        How long a final answer is kept.
-    max_answer_bytes : int
-        Bound on all answers kept.
-    """
-
-    lease_lifetime_ms: float = ID_LEASE_LIFETIME_MS
-    lease_count: int = 4096
-    window: int = 1024
-    max_leases: int = 1024
-    max_open: int = 4096
-    retention_ms: float = ANSWER_RETENTION_MS
-    max_answer_bytes: int = ANSWERS_MAX_BYTES
-
-
-DEFAULT_LIMITS: Final = LedgerLimits()
-
-
-class _Lease:
-    """An id lease granted by this ledger, and the ids used under it."""
-
-    __slots__ = ('count', 'expires_ms', 'states', 'window', 'workspace')
-
-    def __init__(
-        self,
-        workspace: str,
-        expires_ms: float,
-        limits: LedgerLimits,
-    ) -> None:
-        self.workspace = workspace
-        self.expires_ms = expires_ms
-        self.count = limits.lease_count
-        self.window = Window(limits.window)
-        self.states: dict[int, State] = {}
-
-
 class Ledger:
     """Admits each request id of one home at most once.
 
@@ -98,11 +49,8 @@
     ) -> None:
         self.incarnation = incarnation
         self._limits = limits
-        self._leases: dict[int, _Lease] = {}
-        self._lease_counts: dict[str, int] = {}
-        self._own_ids: dict[str, RequestId] = {}
+        self._leases = GrantedLeases(incarnation, limits)
         self._answers = Answers(limits.retention_ms, limits.max_answer_bytes)
-        self._next_lease = 1
         self._open_count = 0
 
     @property
@@ -140,27 +88,7 @@
         LedgerFullError
             If the workspace holds too many leases.
         """
-        held = self._lease_counts.get(workspace, 0)
-        if held >= self._limits.max_leases:
-            raise LedgerFullError(
-                f'workspace {workspace!r} holds {held} id leases here; use '
-                'one lease for many requests, or ask another entry',
-            )
-        number = self._next_lease
-        self._next_lease += 1
-        self._lease_counts[workspace] = held + 1
-        lifetime_ms = self._limits.lease_lifetime_ms
-        self._leases[number] = _Lease(
-            workspace,
-            now_ms + lifetime_ms,
-            self._limits,
-        )
-        return IdLease(
-            self.incarnation,
-            number,
-            lifetime_ms,
-            self._limits.lease_count,
-        )
+        return self._leases.grant(workspace, now_ms)
 
     def admit(
         self,
@@ -186,14 +114,19 @@
         """
         if request_id.incarnation != self.incarnation:
             return Admission.FOREIGN
-        lease = self._leases.get(request_id.lease)
+        lease = self._leases.find(request_id.lease)
         if lease is None:
             return self._judge_missing_lease(request_id)
         if lease.workspace != workspace:
             return Admission.WRONG_WORKSPACE
-        if lease.window.is_used(request_id.counter):
-            return self._judge_used(request_id, lease)
-        return self._admit_unused(request_id, lease, now_ms)
+        admission = lease.judge(request_id.counter, now_ms)
+        if admission is not Admission.NEW:
+            return admission
+        if self._open_count >= self._limits.max_open:
+            return Admission.WINDOW_FULL
+        lease.use(request_id.counter)
+        self._open_count += 1
+        return Admission.NEW
 
     def assign(self, workspace: str, now_ms: float) -> RequestId:
         """Assign an id to a caller that sent none; it starts to wait.
@@ -213,16 +146,15 @@
         Raises
         ------
         LedgerFullError
-            If too many requests are open.
+            If too many requests or id leases are open.
         """
-        request_id = self._form_own_id(workspace, now_ms)
-        admission = self.admit(request_id, workspace, now_ms)
-        if admission is not Admission.NEW:
+        if self._open_count >= self._limits.max_open:
             raise LedgerFullError(
                 f'{self._open_count} requests are open at this entry; ask '
                 '/v1/entries for another one',
             )
-        self._own_ids[workspace] = request_id
+        request_id = self._leases.form_own(workspace, now_ms)
+        self.admit(request_id, workspace, now_ms)
         return request_id
 
     def mark_dispatched(self, request_id: RequestId) -> None:
@@ -253,8 +185,9 @@
         request_id: RequestId,
         answer: bytes,
         now_ms: float,
+        ran: Ran = Ran.YES,
     ) -> None:
-        """End a dispatched request whose target answered.
+        """End a dispatched request.
 
         Parameters
         ----------
@@ -264,6 +197,8 @@
             The whole answer, kept for a while.
         now_ms : float
             The current time at this home.
+        ran : Ran
+            Whether it ran; ``NO`` only if the target's answer proves it.
 
         Raises
         ------
@@ -271,32 +206,7 @@
             If the request is not dispatched.
         """
         self._require(request_id, State.DISPATCHED)
-        self._end(request_id, State.DONE, answer, now_ms)
-
-    def fail(
-        self,
-        request_id: RequestId,
-        answer: bytes,
-        now_ms: float,
-    ) -> None:
-        """End a dispatched request whose outcome is not known.
-
-        Parameters
-        ----------
-        request_id : RequestId
-            A dispatched request.
-        answer : bytes
-            The answer that says so, kept for a while.
-        now_ms : float
-            The current time at this home.
-
-        Raises
-        ------
-        RequestStateError
-            If the request is not dispatched.
-        """
-        self._require(request_id, State.DISPATCHED)
-        self._end(request_id, State.UNKNOWN, answer, now_ms)
+        self._end(request_id, _ENDS[ran], answer, now_ms)
 
     def refuse(
         self,
@@ -351,10 +261,8 @@
         State or None
             The state, or None if the id is neither open nor kept.
         """
-        if request_id.incarnation != self.incarnation:
-            return None
-        lease = self._leases.get(request_id.lease)
-        return None if lease is None else lease.states.get(request_id.counter)
+        states = self._leases.find_states(request_id)
+        return states.get(request_id.counter)
 
     def find_ran(self, request_id: RequestId, now_ms: float) -> Ran:
         """Tell whether a request ran, so that it stays true for ever.
@@ -376,8 +284,8 @@
             return _RAN.get(state, Ran.UNKNOWN)
         if request_id.incarnation != self.incarnation:
             return Ran.UNKNOWN
-        lease = self._leases.get(request_id.lease)
-        if lease is None or now_ms < lease.expires_ms:
+        lease = self._leases.find(request_id.lease)
+        if lease is None or lease.is_open(now_ms):
             return Ran.UNKNOWN
         used = lease.window.is_used(request_id.counter)
         return Ran.UNKNOWN if used else Ran.NO
@@ -391,51 +299,13 @@
             The current time at this home.
         """
         self._forget(self._answers.drop_expired(now_ms))
-        retained_ms = now_ms - self._limits.retention_ms
-        for number, lease in tuple(self._leases.items()):
-            if lease.expires_ms > retained_ms:
-                break
-            if not lease.states:
-                self._drop_lease(number)
+        self._leases.drop_idle(now_ms - self._limits.retention_ms)
 
     def _judge_missing_lease(self, request_id: RequestId) -> Admission:
-        if 0 < request_id.lease < self._next_lease:
+        if self._leases.is_granted(request_id.lease):
             return Admission.HANDLED
         return Admission.UNKNOWN_LEASE
 
-    def _judge_used(self, request_id: RequestId, lease: _Lease) -> Admission:
-        state = lease.states.get(request_id.counter)
-        if state is None:
-            return Admission.HANDLED
-        return Admission.RUNNING if state in _OPEN else Admission.KEPT
-
-    def _admit_unused(
-        self,
-        request_id: RequestId,
-        lease: _Lease,
-        now_ms: float,
-    ) -> Admission:
-        if request_id.counter >= lease.count:
-            return Admission.UNKNOWN_LEASE
-        if now_ms >= lease.expires_ms:
-            return Admission.EXPIRED_LEASE
-        if self._open_count >= self._limits.max_open:
-            return Admission.WINDOW_FULL
-        lease.window.use(request_id.counter)
-        lease.states[request_id.counter] = State.WAITING
-        self._open_count += 1
-        return Admission.NEW
-
-    def _form_own_id(self, workspace: str, now_ms: float) -> RequestId:
-        last = self._own_ids.get(workspace)
-        if last is not None:
-            lease = self._leases.get(last.lease)
-            following = dataclasses.replace(last, counter=last.counter + 1)
-            if lease is not None and now_ms < lease.expires_ms:
-                if following.counter < lease.count:
-                    return following
-        return self.grant(workspace, now_ms).form(0)
-
     def _find_open_state(self, request_id: RequestId) -> State:
         state = self.find_state(request_id)
         if state is None:
@@ -454,7 +324,8 @@
             )
 
     def _set_state(self, request_id: RequestId, state: State) -> None:
-        self._leases[request_id.lease].states[request_id.counter] = state
+        states = self._leases.find_states(request_id)
+        states[request_id.counter] = state
 
     def _end(
         self,
@@ -469,12 +340,5 @@
 
     def _forget(self, request_ids: tuple[RequestId, ...]) -> None:
         for request_id in request_ids:
-            self._leases[request_id.lease].states.pop(request_id.counter)
-
-    def _drop_lease(self, number: int) -> None:
-        workspace = self._leases.pop(number).workspace
-        remaining = self._lease_counts[workspace] - 1
-        self._lease_counts[workspace] = remaining
-        if not remaining:
-            self._lease_counts.pop(workspace)
-            self._own_ids.pop(workspace, None)
+            states = self._leases.find_states(request_id)
+            states.pop(request_id.counter)
--- a/hornbeampulley/identity/_window.py
+++ b/hornbeampulley/identity/_window.py
@@ -18,6 +18,11 @@
         self._next = 0
         self._bits = 0
 
+    @property
+    def next_counter(self) -> int:
+        """The lowest counter above all used ones."""
+        return self._next
+
     def is_used(self, counter: int) -> bool:
         """Tell whether a counter was used or fell out of the window.
 
--- a/tests/test_identity_ledger.py
+++ b/tests/test_identity_ledger.py
@@ -16,6 +16,7 @@
     RequestId,
     State,
 )
+from hornbeampulley.identity._answers import ENTRY_BYTES
 
 INCARNATION = '0123456789abcdef'
 LIMITS = LedgerLimits(
@@ -25,7 +26,7 @@
     max_leases=2,
     max_open=5,
     retention_ms=50,
-    max_answer_bytes=10,
+    max_answer_bytes=2 * ENTRY_BYTES + 10,
 )
 
 
@@ -96,7 +97,7 @@
     ledger.mark_dispatched(form(1))
     with pytest.raises(RequestStateError):
         ledger.refuse(form(1), b'no', 0)
-    ledger.fail(form(1), b'?', 0)
+    ledger.finish(form(1), b'?', 0, Ran.UNKNOWN)
     assert ledger.find_state(form(1)) is State.UNKNOWN
     assert ledger.find_ran(form(1), 0) is Ran.UNKNOWN
     assert ledger.open_count == 0
@@ -138,9 +139,14 @@
         ledger.admit(form(counter), 'vrh', 0)
         ledger.mark_dispatched(form(counter))
         ledger.finish(form(counter), b'12345', 0)
-    assert ledger.answer_bytes == 10
+    assert ledger.answer_bytes == LIMITS.max_answer_bytes
     assert ledger.admit(form(0), 'vrh', 0) is Admission.HANDLED
     assert ledger.admit(form(2), 'vrh', 0) is Admission.KEPT
+    ledger.admit(form(3), 'vrh', 0)
+    ledger.mark_dispatched(form(3))
+    ledger.finish(form(3), bytes(LIMITS.max_answer_bytes), 0)
+    assert ledger.admit(form(3), 'vrh', 0) is Admission.HANDLED
+    assert ledger.admit(form(2), 'vrh', 0) is Admission.KEPT
 
 
 def test_leases_are_bounded_and_forgotten(ledger):
@@ -159,6 +165,10 @@
     first = ledger.assign('vrh', 0)
     assert ledger.assign('vrh', 0) != first
     assert ledger.lease_count == 1
+    assert ledger.admit(form(3), 'vrh', 0) is Admission.NEW
+    assert ledger.assign('vrh', 0) == form(4)
+    ledger.refuse(form(3), b'', 0)
+    ledger.refuse(form(4), b'', 0)
     assert ledger.assign('vrh', 100).lease == 2
     ledger.assign('vrh', 100)
     ledger.assign('vrh', 100)
