Cut pools into shards and give each one owner by rendezvous

Cause: a pool's waiting requests need one scheduler at a time, with no shared writes, under silent, paused and draining peers. Ruled out: a ring with tokens, which needs many points a host for an even spread; declaring peers dead by silence alone, since a process that wakes late would declare all of them dead before it reads their waiting heartbeats. Change: cut_shards, rank_owners, FailureDetector (silence counts from the end of an own pause; dead stays dead until heard), Ownership (the lower rank hands over, a draining scheduler leaves the ranking), choose_scheduler for homes. Measured: 800 shards over 8 schedulers give each between 60 and 150 (test).

--- a/hornbeampulley/membership/__init__.py
+++ b/hornbeampulley/membership/__init__.py
@@ -13,7 +13,28 @@
     HostRole,
     HostState,
 )
-from hornbeampulley.membership._scopes import scopes
+from hornbeampulley.membership._liveness import (
+    FailureDetector,
+    LivenessSettings,
+    PeerState,
+    StateChange,
+)
+from hornbeampulley.membership._ownership import (
+    Acquired,
+    HandedOver,
+    Ownership,
+    Transfer,
+    choose_scheduler,
+)
+from hornbeampulley.membership._rendezvous import (
+    MAX_SHARD_TARGETS,
+    Shard,
+    cut_shards,
+    rank_owners,
+)
+from hornbeampulley.membership._scopes import (
+    scopes,
+)
 from hornbeampulley.membership._store import (
     Applied,
     Conflict,
@@ -33,27 +54,40 @@
 )
 
 __all__ = (
+    'MAX_SHARD_TARGETS',
     'MAX_TICKET_BYTES',
     'SCOPE_HOSTS',
+    'Acquired',
     'Applied',
     'Conflict',
+    'FailureDetector',
+    'HandedOver',
     'Host',
     'HostBook',
     'HostList',
     'HostListError',
     'HostRole',
     'HostState',
+    'LivenessSettings',
     'Outcome',
+    'Ownership',
+    'PeerState',
     'Rejected',
     'Same',
+    'Shard',
     'Stale',
     'Stamp',
+    'StateChange',
     'Ticket',
     'TicketStore',
+    'Transfer',
     'build_configuration',
     'check_references',
+    'choose_scheduler',
+    'cut_shards',
     'get_stamp',
     'parse_hosts',
     'parse_ticket',
+    'rank_owners',
     'scopes',
 )
--- /dev/null
+++ b/hornbeampulley/membership/_rendezvous.py
@@ -0,0 +1,143 @@
+"""Shards of pools, and who owns them, by rendezvous hashing."""
+
+import dataclasses
+import math
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import Final
+
+import xxhash
+
+from hornbeampulley.configuration import Target
+
+MAX_SHARD_TARGETS: Final = 32
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shard:
+    """A part of a pool that one scheduler owns at a time.
+
+    Attributes
+    ----------
+    name : str
+        The pool's name, followed by zones and a count if the pool is cut.
+    pool : str
+        The pool.
+    targets : tuple of str
+        Names of its targets, sorted.
+    """
+
+    name: str
+    pool: str
+    targets: tuple[str, ...]
+
+
+def rank_owners(key: str, candidates: Iterable[str]) -> tuple[str, ...]:
+    """Rank candidates for a key.
+
+    Each process that knows the same candidates gets the same order, and the
+    loss of a candidate leaves the order of the others as it was.
+
+    Parameters
+    ----------
+    key : str
+        What is to be owned, such as the name of a shard.
+    candidates : iterable of str
+        Names of hosts or incarnations.
+
+    Returns
+    -------
+    tuple of str
+        The owner first, then its successors.
+    """
+    scores = {candidate: _score(key, candidate) for candidate in candidates}
+    return tuple(sorted(scores, key=lambda name: (scores[name], name)))
+
+
+def cut_shards(targets: Iterable[Target]) -> tuple[Shard, ...]:
+    """Cut pools into shards, by availability zone where possible.
+
+    Parameters
+    ----------
+    targets : iterable of Target
+        Targets of any pools.
+
+    Returns
+    -------
+    tuple of Shard
+        Sorted by name; each has at most ``MAX_SHARD_TARGETS`` targets, and a
+        pool of no more than that is one shard.
+    """
+    pools: dict[str, list[Target]] = defaultdict(list)
+    for target in targets:
+        pools[target.pool].append(target)
+    shards = [
+        shard
+        for pool, members in pools.items()
+        for shard in _cut_pool(pool, members)
+    ]
+    return tuple(sorted(shards, key=lambda shard: shard.name))
+
+
+def _score(key: str, candidate: str) -> int:
+    return xxhash.xxh3_64_intdigest(f'{key}\0{candidate}'.encode())
+
+
+def _cut_pool(pool: str, members: list[Target]) -> list[Shard]:
+    if len(members) <= MAX_SHARD_TARGETS:
+        return [_make_shard(pool, pool, members)]
+    zones: dict[str, list[Target]] = defaultdict(list)
+    for target in sorted(members, key=_get_name):
+        zones[target.availability_zone].append(target)
+    small = {
+        zone: zones.pop(zone)
+        for zone in sorted(zones)
+        if len(zones[zone]) <= MAX_SHARD_TARGETS
+    }
+    shards = _join_zones(pool, small)
+    for zone, crowd in zones.items():
+        shards.extend(_cut_zone(pool, zone, crowd))
+    return shards
+
+
+def _join_zones(pool: str, zones: dict[str, list[Target]]) -> list[Shard]:
+    groups: list[list[str]] = []
+    for zone, crowd in zones.items():
+        fitting = (
+            group
+            for group in groups
+            if _count(zones, group) + len(crowd) <= MAX_SHARD_TARGETS
+        )
+        group = next(fitting, None)
+        if group is None:
+            groups.append([zone])
+        else:
+            group.append(zone)
+    return [
+        _make_shard(
+            f'{pool}/{"+".join(group)}',
+            pool,
+            [target for name in group for target in zones[name]],
+        )
+        for group in groups
+    ]
+
+
+def _count(zones: dict[str, list[Target]], group: list[str]) -> int:
+    return sum(len(zones[zone]) for zone in group)
+
+
+def _cut_zone(pool: str, zone: str, crowd: list[Target]) -> list[Shard]:
+    parts = math.ceil(len(crowd) / MAX_SHARD_TARGETS)
+    return [
+        _make_shard(f'{pool}/{zone}/{part}', pool, crowd[part::parts])
+        for part in range(parts)
+    ]
+
+
+def _make_shard(name: str, pool: str, members: list[Target]) -> Shard:
+    return Shard(name, pool, tuple(sorted(map(_get_name, members))))
+
+
+def _get_name(target: Target) -> str:
+    return target.name
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,163 @@
+"""Tests of shards, failure detection and ownership."""
+
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hornbeampulley.configuration import Target
+from hornbeampulley.membership import (
+    Acquired,
+    FailureDetector,
+    HandedOver,
+    LivenessSettings,
+    Ownership,
+    PeerState,
+    StateChange,
+    choose_scheduler,
+    cut_shards,
+    rank_owners,
+)
+
+SETTINGS = LivenessSettings(
+    heartbeat_ms=200,
+    suspect_ms=450,
+    dead_ms=800,
+    pause_ms=300,
+)
+
+
+def make_targets(*counts, pool='model-pool'):
+    return [
+        Target(f'{zone}-{index}', pool, '192.0.2.1', 1, f'zone-{zone}')
+        for zone, count in enumerate(counts)
+        for index in range(count)
+    ]
+
+
+def test_small_pool_is_one_shard():
+    shards = cut_shards(make_targets(9) + make_targets(4, pool='desk'))
+    assert [shard.name for shard in shards] == ['desk', 'model-pool']
+    assert len(shards[1].targets) == 9
+
+
+def test_large_pool_is_cut_by_zone():
+    names = {shard.name for shard in cut_shards(make_targets(20, 20, 5, 70))}
+    assert names == {
+        'model-pool/zone-0+zone-2',
+        'model-pool/zone-1',
+        'model-pool/zone-3/0',
+        'model-pool/zone-3/1',
+        'model-pool/zone-3/2',
+    }
+
+
+@given(st.lists(st.integers(0, 80), max_size=6))
+def test_shards_hold_each_target_once_and_at_most_32(counts):
+    targets = make_targets(*counts)
+    shards = cut_shards(targets)
+    assert all(0 < len(shard.targets) <= 32 for shard in shards)
+    held = [name for shard in shards for name in shard.targets]
+    assert sorted(held) == sorted(target.name for target in targets)
+
+
+def test_loss_of_a_candidate_keeps_the_order_of_the_others():
+    names = [f's{index}' for index in range(8)]
+    ranked = rank_owners('model-pool', names)
+    rest = [name for name in ranked if name != ranked[0]]
+    assert list(rank_owners('model-pool', rest)) == rest
+
+
+def test_owners_are_spread():
+    names = [f's{index}' for index in range(8)]
+    owners = Counter(rank_owners(f'p{n}', names)[0] for n in range(800))
+    assert max(owners.values()) < 150 and min(owners.values()) > 60
+
+
+def test_silence_makes_suspect_then_dead():
+    detector = FailureDetector(SETTINGS, 0)
+    detector.hear('a', 0)
+    found = [
+        (now_ms, change.state)
+        for now_ms in range(100, 1500, 100)
+        for change in detector.tick(now_ms)
+    ]
+    assert found == [(500, PeerState.SUSPECT), (800, PeerState.DEAD)]
+    assert detector.hear('a', 1500) == (StateChange('a', PeerState.LIVE),)
+
+
+def test_own_pause_declares_nobody_dead():
+    detector = FailureDetector(SETTINGS, 0)
+    detector.hear('a', 0)
+    assert detector.tick(30_000) == ()
+    assert detector.tick(30_200) == ()
+    detector.hear('a', 30_300)
+    assert detector.tick(30_400) == ()
+    assert detector.get_state('a') is PeerState.LIVE
+
+
+def test_dead_stays_dead_over_a_pause():
+    detector = FailureDetector(SETTINGS, 0)
+    detector.hear('a', 0)
+    for now_ms in range(100, 1000, 100):
+        detector.tick(now_ms)
+    detector.tick(9000)
+    assert detector.get_state('a') is PeerState.DEAD
+    assert detector.list_usable() == ()
+
+
+def own_all(name, *others):
+    ownership = Ownership(name)
+    ownership.set_shards(['p', 'q'])
+    ownership.update(others)
+    return ownership
+
+
+def test_next_in_rank_takes_over():
+    first, second, third = rank_owners('p', ['a', 'b', 'c'])
+    ownership = own_all(second, first, third)
+    assert 'p' not in ownership.owned
+    assert Acquired('p') in ownership.update([third])
+    assert HandedOver('p', first) in ownership.update([first, third])
+
+
+def test_lower_rank_hands_over_when_two_own():
+    first, second = rank_owners('p', ['a', 'b'])
+    higher, lower = own_all(first), own_all(second)
+    assert higher.hear_claim('p', second) == ()
+    assert lower.hear_claim('p', first) == (HandedOver('p', first),)
+    assert lower.hear_claim('p', first) == ()
+
+
+def test_draining_scheduler_hands_over_to_a_successor_only():
+    ownership = own_all('a')
+    ownership.drain()
+    assert ownership.update([]) == ()
+    assert ownership.owned == {'p', 'q'}
+    assert set(ownership.update(['b'])) == {
+        HandedOver('p', 'b'),
+        HandedOver('q', 'b'),
+    }
+
+
+def test_shard_that_is_gone_is_dropped():
+    ownership = own_all('a')
+    assert ownership.set_shards(['q']) == (HandedOver('p', ''),)
+    assert ownership.owned == {'q'}
+
+
+def test_home_goes_to_the_next_in_rank_on_silence():
+    first, second = rank_owners('p', ['a', 'b'])
+    detector = FailureDetector(SETTINGS, 0)
+    for name in (first, second):
+        detector.hear(name, 0)
+    assert choose_scheduler('p', detector) == first
+    for now_ms in range(100, 900, 100):
+        detector.hear(second, now_ms)
+        detector.tick(now_ms)
+    assert choose_scheduler('p', detector) == second
+    detector.hear(second, 850, is_draining=True)
+    assert choose_scheduler('p', detector) == second
+    detector.hear(first, 900)
+    assert choose_scheduler('p', detector) == first
+    assert choose_scheduler('p', FailureDetector(SETTINGS, 0)) == ''
