--- a/hornbeampulley/membership/__init__.py
+++ b/hornbeampulley/membership/__init__.py
@@ -4,6 +4,14 @@
     build_configuration,
     check_references,
 )
+from hornbeampulley.membership._directory import (
+    Directory,
+    DirectoryNews,
+    HostRecord,
+    Member,
+    Pulse,
+    Role,
+)
 from hornbeampulley.membership._hosts import (
     SCOPE_HOSTS,
     Host,
@@ -54,6 +62,12 @@
 )
 
 __all__ = (
+    'Role',
+    'Pulse',
+    'Member',
+    'HostRecord',
+    'DirectoryNews',
+    'Directory',
     'MAX_SHARD_TARGETS',
     'MAX_TICKET_BYTES',
     'SCOPE_HOSTS',
--- a/hornbeampulley/pipeline/_callers.py
+++ b/hornbeampulley/pipeline/_callers.py
@@ -9,6 +9,7 @@
 
 from hornbeampulley.errors import LedgerFullError, RequestIdError
 from hornbeampulley.identity import Ran, RequestId
+from hornbeampulley.logs import log_event
 from hornbeampulley.pipeline._answers import Answer, decode_answer
 from hornbeampulley.pipeline._exchanges import (
     CallerGoneError,
@@ -131,7 +132,7 @@
         except (RequestIdError, LedgerFullError) as error:
             await exchange.send_problem(_explain_id_error(error))
         except CallerGoneError:
-            _log.info('event=caller_gone path=%s', exchange.path)
+            log_event(_log, 'caller_gone', path=exchange.path)
 
 
 Endpoint = Callable[[CallerInterface, Exchange], Awaitable[None]]
--- a/hornbeampulley/pipeline/_filters.py
+++ b/hornbeampulley/pipeline/_filters.py
@@ -27,6 +27,7 @@
     UnknownWorkspaceError,
 )
 from hornbeampulley.identity import Ran, State
+from hornbeampulley.logs import log_event
 from hornbeampulley.pipeline._calls import CallEnd, TargetCall
 from hornbeampulley.pipeline._content import inspect_content
 from hornbeampulley.pipeline._home import Home
@@ -85,10 +86,21 @@
     except ProblemError as error:
         request.answer.end_with(error.problem)
     except Exception:
-        _log.exception('event=request_failed request=%s', request.request_id)
+        _log.exception('request %s failed', request.request_id)
         request.answer.end_with(_explain_failure(home, request))
     _keep_answer(home, request)
     home.close(request)
+    log_event(
+        _log,
+        'request_answered',
+        request=request.request_id,
+        workspace=request.incoming.workspace,
+        tier=request.route.tier.name if request.route else None,
+        status=request.answer.status,
+        ran=request.answer.headers.get('hornbeam-ran'),
+        bytes=request.answer.size_bytes,
+        took_ms=round(home.clock.now() - request.arrived_ms),
+    )
 
 
 @filters.register('drain')
@@ -227,11 +239,12 @@
     if request.kv_state:
         return
     home.ledger.mark_dispatched(request.request_id)
-    _log.info(
-        'event=dispatched request=%s target=%s waited_ms=%.0f',
-        request.request_id,
-        request.lease.target,
-        now_ms - request.arrived_ms,
+    log_event(
+        _log,
+        'request_dispatched',
+        request=request.request_id,
+        target=request.lease.target,
+        waited_ms=round(now_ms - request.arrived_ms),
     )
 
 
--- a/hornbeampulley/pipeline/_forwarding.py
+++ b/hornbeampulley/pipeline/_forwarding.py
@@ -9,6 +9,7 @@
 
 from hornbeampulley.clock import to_seconds
 from hornbeampulley.identity import Ran, RequestId
+from hornbeampulley.logs import log_event
 from hornbeampulley.pipeline._exchanges import Exchange
 from hornbeampulley.pipeline._problems import Problem, ProblemError
 from hornbeampulley.pipeline._requests import Incoming
@@ -154,7 +155,7 @@
                 # again on a new connection.
                 continue
             except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-                _log.info('event=forward_failed error=%r', error)
+                log_event(_log, 'forward_failed', error=repr(error))
                 return False
             except httpcore.TimeoutException:
                 return False
--- a/hornbeampulley/pipeline/_home.py
+++ b/hornbeampulley/pipeline/_home.py
@@ -9,6 +9,7 @@
 from hornbeampulley import decisions
 from hornbeampulley.configuration import Configuration
 from hornbeampulley.identity import Admission, Ledger, RequestId
+from hornbeampulley.logs import log_event
 from hornbeampulley.pipeline._admissions import refuse_admission
 from hornbeampulley.pipeline._answers import Answer, decode_answer
 from hornbeampulley.pipeline._channels import PoolChannel
@@ -245,7 +246,7 @@
     def _take_lease(self, lease: decisions.Lease) -> None:
         request = self._requests.get(lease.request_id)
         if request is None or request.call is not None:
-            _log.info('event=lease_unused request=%s', lease.request_id)
+            log_event(_log, 'lease_unused', request=lease.request_id)
             return
         request.lease = lease
         request.lease_expires_ms = self.clock.now() + lease.valid_ms
--- a/hornbeampulley/pipeline/_runners.py
+++ b/hornbeampulley/pipeline/_runners.py
@@ -170,6 +170,7 @@
     if call.kv_state:
         headers['kv-state'] = call.kv_state
     try:
+        await _import_state(client, call)
         async with client.open_call(call, headers, STALL_MS) as reply:
             return await _copy_stream(client, call, reply)
     except TargetUnreachableError:
@@ -178,6 +179,13 @@
         return None if call.is_sent else Outcome.NOT_SENT
 
 
+async def _import_state(client: TargetClient, call: TargetCall) -> None:
+    if not call.kv_state:
+        return
+    body = json.dumps({'state': call.kv_state}).encode()
+    await client.fetch(call.target, 'POST', '/streams/import', body)
+
+
 async def _resume_stream(
     client: TargetClient,
     call: TargetCall,
--- a/hornbeampulley/wire/__init__.py
+++ b/hornbeampulley/wire/__init__.py
@@ -21,6 +21,12 @@
     open_stream,
     serve_links,
 )
+from hornbeampulley.wire._records import (
+    read_news,
+    read_record,
+    write_news,
+    write_record,
+)
 
 __all__ = (
     'HASH_MASK',
@@ -34,8 +40,12 @@
     'open_stream',
     'read_action',
     'read_event',
+    'read_news',
+    'read_record',
     'serve_links',
     'write_action',
     'write_event',
+    'write_news',
+    'write_record',
     'write_reserve',
 )
--- a/hornbeampulley/wire/_links.py
+++ b/hornbeampulley/wire/_links.py
@@ -9,6 +9,8 @@
 
 from hornbeampulley.clock import Clock, to_seconds
 from hornbeampulley.errors import WireError
+from hornbeampulley.logs import log_event
+from hornbeampulley.timeline import HybridClock, Timestamp, TimestampError
 from hornbeampulley.wire._frames import FrameDecoder, encode_frame
 from hornbeampulley.wire.generated.peer import ttypes
 
@@ -36,8 +38,8 @@
         What this process says of itself first.
     make_heartbeat : callable
         Returns the next heartbeat to send.
-    hybrid : object, optional
-        Hybrid logical clock with ``tick()`` and ``observe(text)``.
+    hybrid : HybridClock, optional
+        Its timestamps travel with each frame.
 
     Attributes
     ----------
@@ -54,7 +56,7 @@
         stream: trio.abc.Stream,
         hello: ttypes.Hello,
         make_heartbeat: HeartbeatMaker = ttypes.Heartbeat,
-        hybrid: Any = None,
+        hybrid: HybridClock | None = None,
     ) -> None:
         self.peer: ttypes.Hello | None = None
         self._stream = stream
@@ -124,15 +126,20 @@
                 self.heard_ms = self._clock.now()
                 for frame in decoder.feed(received):
                     self._accept(frame, handle)
-        except WireError as error:
-            _log.warning('event=bad_frame error=%r', str(error))
+        except (WireError, TimestampError) as error:
+            log_event(
+                _log,
+                'frame_refused',
+                severity=logging.WARNING,
+                error=error,
+            )
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            _log.debug('event=link_broken')
+            log_event(_log, 'link_broken', severity=logging.DEBUG)
         self.close()
 
     def _accept(self, frame: ttypes.Frame, handle: MessageHandler) -> None:
         if self._hybrid is not None and frame.hlc:
-            self._hybrid.observe(frame.hlc)
+            self._hybrid.observe(Timestamp.decode(frame.hlc))
         for message in frame.messages:
             if isinstance(message, ttypes.Hello):
                 self.peer = message
@@ -155,15 +162,19 @@
         while self._queue:
             batch = self._queue[:_MAX_BATCH]
             del self._queue[:_MAX_BATCH]
-            hlc = self._hybrid.tick() if self._hybrid is not None else ''
-            await self._stream.send_all(encode_frame(batch, hlc))
+            await self._stream.send_all(encode_frame(batch, self._tick()))
+
+    def _tick(self) -> str:
+        if self._hybrid is None:
+            return ''
+        return self._hybrid.tick().encode()
 
     async def _beat(self) -> None:
         self._wakeup.set()
         while not self.is_silent:
             self.send(self._make_heartbeat())
             await trio.sleep(to_seconds(HEARTBEAT_MS))
-        _log.info('event=link_silent')
+        log_event(_log, 'link_silent')
         self.close()
 
 
@@ -236,7 +247,7 @@
 ) -> None:
     remote = stream.socket.getpeername()[0]
     if not is_listed(remote):
-        _log.warning('event=peer_not_listed address=%s', remote)
+        log_event(_log, 'peer_not_listed', address=remote)
         await stream.aclose()
         return
     await accept(stream)
--- /dev/null
+++ b/hornbeampulley/wire/_records.py
@@ -0,0 +1,136 @@
+"""Between the directory of hosts and the peer protocol."""
+
+from hornbeampulley.errors import WireError
+from hornbeampulley.membership import (
+    DirectoryNews,
+    HostRecord,
+    Member,
+    Pulse,
+    Role,
+)
+from hornbeampulley.wire.generated.peer import ttypes
+
+
+def write_record(record: HostRecord) -> ttypes.HostRecord:
+    """Convert a host's record to send it.
+
+    Parameters
+    ----------
+    record : HostRecord
+        From the directory.
+
+    Returns
+    -------
+    ttypes.HostRecord
+        To send.
+    """
+    return ttypes.HostRecord(
+        record.host,
+        record.address,
+        record.availability_zone,
+        record.started_ms,
+        record.version,
+        [_write_member(member) for member in record.members],
+    )
+
+
+def read_record(message: ttypes.HostRecord) -> HostRecord:
+    """Convert a host's record as received.
+
+    Parameters
+    ----------
+    message : ttypes.HostRecord
+        As received.
+
+    Returns
+    -------
+    HostRecord
+        For the directory.
+
+    Raises
+    ------
+    WireError
+        If a field is missing or not one of the values allowed.
+    """
+    try:
+        return HostRecord(
+            message.host,
+            message.address,
+            message.availability_zone,
+            message.started_ms,
+            message.version,
+            tuple(_read_member(member) for member in message.members),
+        )
+    except (TypeError, ValueError) as error:
+        raise WireError(
+            'a peer sent a malformed host record; restart it with the '
+            'version that runs here',
+        ) from error
+
+
+def write_news(
+    news: DirectoryNews,
+    wanted: frozenset[int],
+) -> ttypes.DirectoryNews:
+    """Convert news of hosts to send them.
+
+    Parameters
+    ----------
+    news : DirectoryNews
+        From the directory.
+    wanted : frozenset of int
+        Keys of records to ask for.
+
+    Returns
+    -------
+    ttypes.DirectoryNews
+        To send.
+    """
+    return ttypes.DirectoryNews(
+        [write_record(record) for record in news.records],
+        [ttypes.Pulse(pulse.key, pulse.version) for pulse in news.pulses],
+        sorted(wanted),
+    )
+
+
+def read_news(message: ttypes.DirectoryNews) -> DirectoryNews:
+    """Convert news of hosts as received.
+
+    Parameters
+    ----------
+    message : ttypes.DirectoryNews
+        As received.
+
+    Returns
+    -------
+    DirectoryNews
+        For the directory.
+    """
+    return DirectoryNews(
+        tuple(read_record(record) for record in message.records or ()),
+        tuple(
+            Pulse(pulse.key, pulse.version) for pulse in message.pulses or ()
+        ),
+    )
+
+
+def _write_member(member: Member) -> ttypes.Member:
+    return ttypes.Member(
+        member.role.value,
+        member.incarnation,
+        member.caller_port,
+        member.peer_port,
+        member.load,
+        member.draining,
+    )
+
+
+def _read_member(message: ttypes.Member) -> Member:
+    return Member(
+        Role(message.role),
+        message.incarnation,
+        message.caller_port,
+        message.peer_port,
+        message.load,
+        message.draining,
+    )
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -115,14 +115,14 @@
   2: binary text
 }
 
-// From an agent to the other processes of its host.
+// From an agent to the other processes of its host; fields that have not
+// changed since the last one are left out.
 struct View {
-  1: list<TicketText> tickets
-  2: list<HostRecord> hosts
-  3: list<string> leaving
+  1: optional list<TicketText> tickets
+  2: optional list<HostRecord> hosts
+  3: optional list<string> leaving
   4: double fresh_age_ms
   5: bool ready
-  6: i64 serial
 }
 
 struct Pulse {
