--- /dev/null
+++ b/hornbeampulley/metrics.py
@@ -0,0 +1,240 @@
+"""Metrics sent to a statsd server."""
+
+import dataclasses
+import enum
+import re
+from typing import Any, Final
+
+import statsd
+
+from hornbeampulley.errors import HornbeamError
+from hornbeampulley.registry import Registry
+
+_UNSAFE: Final = re.compile('[^A-Za-z0-9_-]')
+
+
+class MetricKind(enum.Enum):
+    """How the server treats a metric."""
+
+    COUNTER = 'counter'
+    TIMING = 'timing'
+    GAUGE = 'gauge'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Metric:
+    """One metric.
+
+    Attributes
+    ----------
+    name : str
+        First part of the name that is sent.
+    kind : MetricKind
+        How the server treats it.
+    unit : str
+        What is counted or measured.
+    labels : tuple of str
+        What the further parts of the name stand for.
+    description : str
+        What it tells.
+    """
+
+    name: str
+    kind: MetricKind
+    unit: str
+    labels: tuple[str, ...]
+    description: str
+
+    @property
+    def template(self) -> str:
+        """The name with its labels in braces."""
+        return '.'.join(
+            (self.name, *(f'{{{label}}}' for label in self.labels)),
+        )
+
+
+METRICS: Final[Registry[Metric]] = Registry('metric')
+
+
+def _declare(metric: Metric) -> Metric:
+    return METRICS.register(metric.name)(metric)
+
+
+GOODPUT: Final = _declare(
+    Metric(
+        'goodput',
+        MetricKind.COUNTER,
+        'requests',
+        ('tier',),
+        'Requests answered whole and in time.',
+    ),
+)
+WASTED_PREFILL: Final = _declare(
+    Metric(
+        'wasted_prefill',
+        MetricKind.COUNTER,
+        'tokens',
+        ('tier',),
+        'Prompt tokens prefilled for streams that were then cut off.',
+    ),
+)
+SHEDS: Final = _declare(
+    Metric(
+        'sheds',
+        MetricKind.COUNTER,
+        'requests',
+        ('tier', 'reason'),
+        'Waiting requests refused for want of capacity.',
+    ),
+)
+QUEUE_WAIT: Final = _declare(
+    Metric(
+        'queue_wait',
+        MetricKind.TIMING,
+        'ms',
+        ('tier',),
+        'Time from arrival to dispatch.',
+    ),
+)
+TAKEOVERS: Final = _declare(
+    Metric(
+        'takeovers',
+        MetricKind.COUNTER,
+        'shards',
+        ('pool',),
+        'Shards that a scheduler took over from another.',
+    ),
+)
+TICKET_NUMBER: Final = _declare(
+    Metric(
+        'ticket_number',
+        MetricKind.GAUGE,
+        'number',
+        ('scope',),
+        'Number of the change ticket in force.',
+    ),
+)
+TICKET_AGE: Final = _declare(
+    Metric(
+        'ticket_age',
+        MetricKind.GAUGE,
+        'ms',
+        ('scope',),
+        'Time since the change ticket in force was last known to be newest.',
+    ),
+)
+
+
+class MetricError(HornbeamError):
+    """A metric is sent as another kind or with other labels."""
+
+
+class Metrics:
+    """Sends metrics; without a client it does nothing.
+
+    Parameters
+    ----------
+    client : statsd client or None
+        Where metrics are sent.
+    """
+
+    def __init__(self, client: Any = None) -> None:
+        self._client = client
+
+    def count(self, metric: Metric, *labels: str, amount: int = 1) -> None:
+        """Add to a counter.
+
+        Parameters
+        ----------
+        metric : Metric
+            A counter.
+        *labels : str
+            One for each label of the metric.
+        amount : int
+            What to add.
+        """
+        name = _make_name(metric, MetricKind.COUNTER, labels)
+        if self._client:
+            self._client.incr(name, amount)
+
+    def time(self, metric: Metric, *labels: str, duration_ms: float) -> None:
+        """Record a duration.
+
+        Parameters
+        ----------
+        metric : Metric
+            A timing.
+        *labels : str
+            One for each label of the metric.
+        duration_ms : float
+            The duration.
+        """
+        name = _make_name(metric, MetricKind.TIMING, labels)
+        if self._client:
+            self._client.timing(name, duration_ms)
+
+    def gauge(self, metric: Metric, *labels: str, level: float) -> None:
+        """Set a gauge.
+
+        Parameters
+        ----------
+        metric : Metric
+            A gauge.
+        *labels : str
+            One for each label of the metric.
+        level : float
+            The present value; not negative.
+        """
+        name = _make_name(metric, MetricKind.GAUGE, labels)
+        if self._client:
+            self._client.gauge(name, level)
+
+
+def open_metrics(address: str | None, port: int, prefix: str) -> Metrics:
+    """Return metrics that are sent over UDP.
+
+    Parameters
+    ----------
+    address : str or None
+        IP address of the statsd server; none sends nothing.
+    port : int
+        UDP port of the server.
+    prefix : str
+        First part of all names, such as ``hornbeam.entry``.
+
+    Returns
+    -------
+    Metrics
+        Sends to the server.
+    """
+    if address is None:
+        return Metrics()
+    return Metrics(statsd.StatsClient(address, port, prefix))
+
+
+def describe_metrics() -> str:
+    """Return the rows of the table in ``docs/METRICS.md``."""
+    return '\n'.join(
+        f'| `{metric.template}` | {metric.kind.value} | {metric.unit} '
+        f'| {metric.description} |'
+        for _, metric in METRICS
+    )
+
+
+def _make_name(
+    metric: Metric,
+    kind: MetricKind,
+    labels: tuple[str, ...],
+) -> str:
+    if metric.kind is not kind:
+        raise MetricError(
+            f'{metric.name} is a {metric.kind.value}, not a {kind.value}; '
+            f'send it as a {metric.kind.value}',
+        )
+    if len(labels) != len(metric.labels):
+        raise MetricError(
+            f'{metric.name} has {len(labels)} labels; send it as '
+            f'{metric.template}',
+        )
+    safe = (_UNSAFE.sub('_', label) or '_' for label in labels)
+    return '.'.join((metric.name, *safe))
