--- a/standins/_faults.py
+++ b/standins/_faults.py
@@ -8,7 +8,9 @@
 UP: Final = 'up'
 SILENT: Final = 'silent'
 SLOW: Final = 'slow'
-MAX_PEERS: Final = 10_000
+# More would let a port that was closed and taken again pass for the old
+# connection.
+MAX_PEERS: Final = 1000
 
 Peer = tuple[Any, ...]
 
--- a/standins/_runs.py
+++ b/standins/_runs.py
@@ -111,6 +111,10 @@
         self.ended_ms = 0.0
         self._changed = trio.Event()
 
+    def is_forgotten(self, limit_ms: float) -> bool:
+        """Tell whether it ended before a moment."""
+        return self.state in ENDED and self.ended_ms < limit_ms
+
     def restore(self, state: KvState) -> None:
         """Start where an exported generation stopped."""
         self.prefilled = state.prefilled
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -19,6 +19,7 @@
 from standins._serving import Application, Listener, run_program
 
 NDJSON: Final = 'application/x-ndjson'
+SWEEP_INTERVAL_MS: Final = 1000
 
 
 class OrderBook:
@@ -71,6 +72,7 @@
         self._runs: dict[str, Run] = {}
         self._starts: collections.Counter[str] = collections.Counter()
         self._imported: set[str] = set()
+        self._next_sweep_ms = 0.0
         self._orders = OrderBook(checks_fencing=settings.checks_fencing)
 
     def build_application(self) -> Application:
@@ -106,7 +108,8 @@
 
     async def _resume(self, request: Request) -> Response:
         run = self._find_run(request)
-        return self._stream(run, request.read_integer('from', run.first))
+        start = request.read_integer('from', run.first)
+        return self._stream(run, max(start, 0))
 
     async def _cancel(self, request: Request) -> Response:
         run = self._find_run(request)
@@ -157,11 +160,12 @@
         return self._faults.answer(request)
 
     def _find_run(self, request: Request) -> Run:
-        self._drop_old_runs()
         stream_id = request.path['id']
-        if stream_id not in self._runs:
+        run = self._runs.get(stream_id)
+        limit_ms = self.batch.clock.now() - self._settings.keep_ms
+        if run is None or run.is_forgotten(limit_ms):
             raise HttpError(404, f'no stream {stream_id}')
-        return self._runs[stream_id]
+        return run
 
     def _find_state(self, text: str, run: Run) -> KvState:
         if text not in self._imported:
@@ -172,11 +176,15 @@
         return state
 
     def _drop_old_runs(self) -> None:
-        limit_ms = self.batch.clock.now() - self._settings.keep_ms
+        now_ms = self.batch.clock.now()
+        if now_ms < self._next_sweep_ms:
+            return
+        self._next_sweep_ms = now_ms + SWEEP_INTERVAL_MS
+        limit_ms = now_ms - self._settings.keep_ms
         self._runs = {
             stream_id: run
             for stream_id, run in self._runs.items()
-            if not run.ended_ms or run.ended_ms > limit_ms
+            if not run.is_forgotten(limit_ms)
         }
 
     def _stream(self, run: Run, start: int) -> Response:
