Serve a request end to end through separate processes

Cause: the thin path was missing. Entry, scheduler and agent now run as separate programs; a consultation streams through, a booking is made and a lookup is answered, and a repeat at another entry is passed to its home.

--- a/hornbeampulley/membership/_fields.py
+++ b/hornbeampulley/membership/_fields.py
@@ -13,6 +13,7 @@
 MAX_FAULTS: Final = 1000
 _NAME: Final = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
 _LABEL: Final = re.compile('[A-Za-z0-9._:/@+-]{0,128}')
+_PATH: Final = re.compile('/[A-Za-z0-9._~/-]{0,255}')
 _SHOWN_CHARACTERS: Final = 40
 
 
@@ -158,6 +159,13 @@
     )
 
 
+def read_path(content: object) -> str:
+    """Read the path of a URL."""
+    if isinstance(content, str) and _PATH.fullmatch(content):
+        return content
+    raise FieldError(f'is {show(content)}', 'write a path such as /generate')
+
+
 def read_flag(content: object) -> bool:
     """Read true or false."""
     if isinstance(content, bool):
--- a/hornbeampulley/membership/_scopes.py
+++ b/hornbeampulley/membership/_scopes.py
@@ -27,6 +27,7 @@
     read_label,
     read_name,
     read_name_or_any,
+    read_path,
 )
 from hornbeampulley.registry import Registry
 
@@ -102,6 +103,7 @@
     Field('kind', _read_kind),
     Field('repeatable', read_flag),
     Field('output_tokens', _read_count),
+    Field('path', read_path),
 )
 _RULE: Final = _list_fields(
     Field('workspace', read_name_or_any, required=True),
--- a/hornbeampulley/pipeline/__init__.py
+++ b/hornbeampulley/pipeline/__init__.py
@@ -1,1 +1,25 @@
 """The filters that a request passes at its home."""
+
+from hornbeampulley.pipeline._callers import CallerInterface, EntryAddress
+from hornbeampulley.pipeline._channels import PoolChannel
+from hornbeampulley.pipeline._filters import filters, run_filters
+from hornbeampulley.pipeline._forwarding import Forwarder
+from hornbeampulley.pipeline._home import Home
+from hornbeampulley.pipeline._problems import Problem, ProblemError
+from hornbeampulley.pipeline._requests import Incoming, Request
+from hornbeampulley.pipeline._targets import TargetClient
+
+__all__ = (
+    'CallerInterface',
+    'EntryAddress',
+    'Forwarder',
+    'Home',
+    'Incoming',
+    'PoolChannel',
+    'Problem',
+    'ProblemError',
+    'Request',
+    'TargetClient',
+    'filters',
+    'run_filters',
+)
--- a/hornbeampulley/pipeline/_channels.py
+++ b/hornbeampulley/pipeline/_channels.py
@@ -17,9 +17,6 @@
     def list_reserves(self, pool: str) -> Iterable[decisions.Reserve]:
         """List an event for each open request of a pool."""
 
-    def find_id_lease_age(self, request_id: str) -> float:
-        """Return the age in ms of the id lease of a request."""
-
     def act(self, action: decisions.Action) -> None:
         """Carry out an action."""
 
@@ -139,10 +136,5 @@
 
     def _convert(self, event: decisions.Event) -> object:
         if isinstance(event, decisions.Reserve):
-            return wire.write_reserve(
-                event,
-                self._pool,
-                self._requests.find_id_lease_age(event.request_id),
-                self._read_now(),
-            )
+            return wire.write_reserve(event, self._pool, self._read_now())
         return wire.write_event(event)
--- a/hornbeampulley/pipeline/_forwarding.py
+++ b/hornbeampulley/pipeline/_forwarding.py
@@ -204,6 +204,7 @@
         for name in _PASSED_HEADERS
         if name in exchange.headers
     ]
+    headers.append(('host', base.removeprefix('http://')))
     headers.append((FORWARDED, '1'))
     headers.append(('content-length', str(len(body))))
     return Forwarded(
--- a/hornbeampulley/pipeline/_runners.py
+++ b/hornbeampulley/pipeline/_runners.py
@@ -248,6 +248,9 @@
         if call.cached_tokens >= 0:
             return
         call.cached_tokens = document['cached_tokens']
+    elif document.get('done') is False:
+        # The engine stopped the stream; its place is with the next engine.
+        return
     call.is_done = 'done' in document
     call.answer.extend(b'%b\n' % line)
     if call.output_tokens and not call.first_token_ms:
--- /dev/null
+++ b/hornbeampulley/programs/_platform.py
@@ -0,0 +1,186 @@
+"""Reads of the configuration service and of the host list."""
+
+import dataclasses
+import json
+from typing import Final
+from urllib.parse import quote
+
+import httpcore
+
+from hornbeampulley.clock import to_seconds
+from hornbeampulley.errors import HornbeamError
+from hornbeampulley.settings import Settings
+
+READ_TIMEOUT_MS: Final = 2000.0
+WATCH_MS: Final = 10_000
+TICKETS_PREFIX: Final = 'tickets/'
+_HTTP_OK: Final = 200
+_HTTP_NOT_MODIFIED: Final = 304
+_CONNECTIONS: Final = 4
+
+
+class PlatformError(HornbeamError):
+    """The platform did not answer a read."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyVersion:
+    """A key of the configuration service.
+
+    Attributes
+    ----------
+    key : str
+        The key.
+    version : int
+        Version of its value.
+    """
+
+    key: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyList:
+    """All keys of change tickets.
+
+    Attributes
+    ----------
+    version : int
+        To be watched for the next change.
+    keys : tuple of KeyVersion
+        In order of their names.
+    """
+
+    version: int
+    keys: tuple[KeyVersion, ...]
+
+
+class PlatformReader:
+    """Reads what the platform publishes.
+
+    Parameters
+    ----------
+    settings : Settings
+        Tell its address.
+
+    Attributes
+    ----------
+    reads : int
+        Calls made so far.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.reads = 0
+        self._settings = settings
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=_CONNECTIONS,
+            local_address=settings.host.address,
+        )
+
+    async def list_keys(self, watched: int | None = None) -> KeyList | None:
+        """List the keys of change tickets.
+
+        Parameters
+        ----------
+        watched : int, optional
+            Wait until there is a version above this one.
+
+        Returns
+        -------
+        KeyList or None
+            None if nothing changed while it waited.
+
+        Raises
+        ------
+        PlatformError
+            If the service does not answer.
+        """
+        path = f'/keys?prefix={quote(TICKETS_PREFIX, safe="")}'
+        wait_ms = 0.0
+        if watched is not None:
+            path = f'{path}&watch={watched}&timeout_ms={WATCH_MS}'
+            wait_ms = WATCH_MS
+        response = await self._read(path, wait_ms)
+        if response.status == _HTTP_NOT_MODIFIED:
+            return None
+        keys = tuple(
+            KeyVersion(item['key'], item['version'])
+            for item in json.loads(response.content)
+        )
+        return KeyList(_read_version(response), keys)
+
+    async def read_ticket(self, key: str) -> bytes:
+        """Read one change ticket.
+
+        Parameters
+        ----------
+        key : str
+            Its key.
+
+        Returns
+        -------
+        bytes
+            Its text.
+
+        Raises
+        ------
+        PlatformError
+            If the service does not answer.
+        """
+        response = await self._read(f'/config/{quote(key)}', 0)
+        return response.content
+
+    async def read_hosts(self) -> bytes:
+        """Read the host list.
+
+        Returns
+        -------
+        bytes
+            Its text.
+
+        Raises
+        ------
+        PlatformError
+            If the platform does not answer.
+        """
+        response = await self._read('/hosts', 0)
+        return response.content
+
+    async def _read(self, path: str, wait_ms: float) -> httpcore.Response:
+        self.reads += 1
+        platform = self._settings.platform
+        timeout = to_seconds(READ_TIMEOUT_MS)
+        timeouts = {
+            'connect': timeout,
+            'pool': timeout,
+            'write': timeout,
+            'read': timeout + to_seconds(wait_ms),
+        }
+        try:
+            response = await self._pool.request(
+                'GET',
+                f'http://{platform.address}:{platform.port}{path}',
+                extensions={'timeout': timeouts},
+            )
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            raise PlatformError(
+                f'the platform at {platform.address}:{platform.port} did not '
+                f'answer ({error!r}); what is in force stays',
+            ) from error
+        if response.status not in {_HTTP_OK, _HTTP_NOT_MODIFIED}:
+            raise PlatformError(
+                f'the platform answered {response.status} to {path}; what is '
+                'in force stays',
+            )
+        return response
+
+
+def _read_version(response: httpcore.Response) -> int:
+    for name, text in response.headers:
+        if name.lower() == b'version':
+            return int(text)
+    return 0
--- /dev/null
+++ b/hornbeampulley/programs/_polling.py
@@ -0,0 +1,121 @@
+"""A scheduler's reading of its targets' load and cache events."""
+
+import json
+import logging
+from collections.abc import Mapping
+from typing import Final, Protocol
+
+import trio
+
+from hornbeampulley import decisions, wire
+from hornbeampulley.clock import to_seconds
+from hornbeampulley.configuration import ServiceKind, Target
+from hornbeampulley.errors import TargetError
+from hornbeampulley.logs import log_event
+from hornbeampulley.pipeline import TargetClient
+from hornbeampulley.programs._fleet import Fleet
+from hornbeampulley.programs._process import Process
+
+POLL_MS: Final = 1000.0
+_log = logging.getLogger(__name__)
+
+
+class EventSink(Protocol):
+    """Takes what the targets report."""
+
+    def handle(self, event: decisions.Event) -> None:
+        """Take an event."""
+
+
+async def poll_targets(
+    process: Process,
+    fleet: Fleet,
+    pools: Mapping[str, EventSink],
+) -> None:
+    """Read all targets of the pools in use, for ever.
+
+    Parameters
+    ----------
+    process : Process
+        This run of the program.
+    fleet : Fleet
+        Tells the targets.
+    pools : mapping
+        Pools scheduled here by name.
+    """
+    client = TargetClient(process.settings.host.address)
+    sequences: dict[str, int] = {}
+    while True:
+        async with trio.open_nursery() as nursery:
+            for pool, sink in pools.items():
+                for target in fleet.list_targets(pool):
+                    nursery.start_soon(
+                        _poll_target,
+                        client,
+                        target,
+                        sink,
+                        sequences,
+                    )
+        await trio.sleep(to_seconds(POLL_MS))
+
+
+async def _poll_target(
+    client: TargetClient,
+    target: Target,
+    sink: EventSink,
+    sequences: dict[str, int],
+) -> None:
+    try:
+        await _read_load(client, target, sink)
+        if target.kind is ServiceKind.MODEL:
+            await _read_cache(client, target, sink, sequences)
+    except (TargetError, ValueError, KeyError) as error:
+        log_event(
+            _log,
+            'target_unreadable',
+            severity=logging.DEBUG,
+            target=target.name,
+            error=error,
+        )
+
+
+async def _read_load(
+    client: TargetClient,
+    target: Target,
+    sink: EventSink,
+) -> None:
+    reply = await client.fetch(target, 'GET', '/load')
+    load = json.loads(reply.body)
+    sink.handle(
+        decisions.LoadReport(
+            target.name,
+            int(load['running']),
+            int(load['queued']),
+            float(load['age_ms']),
+        ),
+    )
+
+
+async def _read_cache(
+    client: TargetClient,
+    target: Target,
+    sink: EventSink,
+    sequences: dict[str, int],
+) -> None:
+    known = sequences.get(target.name, 0)
+    path = f'/cache-events?after={known}'
+    reply = await client.fetch(target, 'GET', path)
+    for event in json.loads(reply.body)['events']:
+        sequences[target.name] = int(event['sequence'])
+        sink.handle(
+            decisions.CacheEvent(
+                target.name,
+                int(event['sequence']),
+                _read_hashes(event['added']),
+                _read_hashes(event['removed']),
+            ),
+        )
+
+
+def _read_hashes(hashes: list[int]) -> tuple[int, ...]:
+    return tuple(number & wire.HASH_MASK for number in hashes)
--- /dev/null
+++ b/hornbeampulley/programs/_process.py
@@ -0,0 +1,159 @@
+"""What all daemons share: settings, logs, signals and identity."""
+
+import argparse
+import dataclasses
+import logging
+import secrets
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import trio
+
+from hornbeampulley.clock import Clock
+from hornbeampulley.errors import SettingsError
+from hornbeampulley.logs import LogOrigin, configure_logs, log_event
+from hornbeampulley.membership import Role
+from hornbeampulley.settings import Settings, read_settings
+from hornbeampulley.timeline import HybridClock
+from hornbeampulley.wire.generated.peer import ttypes
+
+EXIT_SETTINGS: Final = 2
+EXIT_CUT_OFF: Final = 3
+_INCARNATION_BYTES: Final = 8
+_log = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Process:
+    """One run of a program.
+
+    Attributes
+    ----------
+    role : Role
+        What it does.
+    incarnation : str
+        Random name of this run.
+    settings : Settings
+        Its settings.
+    hybrid : HybridClock
+        Hybrid logical clock of its events.
+    started_ms : int
+        Wall time of its start.
+    """
+
+    role: Role
+    incarnation: str
+    settings: Settings
+    hybrid: HybridClock
+    started_ms: int
+
+    def make_hello(self, peer_port: int = 0) -> ttypes.Hello:
+        """Say what this process is.
+
+        Parameters
+        ----------
+        peer_port : int
+            Where it listens for peers; 0 if nowhere.
+
+        Returns
+        -------
+        ttypes.Hello
+            First message on each link.
+        """
+        is_entry = self.role is Role.ENTRY
+        return ttypes.Hello(
+            role=self.role.value,
+            host=self.settings.host.name,
+            incarnation=self.incarnation,
+            availability_zone=self.settings.host.availability_zone,
+            address=self.settings.host.address,
+            caller_port=self.settings.ports.caller if is_entry else 0,
+            peer_port=peer_port,
+        )
+
+
+def make_process(role: Role, settings: Settings) -> Process:
+    """Give this run of a program its identity.
+
+    Parameters
+    ----------
+    role : Role
+        What it does.
+    settings : Settings
+        Its settings.
+
+    Returns
+    -------
+    Process
+        With a new incarnation.
+    """
+    wall = Clock(time.time)
+    return Process(
+        role,
+        secrets.token_hex(_INCARNATION_BYTES),
+        settings,
+        HybridClock(wall.now),
+        int(wall.now()),
+    )
+
+
+def run_daemon(
+    role: Role,
+    serve: Callable[[Process, trio.Event], Awaitable[None]],
+) -> None:
+    """Run a daemon until it is told to end; does not return.
+
+    Parameters
+    ----------
+    role : Role
+        What it does.
+    serve : async callable
+        Serves until the event is set and its work is done.
+    """
+    parser = argparse.ArgumentParser(
+        prog=f'hornbeam-{role.value}',
+        description=f'The {role.value} process of hornbeampulley.',
+    )
+    parser.add_argument('--settings', required=True, help='INI file')
+    arguments = parser.parse_args()
+    try:
+        settings = read_settings(arguments.settings)
+    except SettingsError as error:
+        sys.stderr.write(f'{error}\n')
+        sys.exit(EXIT_SETTINGS)
+    process = make_process(role, settings)
+    configure_logs(
+        LogOrigin(role.value, settings.host.name, process.incarnation),
+        lambda: process.hybrid.tick().encode(),
+        settings.logs.level,
+        settings.logs.file,
+    )
+    sys.exit(trio.run(_serve_until_signal, process, serve))
+
+
+async def _serve_until_signal(
+    process: Process,
+    serve: Callable[[Process, trio.Event], Awaitable[None]],
+) -> int:
+    drain = trio.Event()
+    log_event(_log, 'process_started', role=process.role.value)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_watch_signals, drain, nursery.cancel_scope)
+        await serve(process, drain)
+        nursery.cancel_scope.cancel()
+        log_event(_log, 'process_ended')
+        return 0
+    log_event(_log, 'process_cut_off')
+    return EXIT_CUT_OFF
+
+
+async def _watch_signals(drain: trio.Event, scope: trio.CancelScope) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for number in signals:
+            log_event(_log, 'signal_received', number=number)
+            if drain.is_set():
+                scope.cancel()
+            drain.set()
--- /dev/null
+++ b/hornbeampulley/programs/_scheduler_links.py
@@ -0,0 +1,154 @@
+"""An entry's links to the schedulers of the pools."""
+
+import logging
+from typing import Any, Final
+
+import trio
+
+from hornbeampulley import wire
+from hornbeampulley.clock import Clock, to_seconds
+from hornbeampulley.errors import WireError
+from hornbeampulley.logs import log_event
+from hornbeampulley.pipeline import Home, Incoming
+from hornbeampulley.programs._fleet import Fleet
+from hornbeampulley.programs._process import Process
+from hornbeampulley.wire.generated.peer import ttypes
+
+RETRY_MS: Final = 100.0
+AVOID_MS: Final = 2000.0
+FATE_TIMEOUT_MS: Final = 1000.0
+_log = logging.getLogger(__name__)
+
+Place = tuple[str, int, str]
+
+
+class SchedulerLinks:
+    """Keeps one link for each pool, to the scheduler that owns it.
+
+    Parameters
+    ----------
+    process : Process
+        This run of the program.
+    fleet : Fleet
+        Tells which schedulers live.
+    home : Home
+        Its channels use the links.
+    """
+
+    def __init__(self, process: Process, fleet: Fleet, home: Home) -> None:
+        self.fleet = fleet
+        self._process = process
+        self._home = home
+        self._clock = Clock(trio.current_time)
+        self._changed = trio.Event()
+        self._avoided_until: dict[str, float] = {}
+        self._links: dict[str, wire.Link] = {}
+        self._fates: dict[str, bool] = {}
+        self._fate_came = trio.Event()
+
+    def refresh(self) -> None:
+        """Look again at who owns which pool."""
+        self._changed.set()
+        self._changed = trio.Event()
+        for pool, link in self._links.items():
+            best = self._choose(pool)
+            if best is None or link.peer is None:
+                continue
+            if best[2] != link.peer.incarnation:
+                log_event(_log, 'scheduler_changed', pool=pool, to=best[2])
+                link.close()
+
+    async def run(self) -> None:
+        """Keep the links for ever."""
+        served: set[str] = set()
+        async with trio.open_nursery() as nursery:
+            while True:
+                for pool in set(self.fleet.list_pools()) - served:
+                    nursery.start_soon(self._serve_pool, pool)
+                served.update(self.fleet.list_pools())
+                await self._changed.wait()
+
+    async def ask_fate(self, incoming: Incoming) -> bool:
+        """Ask whether a request of a lost home surely never ran.
+
+        Parameters
+        ----------
+        incoming : Incoming
+            Sent again by its caller.
+
+        Returns
+        -------
+        bool
+            False if nobody can tell.
+        """
+        service = self.fleet.configuration.services.get(incoming.service)
+        link = self._links.get(service.pool) if service else None
+        if link is None:
+            return False
+        link.send(
+            ttypes.FateQuery(incoming.id_text, self._process.incarnation),
+        )
+        with trio.move_on_after(to_seconds(FATE_TIMEOUT_MS)):
+            while incoming.id_text not in self._fates:
+                await self._fate_came.wait()
+        return self._fates.pop(incoming.id_text, False)
+
+    async def _serve_pool(self, pool: str) -> None:
+        while True:
+            place = self._choose(pool)
+            if place is None:
+                with trio.move_on_after(to_seconds(RETRY_MS)):
+                    await self._changed.wait()
+            else:
+                await self._use(pool, place)
+
+    def _choose(self, pool: str) -> Place | None:
+        now_ms = self._clock.now()
+        for place in self.fleet.rank_schedulers(pool):
+            if self._avoided_until.get(place[2], 0) <= now_ms:
+                return place
+        return None
+
+    async def _use(self, pool: str, place: Place) -> None:
+        address, port, incarnation = place
+        own_address = self._process.settings.host.address
+        try:
+            stream = await wire.open_stream(address, port, own_address)
+        except OSError as error:
+            log_event(_log, 'scheduler_unreachable', pool=pool, error=error)
+            self._avoid(incarnation)
+            return
+        link = wire.Link(
+            stream,
+            self._process.make_hello(),
+            hybrid=self._process.hybrid,
+        )
+        await self._run_link(pool, link)
+        if self.fleet.rank_schedulers(pool)[:1] == (place,):
+            self._avoid(incarnation)
+
+    async def _run_link(self, pool: str, link: wire.Link) -> None:
+        log_event(_log, 'scheduler_linked', pool=pool)
+        channel = self._home.find_channel(pool)
+        channel.attach(link)
+        self._links[pool] = link
+        try:
+            await link.run(self._handle)
+        finally:
+            channel.detach(link)
+            self._links.pop(pool, None)
+        log_event(_log, 'scheduler_lost', pool=pool)
+
+    def _avoid(self, incarnation: str) -> None:
+        self._avoided_until[incarnation] = self._clock.now() + AVOID_MS
+
+    def _handle(self, link: wire.Link, message: Any) -> None:
+        if isinstance(message, ttypes.FateAnswer):
+            self._fates[message.request_id] = bool(message.never_ran)
+            self._fate_came.set()
+            self._fate_came = trio.Event()
+        elif isinstance(message, ttypes.Lease | ttypes.Refuse | ttypes.Preempt):
+            if link.is_closed:
+                raise WireError('the link is closed; its word is ignored')
+            action = wire.read_action(message, self._process.incarnation)
+            self._home.act(action)
--- a/hornbeampulley/wire/_conversions.py
+++ b/hornbeampulley/wire/_conversions.py
@@ -17,7 +17,6 @@
 def write_reserve(
     event: decisions.Reserve,
     pool: str,
-    id_lease_age_ms: float,
     now_ms: float,
 ) -> ttypes.Reserve:
     """Convert a reserve for the scheduler of a pool.
@@ -28,8 +27,6 @@
         Its deadline is a moment of the sender's clock.
     pool : str
         Pool that is to serve it.
-    id_lease_age_ms : float
-        Age of the id lease that its request id belongs to.
     now_ms : float
         The sender's time.
 
@@ -56,7 +53,6 @@
         target=event.target,
         waited_ms=event.waited_ms,
         pool=pool,
-        id_lease_age_ms=id_lease_age_ms,
     )
 
 
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -32,7 +32,6 @@
   12: string target
   13: double waited_ms
   14: string pool
-  15: double id_lease_age_ms
 }
 
 struct Withdraw { 1: string request_id }
@@ -178,6 +177,7 @@
   15: Query query
   16: Reply reply
   17: TicketNews ticket_news
+  18: TicketText ticket_text
 }
 
 struct Frame {
--- a/standins/service.py
+++ b/standins/service.py
@@ -74,6 +74,7 @@
         application = Application(self._faults)
         application.add_route('POST', '/call', self._call)
         application.add_route('GET', '/lookup', self._look_up)
+        application.add_route('POST', '/lookup', self._look_up_posted)
         application.add_route('GET', '/load', self._read_load)
         application.add_route('GET', '/counters', self._read_counters)
         application.add_route('POST', '/fault', self._set_fault)
@@ -101,6 +102,15 @@
         order = request.query.get('order')
         if not order:
             raise HttpError(400, 'send a query parameter order')
+        return await self._answer_lookup(order)
+
+    async def _look_up_posted(self, request: Request) -> Response:
+        order = request.read_json().get('order')
+        if not isinstance(order, str) or not order:
+            raise HttpError(400, 'send JSON with a text named order')
+        return await self._answer_lookup(order)
+
+    async def _answer_lookup(self, order: str) -> Response:
         await self._work()
         return respond_json(
             {
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,131 @@
+"""Tests with real processes on loopback; no verdict depends on timing."""
+
+import contextlib
+import json
+
+import pytest
+import trio
+
+from standins import example
+from standins._runs import compose_answer
+from standins.launcher import (
+    CALLER_PORT,
+    PLATFORM_PORT,
+    TARGET_PORT,
+    LocalFleet,
+)
+
+GIVE_UP_S = 60
+PROMPT = 'the nib scratches on the upstroke ' * 20
+
+
+class Caller:
+    """Sends requests to one entry under ids that it forms itself."""
+
+    def __init__(self, fleet, address):
+        self.fleet = fleet
+        self.url = f'http://{address}:{CALLER_PORT}'
+        self.ids = {}
+        self.counter = 0
+
+    async def lease_ids(self, workspace=example.WORKSPACE):
+        url = f'{self.url}/v1/entries?workspace={workspace}'
+        self.ids = (await self.fleet.request('GET', url)).read_json()['ids']
+
+    def form_id(self):
+        self.counter += 1
+        incarnation, number = self.ids['incarnation'], self.ids['number']
+        return f'{incarnation}.{number}.{self.counter}'
+
+    async def send(self, service, document, request_id=None, url=None):
+        request_id = request_id or self.form_id()
+        headers = {
+            'Hornbeam-Workspace': example.WORKSPACE,
+            'Hornbeam-Service': service,
+        }
+        path = f'{url or self.url}/v1/requests/{request_id}'
+        body = json.dumps(document).encode()
+        return await self.fleet.request('POST', path, body, headers)
+
+
+def read_text(reply):
+    lines = [json.loads(line) for line in reply.body.splitlines()]
+    assert lines[-1].get('done') is True, lines[-1]
+    return ''.join(line['text'] for line in lines if 'token' in line)
+
+
+async def read_counters(fleet, address):
+    url = f'http://{address}:{TARGET_PORT}/counters'
+    return (await fleet.request('GET', url)).read_json()
+
+
+@contextlib.asynccontextmanager
+async def start_fleet(folder, hosts=2, slots=4):
+    fleet = LocalFleet(folder)
+    try:
+        with trio.fail_after(GIVE_UP_S):
+            fleet.start_platform()
+            platform = f'http://{fleet.platform_address}:{PLATFORM_PORT}/hosts'
+            await fleet.wait_listening(platform)
+            engines = {
+                f'engine-{number}': fleet.start_target('engine', number)
+                for number in (1, 2)
+            }
+            services = {'service-11': fleet.start_target('service', 11)}
+            addresses = [
+                fleet.start_host(number + 1, f'zone-{"abcd"[number]}')
+                for number in range(hosts)
+            ]
+            await example.publish_example(fleet, engines, services, slots)
+            for address in addresses:
+                await fleet.wait_entries(address, example.WORKSPACE, hosts)
+            yield fleet, addresses, services['service-11']
+    finally:
+        fleet.stop()
+
+
+@pytest.fixture
+def run_fleet(tmp_path):
+    """Return a function that runs a scenario against a started fleet."""
+
+    def run(scenario, **options):
+        async def main():
+            async with start_fleet(tmp_path, **options) as started:
+                await scenario(*started)
+
+        trio.run(main)
+
+    return run
+
+
+def test_each_kind_of_request_is_served_from_end_to_end(run_fleet):
+    async def scenario(fleet, addresses, service):
+        caller = Caller(fleet, addresses[0])
+        await caller.lease_ids()
+        consult = {'prompt': PROMPT, 'max_tokens': 20}
+        reply = await caller.send('consult', consult)
+        assert read_text(reply) == compose_answer(PROMPT, 20)
+        booked = await caller.send('book', {'slot': 3})
+        assert booked.headers['hornbeam-ran'] == 'yes'
+        status = await caller.send('status', {'order': 'x'})
+        assert status.read_json()['order'] == 'x'
+        counters = await read_counters(fleet, service)
+        assert list(counters['calls_by_id'].values()) == [1]
+
+    run_fleet(scenario)
+
+
+def test_a_repeat_at_any_entry_gets_the_same_answer_and_runs_once(run_fleet):
+    async def scenario(fleet, addresses, service):
+        caller = Caller(fleet, addresses[0])
+        await caller.lease_ids()
+        request_id = caller.form_id()
+        other = f'http://{addresses[1]}:{CALLER_PORT}'
+        first = await caller.send('book', {'slot': 1}, request_id)
+        again = await caller.send('book', {'slot': 1}, request_id)
+        elsewhere = await caller.send('book', {'slot': 1}, request_id, other)
+        assert first.body == again.body == elsewhere.body
+        counters = await read_counters(fleet, service)
+        assert counters['calls_by_id'] == {request_id: 1}
+
+    run_fleet(scenario)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -29,7 +29,6 @@
         'target': '',
         'waited_ms': 0.0,
         'pool': 'p',
-        'id_lease_age_ms': 0.0,
     }
     return ttypes.Reserve(**(fields | changes))
 
@@ -87,7 +86,7 @@
 @pytest.mark.parametrize('event', EVENTS)
 def test_events_come_back_as_they_were(event):
     if isinstance(event, decisions.Reserve):
-        message = wire.write_reserve(event, 'p', 0, now_ms=10)
+        message = wire.write_reserve(event, 'p', now_ms=10)
     else:
         message = wire.write_event(event)
     sent = wire.decode_body(wire.encode_frame([message])[4:]).messages[0]
