Test kills, freezes and drains with real processes

Cause: the promises under loss of a scheduler, of all schedulers, and under SIGTERM were not shown by any run.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import signal
 
 import pytest
 import trio
@@ -129,3 +130,87 @@
         assert counters['calls_by_id'] == {request_id: 1}
 
     run_fleet(scenario)
+
+
+async def send_many(caller, count, replies, first=0):
+    async def send(number):
+        if number % 3:
+            document = {'prompt': f'{number} {PROMPT}', 'max_tokens': 30}
+            replies[number] = await caller.send('consult', document)
+        else:
+            replies[number] = await caller.send('book', {'slot': number})
+
+    async with trio.open_nursery() as nursery:
+        for number in range(first, first + count):
+            nursery.start_soon(send, number)
+
+
+def check_replies(replies, count):
+    assert len(replies) == count
+    for number, reply in replies.items():
+        assert reply.status == 200, reply.body
+        if number % 3:
+            prompt = f'{number} {PROMPT}'
+            assert read_text(reply) == compose_answer(prompt, 30)
+        else:
+            body = json.dumps({'slot': number})
+            assert reply.read_json()['body'] == body
+
+
+async def check_booked_once(fleet, service, count):
+    counters = await read_counters(fleet, service)
+    assert set(counters['calls_by_body'].values()) == {1}
+    assert len(counters['calls_by_body']) == count
+
+
+@pytest.mark.parametrize('number', [signal.SIGKILL, signal.SIGSTOP])
+def test_requests_survive_the_loss_of_their_scheduler(run_fleet, number):
+    async def scenario(fleet, addresses, service):
+        caller = Caller(fleet, addresses[0])
+        await caller.lease_ids()
+        replies = {}
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send_many, caller, 30, replies)
+            await trio.sleep(0.3)
+            fleet.send_signal('host-1-scheduler', number)
+            await trio.sleep(0.3)
+            await send_many(caller, 30, replies, first=30)
+        fleet.send_signal('host-2-scheduler', number)
+        fleet.send_signal('host-1-scheduler', signal.SIGCONT)
+        await send_many(caller, 30, replies, first=60)
+        check_replies(replies, 90)
+        await check_booked_once(fleet, service, 30)
+
+    run_fleet(scenario)
+
+
+def test_a_home_goes_on_alone_without_any_scheduler(run_fleet):
+    async def scenario(fleet, addresses, service):
+        caller = Caller(fleet, addresses[0])
+        await caller.lease_ids()
+        for number in (1, 2):
+            fleet.send_signal(f'host-{number}-scheduler', signal.SIGKILL)
+        replies = {}
+        await send_many(caller, 12, replies)
+        check_replies(replies, 12)
+        await check_booked_once(fleet, service, 4)
+
+    run_fleet(scenario)
+
+
+def test_sigterm_cuts_off_no_request(run_fleet):
+    async def scenario(fleet, addresses, service):
+        caller = Caller(fleet, addresses[0])
+        await caller.lease_ids()
+        replies = {}
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send_many, caller, 30, replies)
+            await trio.sleep(0.3)
+            for daemon in ('scheduler', 'entry', 'agent'):
+                fleet.send_signal(f'host-1-{daemon}', signal.SIGTERM)
+        check_replies(replies, 30)
+        await check_booked_once(fleet, service, 10)
+        for daemon in ('scheduler', 'entry', 'agent'):
+            assert await fleet.wait_exit(f'host-1-{daemon}') == 0
+
+    run_fleet(scenario)
