--- /dev/null
+++ b/tests/test_identity_properties.py
@@ -0,0 +1,421 @@
+"""Properties of ids, permits and fates under kills, cuts and pauses.
+
+A few homes, two schedulers, a target that counts runs, and callers that
+repeat, all in virtual time. Messages may be lost, held back and doubled.
+"""
+
+import collections
+import dataclasses
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from hornbeampulley.errors import RequestStateError
+from hornbeampulley.identity import (
+    Admission,
+    DispatchPermit,
+    FateRecorder,
+    Ledger,
+    LedgerLimits,
+    Ran,
+    State,
+    Timing,
+)
+
+WORKSPACE = 'vrh'
+TIMING = Timing(binding_ms=100, alone_ms=200, drift=0.01)
+LIMITS = LedgerLimits(
+    lease_lifetime_ms=600,
+    lease_count=6,
+    window=3,
+    max_leases=1000,
+    max_open=50,
+    retention_ms=200,
+    max_answer_bytes=600,
+)
+LEASE_VALID_MS = 90
+SLOW, FAST = 0.99, 1.01
+
+picks = st.integers(0, 11)
+deliveries = st.sampled_from(['now', 'now', 'now', 'held', 'doubled', 'lost'])
+
+
+@dataclasses.dataclass
+class Home:
+    """An entry process and the requests that it writes just now."""
+
+    incarnation: str
+    rate: float
+    start_ms: float
+    paused: bool = False
+
+    def __post_init__(self):
+        self.ledger = Ledger(self.incarnation, LIMITS)
+        self.permit = DispatchPermit(self.incarnation, 0, TIMING)
+        self.writing = []
+        self.requests = []
+        self.slot = 0
+
+
+@dataclasses.dataclass
+class Call:
+    """A call that must not run twice, with the ids used for it."""
+
+    ids: list
+    address: int
+
+
+class Fleet(RuleBasedStateMachine):
+    """Drives the public classes as the processes would."""
+
+    def __init__(self):
+        super().__init__()
+        self.now_ms = 0.0
+        self.serial = 0
+        self.held = []
+        self.dead = []
+        self.calls = []
+        self.runs = collections.Counter()
+        self.certified = set()
+
+    @initialize(flips=st.tuples(st.booleans(), st.booleans()))
+    def start(self, flips):
+        self.rates = [FAST if flip else SLOW for flip in flips]
+        self.homes = [self.make_home(), self.make_home()]
+        self.schedulers = [self.make_scheduler(), self.make_scheduler()]
+        self.leases = [self.grant(home) for home in self.homes]
+
+    def name(self):
+        self.serial += 1
+        return f'{self.serial:016x}'
+
+    def make_home(self):
+        return Home(self.name(), self.rates[0], self.now_ms)
+
+    def make_scheduler(self):
+        return FateRecorder(self.name(), TIMING)
+
+    def grant(self, home):
+        return [home.ledger.grant(WORKSPACE, self.home_ms(home)), 0]
+
+    def home_ms(self, home):
+        return (self.now_ms - home.start_ms) * home.rate
+
+    def scheduler_ms(self):
+        return self.now_ms * self.rates[1]
+
+    # Messages: a function of the world, run when and if it is delivered.
+
+    def send(self, delivery, message, *arguments):
+        if delivery in {'held', 'doubled'}:
+            self.held.append((message, arguments))
+        if delivery in {'now', 'doubled'}:
+            message(*arguments)
+
+    def to_scheduler(self, slot, stamp, request_id=None, dispatched=False):
+        scheduler = self.schedulers[slot]
+        now_ms = self.scheduler_ms()
+        if request_id is None:
+            scheduler.hear(stamp, now_ms)
+        else:
+            scheduler.announce(stamp, request_id, now_ms, dispatched)
+
+    def to_home(self, home, method, *arguments):
+        if home in self.dead:
+            return
+        if home.paused:
+            self.held.append((self.to_home, (home, method, *arguments)))
+            return
+        method(self, home, *arguments)
+
+    def take_heartbeat(self, home, heartbeat):
+        home.permit.hear(heartbeat, self.home_ms(home))
+
+    def take_handover(self, home, handover):
+        home.permit.accept_handover(handover)
+
+    def take_lease(self, home, request_id, stamp):
+        now_ms = self.home_ms(home)
+        if home.permit.use_lease(request_id, stamp, LEASE_VALID_MS, now_ms):
+            self.dispatch(home, request_id)
+
+    def dispatch(self, home, request_id):
+        try:
+            home.ledger.mark_dispatched(request_id)
+        except RequestStateError:
+            return
+        home.writing.append(request_id)
+
+    def reply(self, home, delivery):
+        heartbeat = self.schedulers[home.slot].make_heartbeat(
+            home.incarnation,
+            self.scheduler_ms(),
+        )
+        if heartbeat is not None:
+            self.send(
+                delivery,
+                self.to_home,
+                home,
+                Fleet.take_heartbeat,
+                heartbeat,
+            )
+
+    def beat(self, home, delivery):
+        stamp = home.permit.make_heartbeat(self.home_ms(home))
+        if stamp is not None:
+            self.send(delivery, self.to_scheduler, home.slot, stamp)
+
+    def awake(self, pick):
+        home = self.homes[pick % 2]
+        return None if home.paused else home
+
+    # Ordinary work.
+
+    @rule(step_ms=st.sampled_from([5, 20, 60, 100.5, 110, 210, 700]))
+    def advance(self, step_ms):
+        self.now_ms += step_ms
+
+    @rule(pick=picks, slot=st.integers(0, 1))
+    def connect(self, pick, slot):
+        home = self.awake(pick)
+        if home is None:
+            return
+        home.slot = slot
+        home.permit.open_session(
+            self.schedulers[slot]._incarnation,
+            self.home_ms(home),
+        )
+        self.beat(home, 'now')
+        self.reply(home, 'now')
+        self.beat(home, 'now')
+
+    @rule(pick=picks, out=deliveries, back=deliveries, again=deliveries)
+    def exchange(self, pick, out, back, again):
+        home = self.awake(pick)
+        if home is None:
+            return
+        self.beat(home, out)
+        self.reply(home, back)
+        self.beat(home, again)
+
+    @rule(pick=picks)
+    def submit(self, pick):
+        call = Call([], pick % 2)
+        self.ask(call)
+        if call.ids:
+            self.calls.append(call)
+
+    @precondition(lambda self: self.calls)
+    @rule(pick=picks, delivery=deliveries)
+    def announce(self, pick, delivery):
+        for home in self.homes:
+            if home.paused or not home.requests:
+                continue
+            request_id = home.requests[-1 - pick % len(home.requests)]
+            state = home.ledger.find_state(request_id)
+            if state not in {State.WAITING, State.DISPATCHED}:
+                continue
+            stamp = home.permit.announce(request_id, self.home_ms(home))
+            if stamp is not None:
+                dispatched = state is State.DISPATCHED
+                self.send(
+                    delivery,
+                    self.to_scheduler,
+                    home.slot,
+                    stamp,
+                    request_id,
+                    dispatched,
+                )
+
+    @precondition(lambda self: self.calls)
+    @rule(pick=picks, slot=st.integers(0, 1), delivery=deliveries)
+    def lease(self, pick, slot, delivery):
+        request_id = self.calls[-1 - pick % len(self.calls)].ids[-1]
+        stamp = self.schedulers[slot].lease(request_id)
+        if stamp is None:
+            return
+        for home in self.homes:
+            if home.incarnation == request_id.incarnation:
+                self.send(
+                    delivery,
+                    self.to_home,
+                    home,
+                    Fleet.take_lease,
+                    request_id,
+                    stamp,
+                )
+
+    @rule(pick=picks)
+    def dispatch_alone(self, pick):
+        home = self.awake(pick)
+        if home is None:
+            return
+        for request_id in home.requests:
+            if home.ledger.find_state(request_id) is not State.WAITING:
+                continue
+            if home.permit.use_silence(request_id, self.home_ms(home)):
+                self.dispatch(home, request_id)
+
+    @rule(pick=picks, ran=st.sampled_from([Ran.YES, Ran.UNKNOWN]))
+    def write(self, pick, ran):
+        home = self.awake(pick)
+        if home is None or not home.writing:
+            return
+        request_id = home.writing.pop(0)
+        self.runs[request_id] += 1
+        now_ms = self.home_ms(home)
+        try:
+            home.ledger.finish(request_id, b'', now_ms, ran)
+        except RequestStateError:
+            return
+        stamp = home.permit.release(request_id, now_ms)
+        if stamp is not None:
+            self.schedulers[home.slot].release(
+                stamp,
+                request_id,
+                self.scheduler_ms(),
+            )
+
+    @rule(pick=picks)
+    def sweep(self, pick):
+        for home in self.homes:
+            if not home.paused:
+                home.ledger.sweep(self.home_ms(home))
+        self.schedulers[pick % 2].sweep(self.scheduler_ms(), 150)
+
+    # Callers.
+
+    def ask(self, call):
+        home = self.homes[call.address]
+        if home.paused:
+            return
+        lease, counter = self.leases[call.address]
+        if lease.incarnation != home.incarnation or counter == lease.count:
+            self.leases[call.address] = self.grant(home)
+            lease, counter = self.leases[call.address]
+        self.leases[call.address][1] += 1
+        call.ids.append(lease.form(counter))
+        self.arrive(home, call.ids[-1])
+
+    def arrive(self, home, request_id):
+        now_ms = self.home_ms(home)
+        admission = home.ledger.admit(request_id, WORKSPACE, now_ms)
+        if admission is Admission.NEW:
+            home.requests.append(request_id)
+        return admission
+
+    def move_on(self, call):
+        """Take ``ran: no`` at its word and ask again under a new id."""
+        self.certified.add(call.ids[-1])
+        self.ask(call)
+
+    @precondition(lambda self: self.calls)
+    @rule(pick=picks)
+    def repeat(self, pick):
+        call = self.calls[-1 - pick % len(self.calls)]
+        home = self.homes[call.address]
+        if home.paused:
+            return
+        request_id = call.ids[-1]
+        self.arrive(home, request_id)
+        if home.ledger.find_ran(request_id, self.home_ms(home)) is Ran.NO:
+            self.move_on(call)
+
+    @precondition(lambda self: self.calls)
+    @rule(pick=picks)
+    def refuse(self, pick):
+        call = self.calls[-1 - pick % len(self.calls)]
+        request_id = call.ids[-1]
+        home = self.homes[call.address]
+        if home.paused or home.ledger.find_state(request_id) is None:
+            return
+        try:
+            home.ledger.refuse(request_id, b'', self.home_ms(home))
+        except RequestStateError:
+            return
+        self.move_on(call)
+
+    @precondition(lambda self: self.calls)
+    @rule(pick=picks, slot=st.integers(0, 1))
+    def ask_fate(self, pick, slot):
+        call = self.calls[-1 - pick % len(self.calls)]
+        if self.schedulers[slot].judge(call.ids[-1]) is Ran.NO:
+            call.address = 1 - call.address
+            self.move_on(call)
+
+    # Faults.
+
+    @rule(pick=picks, proof=st.sampled_from(['now', 'now', 'held']))
+    def kill_home(self, pick, proof):
+        address = pick % 2
+        home = self.homes[address]
+        self.dead.append(home)
+        self.homes[address] = self.make_home()
+        for slot in range(2):
+            self.send(proof, self.prove_death, slot, home)
+
+    def prove_death(self, slot, home):
+        self.schedulers[slot].confirm_death(
+            home.incarnation,
+            self.scheduler_ms(),
+        )
+
+    @rule(pick=picks)
+    def pause(self, pick):
+        self.homes[pick % 2].paused = True
+
+    @rule(pick=picks)
+    def wake(self, pick):
+        self.homes[pick % 2].paused = False
+
+    @rule(slot=st.integers(0, 1))
+    def replace_scheduler(self, slot):
+        self.schedulers[slot] = self.make_scheduler()
+
+    @rule(pick=picks, slot=st.integers(0, 1), delivery=deliveries)
+    def hand_over(self, pick, slot, delivery):
+        home = self.homes[pick % 2]
+        handover = self.schedulers[slot].hand_over(home.incarnation)
+        if handover is not None:
+            self.send(
+                delivery,
+                self.to_home,
+                home,
+                Fleet.take_handover,
+                handover,
+            )
+
+    @precondition(lambda self: self.held)
+    @rule(pick=picks, keep=st.booleans())
+    def deliver_late(self, pick, keep):
+        index = pick % len(self.held)
+        message, arguments = self.held[index]
+        if not keep:
+            self.held.pop(index)
+        message(*arguments)
+
+    # What must always hold.
+
+    @invariant()
+    def check_dispatched_at_most_once(self):
+        assert all(count == 1 for count in self.runs.values())
+
+    @invariant()
+    def check_no_refused_request_ran(self):
+        assert not self.certified & set(self.runs)
+
+    @invariant()
+    def check_each_call_ran_at_most_once(self):
+        for call in self.calls:
+            assert sum(self.runs[used] for used in call.ids) <= 1
+
+
+TestFleet = Fleet.TestCase
+TestFleet.settings = settings(max_examples=300, stateful_step_count=60)
