Bind requests to sessions and certify what a killed home never ran

Cause: a killed home left its waiting requests with an unknown outcome. Change: the home's dispatches ask its permit; the scheduler records what it leased and answers fate queries; the agent holds a process handle of each process of its host, so that an end is proved and not guessed from silence. Ruled out: a closed or refused connection as proof, since a live process may have closed it.

--- a/hornbeampulley/membership/_directory.py
+++ b/hornbeampulley/membership/_directory.py
@@ -62,6 +62,8 @@
         Grows with each beat of the agent.
     members : tuple of Member
         Processes that run there now.
+    ended : tuple of str
+        Incarnations of processes that have ended there lately, for certain.
     """
 
     host: str
@@ -70,6 +72,7 @@
     started_ms: int
     version: int = 0
     members: tuple[Member, ...] = ()
+    ended: tuple[str, ...] = ()
 
     @property
     def key(self) -> int:
@@ -143,7 +146,12 @@
         """The record of this host."""
         return self._entries[self._own_host].record
 
-    def beat(self, members: Iterable[Member], now_ms: float) -> bool:
+    def beat(
+        self,
+        members: Iterable[Member],
+        now_ms: float,
+        ended: Iterable[str] = (),
+    ) -> bool:
         """Renew the own record.
 
         Parameters
@@ -152,6 +160,8 @@
             Processes that run on this host now.
         now_ms : float
             The current time.
+        ended : iterable of str
+            Incarnations of processes that have ended here lately.
 
         Returns
         -------
@@ -162,6 +172,7 @@
             self.own,
             version=self.own.version + 1,
             members=tuple(members),
+            ended=tuple(ended),
         )
         return self._store(renewed, now_ms)
 
@@ -285,4 +296,4 @@
         dataclasses.replace(member, load=member.load // LOAD_STEP)
         for member in record.members
     )
-    return record.address, record.started_ms, members
+    return record.address, record.started_ms, members, record.ended
--- a/hornbeampulley/pipeline/__init__.py
+++ b/hornbeampulley/pipeline/__init__.py
@@ -1,7 +1,7 @@
 """The filters that a request passes at its home."""
 
 from hornbeampulley.pipeline._callers import CallerInterface, EntryAddress
-from hornbeampulley.pipeline._channels import PoolChannel
+from hornbeampulley.pipeline._channels import TIMING, PoolChannel
 from hornbeampulley.pipeline._filters import filters, run_filters
 from hornbeampulley.pipeline._forwarding import Forwarder
 from hornbeampulley.pipeline._home import Home
@@ -10,6 +10,7 @@
 from hornbeampulley.pipeline._targets import TargetClient
 
 __all__ = (
+    'TIMING',
     'CallerInterface',
     'EntryAddress',
     'Forwarder',
--- a/hornbeampulley/pipeline/_channels.py
+++ b/hornbeampulley/pipeline/_channels.py
@@ -5,15 +5,33 @@
 
 from hornbeampulley import decisions, wire
 from hornbeampulley.configuration import Configuration
+from hornbeampulley.identity import (
+    DispatchPermit,
+    Handover,
+    LeaseStamp,
+    RequestId,
+    SchedulerHeartbeat,
+    Stamp,
+    Timing,
+)
 from hornbeampulley.pipeline._shares import take_share
 
 ALONE_AFTER_MS: Final = 3000.0
+TIMING: Final = Timing(
+    binding_ms=wire.SILENCE_MS,
+    alone_ms=ALONE_AFTER_MS,
+)
 _SEED: Final = 1
+_WAITS_AGAIN: Final = frozenset(
+    (decisions.Outcome.NOT_SENT, decisions.Outcome.PREEMPTED),
+)
 
 
 class OpenRequests(Protocol):
     """What a channel needs of its home."""
 
+    incarnation: str
+
     def list_reserves(self, pool: str) -> Iterable[decisions.Reserve]:
         """List an event for each open request of a pool."""
 
@@ -34,7 +52,7 @@
         Name of the pool.
     requests : OpenRequests
         The home's open requests.
-    clock : Callable
+    read_now : Callable
         Returns the current time in ms.
     """
 
@@ -48,6 +66,12 @@
         self._pool = pool
         self._requests = requests
         self._read_now = read_now
+        self._permit = DispatchPermit(
+            requests.incarnation,
+            read_now(),
+            TIMING,
+        )
+        self._unannounced: set[str] = set()
         self._core: decisions.Policy | None = None
         self._lost_ms = read_now()
 
@@ -64,13 +88,15 @@
         event : Event
             Reserve, Withdraw, Progress or Release.
         """
-        if self.link is not None:
-            self.link.send(self._convert(event))
-        elif self._core is not None:
+        if self._core is not None:
             self._handle(event)
+        elif isinstance(event, decisions.Reserve):
+            self._announce(event)
+        else:
+            self._tell(event)
 
     def attach(self, link: wire.Link) -> None:
-        """Use a new link and announce all open requests on it.
+        """Start a session on a link whose peer is known.
 
         Parameters
         ----------
@@ -79,8 +105,11 @@
         """
         self._core = None
         self.link = link
-        for event in self._requests.list_reserves(self._pool):
-            link.send(self._convert(event))
+        self._permit.open_session(link.peer.incarnation, self._read_now())
+        self._unannounced = {
+            event.request_id
+            for event in self._requests.list_reserves(self._pool)
+        }
 
     def detach(self, link: wire.Link) -> None:
         """Stop using a link that has closed.
@@ -94,6 +123,65 @@
             self.link = None
             self._lost_ms = self._read_now()
 
+    def make_stamp(self) -> Stamp | None:
+        """Make the stamp of a heartbeat.
+
+        Returns
+        -------
+        Stamp or None
+            None if no session is open.
+        """
+        return self._permit.make_heartbeat(self._read_now())
+
+    def hear(self, heartbeat: SchedulerHeartbeat) -> None:
+        """Take the scheduler's heartbeat and announce what it does not know.
+
+        Parameters
+        ----------
+        heartbeat : SchedulerHeartbeat
+            As received.
+        """
+        self._permit.hear(heartbeat, self._read_now())
+        if self._unannounced:
+            self._announce_rest()
+
+    def accept_handover(self, handover: Handover) -> None:
+        """Take the scheduler's word that it has ended the session.
+
+        Parameters
+        ----------
+        handover : Handover
+            As received.
+        """
+        self._permit.accept_handover(handover)
+
+    def permits(
+        self,
+        request_id: RequestId,
+        stamp: LeaseStamp | None,
+        valid_ms: float,
+    ) -> bool:
+        """Tell whether a request may be dispatched now; ask it only once.
+
+        Parameters
+        ----------
+        request_id : RequestId
+            A waiting request.
+        stamp : LeaseStamp or None
+            Stamp of the scheduler's lease; None for a lease of this process.
+        valid_ms : float
+            How long the lease is valid.
+
+        Returns
+        -------
+        bool
+            False if the request must ask for another lease.
+        """
+        now_ms = self._read_now()
+        if stamp is None:
+            return self._permit.use_silence(request_id, now_ms)
+        return self._permit.use_lease(request_id, stamp, valid_ms, now_ms)
+
     def tick(
         self,
         configuration: Configuration,
@@ -112,13 +200,49 @@
             Entries that are believed to live, this one included.
         """
         if self.link is not None:
-            return
-        if self._core is not None:
+            self._announce_rest()
+        elif self._core is not None:
             self._handle(decisions.TargetsLeaving(leaving))
             self._handle(decisions.Tick())
         elif self._read_now() - self._lost_ms >= ALONE_AFTER_MS:
             self._start_core(take_share(configuration, entry_count), leaving)
 
+    def _announce(self, event: decisions.Reserve) -> None:
+        request_id = RequestId.parse(event.request_id)
+        now_ms = self._read_now()
+        stamp = None
+        if self.link is not None:
+            stamp = self._permit.announce(request_id, now_ms)
+        if stamp is None:
+            self._unannounced.add(event.request_id)
+            return
+        self._unannounced.discard(event.request_id)
+        self.link.send(
+            wire.write_reserve(
+                event,
+                stamp,
+                now_ms,
+                dispatched=bool(event.target),
+            ),
+        )
+
+    def _announce_rest(self) -> None:
+        if not self._unannounced:
+            return
+        waiting, self._unannounced = self._unannounced, set()
+        for event in self._requests.list_reserves(self._pool):
+            if event.request_id in waiting:
+                self._announce(event)
+
+    def _tell(self, event: decisions.Event) -> None:
+        stamp = None
+        if _is_end(event):
+            request_id = RequestId.parse(event.request_id)
+            stamp = self._permit.release(request_id, self._read_now())
+            self._unannounced.discard(event.request_id)
+        if self.link is not None:
+            self.link.send(wire.write_event(event, stamp))
+
     def _start_core(
         self,
         configuration: Configuration,
@@ -134,7 +258,8 @@
         for action in self._core.handle(event, self._read_now()):
             self._requests.act(action)
 
-    def _convert(self, event: decisions.Event) -> object:
-        if isinstance(event, decisions.Reserve):
-            return wire.write_reserve(event, self._pool, self._read_now())
-        return wire.write_event(event)
+
+def _is_end(event: decisions.Event) -> bool:
+    if isinstance(event, decisions.Release):
+        return event.outcome not in _WAITS_AGAIN
+    return isinstance(event, decisions.Withdraw)
--- a/hornbeampulley/pipeline/_filters.py
+++ b/hornbeampulley/pipeline/_filters.py
@@ -231,20 +231,21 @@
 
 
 def _mark_dispatched(home: Home, request: Request) -> None:
-    now_ms = home.clock.now()
-    if now_ms > request.lease_expires_ms:
-        raise TargetUnreachableError(
-            'the lease expired before the dispatch; a new one is asked for',
-        )
     if request.kv_state:
         return
+    permits = home.find_channel(request.pool).permits
+    lease = request.lease
+    if not permits(request.request_id, request.lease_stamp, lease.valid_ms):
+        raise TargetUnreachableError(
+            'the lease ended before the dispatch; a new one is asked for',
+        )
     home.ledger.mark_dispatched(request.request_id)
     log_event(
         _log,
         'request_dispatched',
         request=request.request_id,
         target=request.lease.target,
-        waited_ms=round(now_ms - request.arrived_ms),
+        waited_ms=round(home.clock.now() - request.arrived_ms),
     )
 
 
--- a/hornbeampulley/pipeline/_home.py
+++ b/hornbeampulley/pipeline/_home.py
@@ -8,7 +8,7 @@
 
 from hornbeampulley import decisions
 from hornbeampulley.configuration import Configuration
-from hornbeampulley.identity import Admission, Ledger, RequestId
+from hornbeampulley.identity import Admission, LeaseStamp, Ledger, RequestId
 from hornbeampulley.logs import log_event
 from hornbeampulley.pipeline._admissions import refuse_admission
 from hornbeampulley.pipeline._answers import Answer, decode_answer
@@ -189,17 +189,23 @@
             if request.pool == pool:
                 yield request.to_reserve(self.incarnation, now_ms)
 
-    def act(self, action: decisions.Action) -> None:
+    def act(
+        self,
+        action: decisions.Action,
+        stamp: LeaseStamp | None = None,
+    ) -> None:
         """Carry out what the scheduler decided.
 
         Parameters
         ----------
         action : Action
             A lease, a refusal or a preemption; late ones are ignored.
+        stamp : LeaseStamp, optional
+            Stamp of a scheduler's lease.
         """
         match action:
             case decisions.Lease():
-                self._take_lease(action)
+                self._take_lease(action, stamp)
             case decisions.Refuse():
                 self._take_refusal(action)
             case decisions.Preempt():
@@ -243,13 +249,17 @@
         self._requests[str(request_id)] = request
         return request
 
-    def _take_lease(self, lease: decisions.Lease) -> None:
+    def _take_lease(
+        self,
+        lease: decisions.Lease,
+        stamp: LeaseStamp | None,
+    ) -> None:
         request = self._requests.get(lease.request_id)
         if request is None or request.call is not None:
             log_event(_log, 'lease_unused', request=lease.request_id)
             return
         request.lease = lease
-        request.lease_expires_ms = self.clock.now() + lease.valid_ms
+        request.lease_stamp = stamp
         request.decided.set()
 
     def _take_refusal(self, refusal: decisions.Refuse) -> None:
--- a/hornbeampulley/pipeline/_requests.py
+++ b/hornbeampulley/pipeline/_requests.py
@@ -6,7 +6,7 @@
 
 from hornbeampulley import decisions
 from hornbeampulley.configuration import Route
-from hornbeampulley.identity import RequestId
+from hornbeampulley.identity import LeaseStamp, RequestId
 from hornbeampulley.pipeline._answers import Answer
 from hornbeampulley.pipeline._calls import CallEnd, TargetCall
 from hornbeampulley.pipeline._content import Content
@@ -58,8 +58,8 @@
         Set by the filter ``inspect``.
     lease : Lease or None
         Permission to dispatch, while it is held.
-    lease_expires_ms : float
-        Moment after which the lease is not to be used.
+    lease_stamp : LeaseStamp or None
+        Stamp of the scheduler's lease; None for a lease of this process.
     refusal : Refuse or None
         The scheduler's final word.
     call : TargetCall or None
@@ -83,7 +83,7 @@
     route: Route | None = None
     content: Content = dataclasses.field(default_factory=lambda: Content(0))
     lease: decisions.Lease | None = None
-    lease_expires_ms: float = 0
+    lease_stamp: LeaseStamp | None = None
     refusal: decisions.Refuse | None = None
     call: TargetCall | None = None
     kv_state: str = ''
--- a/hornbeampulley/programs/_fleet.py
+++ b/hornbeampulley/programs/_fleet.py
@@ -154,6 +154,18 @@
         entry = self.find_entry(incarnation)
         return entry.url if entry else None
 
+    def list_ended(self) -> frozenset[str]:
+        """List the processes that have ended lately, for certain.
+
+        Returns
+        -------
+        frozenset of str
+            Their incarnations.
+        """
+        return frozenset(
+            incarnation for record in self.hosts for incarnation in record.ended
+        )
+
     def rank_schedulers(self, pool: str) -> tuple[tuple[str, int, str], ...]:
         """Rank the schedulers for a pool.
 
@@ -224,7 +236,7 @@
     process: Process,
     fleet: Fleet,
     hello: ttypes.Hello,
-    make_heartbeat: Callable[[], ttypes.Heartbeat],
+    make_heartbeat: Callable[[wire.Link], ttypes.Heartbeat],
     on_change: Callable[[], None],
 ) -> None:
     """Keep a link to this host's agent for ever.
--- a/hornbeampulley/programs/_process.py
+++ b/hornbeampulley/programs/_process.py
@@ -3,6 +3,7 @@
 import argparse
 import dataclasses
 import logging
+import os
 import secrets
 import signal
 import sys
@@ -72,6 +73,7 @@
             address=self.settings.host.address,
             caller_port=self.settings.ports.caller if is_entry else 0,
             peer_port=peer_port,
+            process_number=os.getpid(),
         )
 
 
--- a/hornbeampulley/programs/_scheduler_links.py
+++ b/hornbeampulley/programs/_scheduler_links.py
@@ -1,5 +1,6 @@
 """An entry's links to the schedulers of the pools."""
 
+import functools
 import logging
 from typing import Any, Final
 
@@ -7,9 +8,9 @@
 
 from hornbeampulley import wire
 from hornbeampulley.clock import Clock, to_seconds
-from hornbeampulley.errors import WireError
+from hornbeampulley.identity import Handover, LeaseStamp, SchedulerHeartbeat
 from hornbeampulley.logs import log_event
-from hornbeampulley.pipeline import Home, Incoming
+from hornbeampulley.pipeline import Home, Incoming, PoolChannel
 from hornbeampulley.programs._fleet import Fleet
 from hornbeampulley.programs._process import Process
 from hornbeampulley.wire.generated.peer import ttypes
@@ -39,6 +40,7 @@
         self.fleet = fleet
         self._process = process
         self._home = home
+        self._own = process.incarnation
         self._clock = Clock(trio.current_time)
         self._changed = trio.Event()
         self._avoided_until: dict[str, float] = {}
@@ -56,7 +58,7 @@
                 continue
             if best[2] != link.peer.incarnation:
                 log_event(_log, 'scheduler_changed', pool=pool, to=best[2])
-                link.close()
+                link.send(ttypes.Leave())
 
     async def run(self) -> None:
         """Keep the links for ever."""
@@ -118,22 +120,23 @@
             log_event(_log, 'scheduler_unreachable', pool=pool, error=error)
             self._avoid(incarnation)
             return
+        channel = self._home.find_channel(pool)
+        hello = self._process.make_hello()
+        hello.pool = pool
         link = wire.Link(
             stream,
-            self._process.make_hello(),
-            hybrid=self._process.hybrid,
+            hello,
+            functools.partial(_make_heartbeat, channel),
+            self._process.hybrid,
         )
         await self._run_link(pool, link)
         if self.fleet.rank_schedulers(pool)[:1] == (place,):
             self._avoid(incarnation)
 
     async def _run_link(self, pool: str, link: wire.Link) -> None:
-        log_event(_log, 'scheduler_linked', pool=pool)
         channel = self._home.find_channel(pool)
-        channel.attach(link)
-        self._links[pool] = link
         try:
-            await link.run(self._handle)
+            await link.run(functools.partial(self._handle, pool))
         finally:
             channel.detach(link)
             self._links.pop(pool, None)
@@ -142,13 +145,42 @@
     def _avoid(self, incarnation: str) -> None:
         self._avoided_until[incarnation] = self._clock.now() + AVOID_MS
 
-    def _handle(self, link: wire.Link, message: Any) -> None:
-        if isinstance(message, ttypes.FateAnswer):
-            self._fates[message.request_id] = bool(message.never_ran)
-            self._fate_came.set()
-            self._fate_came = trio.Event()
-        elif isinstance(message, ttypes.Lease | ttypes.Refuse | ttypes.Preempt):
-            if link.is_closed:
-                raise WireError('the link is closed; its word is ignored')
-            action = wire.read_action(message, self._process.incarnation)
-            self._home.act(action)
+    def _handle(self, pool: str, link: wire.Link, message: Any) -> None:
+        channel = self._home.find_channel(pool)
+        scheduler = link.peer.incarnation
+        match message:
+            case ttypes.Hello():
+                log_event(_log, 'scheduler_linked', pool=pool, to=scheduler)
+                self._links[pool] = link
+                channel.attach(link)
+                link.send(_make_heartbeat(channel, link))
+            case ttypes.Heartbeat():
+                channel.hear(
+                    SchedulerHeartbeat(
+                        scheduler,
+                        message.session or 0,
+                        message.number or 0,
+                    ),
+                )
+            case ttypes.Handover():
+                channel.accept_handover(Handover(scheduler, message.session))
+                link.close()
+            case ttypes.FateAnswer():
+                self._take_fate(message)
+            case ttypes.Lease():
+                stamp = LeaseStamp(scheduler, message.session, message.heard)
+                self._home.act(wire.read_action(message, self._own), stamp)
+            case ttypes.Refuse() | ttypes.Preempt():
+                self._home.act(wire.read_action(message, self._own))
+
+    def _take_fate(self, message: ttypes.FateAnswer) -> None:
+        self._fates[message.request_id] = bool(message.never_ran)
+        self._fate_came.set()
+        self._fate_came = trio.Event()
+
+
+def _make_heartbeat(
+    channel: PoolChannel,
+    _link: wire.Link,
+) -> ttypes.Heartbeat:
+    return ttypes.Heartbeat(stamp=wire.write_stamp(channel.make_stamp()))
--- a/hornbeampulley/programs/agent.py
+++ b/hornbeampulley/programs/agent.py
@@ -2,6 +2,7 @@
 
 import functools
 import logging
+import os
 import random
 from typing import Any, Final
 
@@ -31,6 +32,7 @@
 GOSSIP_MS: Final = 500.0
 READ_MS: Final = 1000.0
 MAX_PEERS: Final = 4
+KEEP_ENDED_MS: Final = 120_000.0
 _log = logging.getLogger(__name__)
 
 
@@ -41,15 +43,19 @@
     ----------
     process : Process
         This run of the program.
+    nursery : trio.Nursery
+        Runs its tasks.
     """
 
-    def __init__(self, process: Process) -> None:
+    def __init__(self, process: Process, nursery: trio.Nursery) -> None:
         self.process = process
+        self._nursery = nursery
         self.clock = Clock(trio.current_time)
         self.store = TicketStore()
         self.book = HostBook()
         self.directory = Directory(_make_record(process), self.clock.now())
         self.fresh_ms = self.clock.now()
+        self._ended: dict[str, float] = {}
         self._locals: list[wire.Link] = []
         self._heartbeats: dict[str, ttypes.Heartbeat] = {}
         self._peers: dict[str, wire.Link] = {}
@@ -192,15 +198,40 @@
             return
         await self._run_link(stream)
 
+    async def watch_process(self, incarnation: str, number: int) -> None:
+        """Wait for the end of a process of this host and tell of it.
+
+        A closed link proves nothing, since its process may have closed it.
+
+        Parameters
+        ----------
+        incarnation : str
+            Incarnation of the process.
+        number : int
+            Its process number.
+        """
+        try:
+            handle = os.pidfd_open(number)
+        except OSError:
+            return
+        try:
+            await trio.lowlevel.wait_readable(handle)
+        finally:
+            os.close(handle)
+        log_event(_log, 'process_gone', subject=incarnation)
+        self._ended[incarnation] = self.clock.now()
+        self._beat()
+        self._tell_peers(self.clock.now())
+        self.tell_locals()
+
     async def gossip(self) -> None:
         """Tell peers and the processes of this host, for ever."""
         async with trio.open_nursery() as nursery:
             while True:
-                now_ms = self.clock.now()
-                self.directory.beat(self.list_members(), now_ms)
+                self._beat()
                 for address in self._choose_addresses():
                     nursery.start_soon(self.meet, address)
-                self._tell_peers(now_ms)
+                self._tell_peers(self.clock.now())
                 self.tell_locals()
                 await trio.sleep(to_seconds(GOSSIP_MS))
 
@@ -220,11 +251,20 @@
         finally:
             self._drop(link)
 
+    def _beat(self) -> None:
+        now_ms = self.clock.now()
+        self._ended = {
+            incarnation: ended_ms
+            for incarnation, ended_ms in self._ended.items()
+            if now_ms - ended_ms < KEEP_ENDED_MS
+        }
+        self.directory.beat(self.list_members(), now_ms, self._ended)
+
     def _drop(self, link: wire.Link) -> None:
         self._told.pop(id(link), None)
         if link in self._locals:
             self._locals.remove(link)
-            self.directory.beat(self.list_members(), self.clock.now())
+            self._beat()
         if link.peer is not None:
             address = link.peer.address
             if self._peers.get(address) is link:
@@ -250,6 +290,11 @@
         elif role is not Role.OPERATOR:
             self._locals.append(link)
             link.send(self._form_view(link))
+            self._nursery.start_soon(
+                self.watch_process,
+                link.peer.incarnation,
+                link.peer.process_number or 0,
+            )
 
     def _take_news(self, message: ttypes.DirectoryNews) -> None:
         now_ms = self.clock.now()
@@ -322,9 +367,9 @@
     drain : trio.Event
         Set when it is to shut down.
     """
-    agent = Agent(process)
     reader = PlatformReader(process.settings)
     async with trio.open_nursery() as nursery:
+        agent = Agent(process, nursery)
         nursery.start_soon(agent.gossip)
         nursery.start_soon(_read_tickets, agent, reader)
         nursery.start_soon(_read_hosts, agent, reader)
--- a/hornbeampulley/programs/entry.py
+++ b/hornbeampulley/programs/entry.py
@@ -8,6 +8,7 @@
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
+from hornbeampulley import wire
 from hornbeampulley.clock import to_seconds
 from hornbeampulley.identity import Ledger, LedgerLimits
 from hornbeampulley.logs import log_event
@@ -131,7 +132,7 @@
         await trio.sleep(to_seconds(TICK_MS))
 
 
-def _make_heartbeat(home: Home) -> ttypes.Heartbeat:
+def _make_heartbeat(home: Home, _link: wire.Link) -> ttypes.Heartbeat:
     return ttypes.Heartbeat(home.open_count, home.is_draining)
 
 
--- a/hornbeampulley/programs/scheduler.py
+++ b/hornbeampulley/programs/scheduler.py
@@ -8,8 +8,10 @@
 
 from hornbeampulley import decisions, wire
 from hornbeampulley.clock import Clock, to_seconds
+from hornbeampulley.identity import FateRecorder, Ran, RequestId, Stamp
 from hornbeampulley.logs import log_event
 from hornbeampulley.membership import Role
+from hornbeampulley.pipeline import TIMING
 from hornbeampulley.programs._fleet import Fleet, follow_agent
 from hornbeampulley.programs._polling import poll_targets
 from hornbeampulley.programs._process import Process, run_daemon
@@ -19,12 +21,6 @@
 HAND_OVER_MS: Final = 2000.0
 _log = logging.getLogger(__name__)
 
-_FROM_HOMES: Final = (
-    ttypes.Withdraw,
-    ttypes.Progress,
-    ttypes.Release,
-)
-
 
 class PoolScheduler:
     """Runs the core of one pool and talks for it to the homes.
@@ -33,15 +29,25 @@
     ----------
     pool : str
         Name of the pool.
+    incarnation : str
+        Incarnation of this scheduler.
     fleet : Fleet
         Configuration and leaving targets.
     clock : Clock
         Time.
     """
 
-    def __init__(self, pool: str, fleet: Fleet, clock: Clock) -> None:
+    def __init__(
+        self,
+        pool: str,
+        incarnation: str,
+        fleet: Fleet,
+        clock: Clock,
+    ) -> None:
         self.pool = pool
         self.core = decisions.Core(pool, seed=1, is_takeover=True)
+        self._incarnation = incarnation
+        self._fates = FateRecorder(incarnation, TIMING)
         self._fleet = fleet
         self._clock = clock
         self._links: dict[str, wire.Link] = {}
@@ -53,22 +59,42 @@
         return bool(self._links)
 
     def configure(self) -> None:
-        """Take the configuration in force and the leaving targets."""
+        """Take the agent's latest word."""
+        now_ms = self._clock.now()
+        for incarnation in self._fleet.list_ended():
+            self._fates.confirm_death(incarnation, now_ms)
         self.handle(decisions.Configure(self._fleet.configuration))
         self.handle(decisions.TargetsLeaving(self._fleet.leaving))
 
-    def receive(self, link: wire.Link, event: decisions.Event) -> None:
-        """Take an event of a home.
+    def tick(self) -> None:
+        """Let time pass."""
+        self._fates.sweep(self._clock.now())
+        self.handle(decisions.Tick())
+
+    def receive(self, link: wire.Link, message: Any) -> None:
+        """Take a message of a home.
 
         Parameters
         ----------
         link : Link
             To the home.
-        event : Event
+        message : thrift struct
             What it sent.
         """
-        self._links[link.peer.incarnation] = link
-        self.handle(event)
+        home = link.peer.incarnation
+        now_ms = self._clock.now()
+        match message:
+            case ttypes.Heartbeat():
+                self._hear(link, message)
+            case ttypes.Leave():
+                self._hand_over(link)
+            case ttypes.FateQuery():
+                self._answer_fate(link, message.request_id)
+            case ttypes.Reserve():
+                self._announce(link, message)
+            case ttypes.Withdraw() | ttypes.Progress() | ttypes.Release():
+                self._record_end(home, message)
+                self.handle(wire.read_event(message, home, now_ms))
 
     def lose(self, link: wire.Link) -> None:
         """Forget a home whose link has closed.
@@ -94,6 +120,78 @@
         for action in self.core.handle(event, self._clock.now()):
             self._carry_out(action)
 
+    def make_heartbeat(self, link: wire.Link) -> ttypes.Heartbeat:
+        """Make the next heartbeat to a home.
+
+        Parameters
+        ----------
+        link : Link
+            To the home.
+
+        Returns
+        -------
+        ttypes.Heartbeat
+            With a number that the home echoes.
+        """
+        heartbeat = self._fates.make_heartbeat(
+            link.peer.incarnation,
+            self._clock.now(),
+        )
+        if heartbeat is None:
+            return ttypes.Heartbeat()
+        return ttypes.Heartbeat(
+            session=heartbeat.session,
+            number=heartbeat.number,
+        )
+
+    def _hear(self, link: wire.Link, message: ttypes.Heartbeat) -> None:
+        if message.stamp is None:
+            return
+        home = link.peer.incarnation
+        is_new = self._links.get(home) is not link
+        self._links[home] = link
+        self._fates.hear(self._read_stamp(home, message), self._clock.now())
+        if is_new:
+            link.send(self.make_heartbeat(link))
+
+    def _announce(self, link: wire.Link, message: ttypes.Reserve) -> None:
+        home = link.peer.incarnation
+        now_ms = self._clock.now()
+        is_taken = self._fates.announce(
+            self._read_stamp(home, message),
+            RequestId.parse(message.request_id),
+            now_ms,
+            bool(message.dispatched),
+        )
+        if is_taken:
+            self.handle(wire.read_event(message, home, now_ms))
+        else:
+            # The home starts a new session and announces all again.
+            link.close()
+
+    def _record_end(self, home: str, message: Any) -> None:
+        stamp = getattr(message, 'stamp', None)
+        if stamp is not None:
+            self._fates.release(
+                self._read_stamp(home, message),
+                RequestId.parse(message.request_id),
+                self._clock.now(),
+            )
+
+    def _read_stamp(self, home: str, message: Any) -> Stamp:
+        return wire.read_stamp(message.stamp, home, self._incarnation)
+
+    def _hand_over(self, link: wire.Link) -> None:
+        handover = self._fates.hand_over(link.peer.incarnation)
+        if handover is not None:
+            link.send(ttypes.Handover(handover.session))
+        self.lose(link)
+
+    def _answer_fate(self, link: wire.Link, id_text: str) -> None:
+        ran = self._fates.judge(RequestId.parse(id_text))
+        log_event(_log, 'fate_judged', request=id_text, ran=ran.value)
+        link.send(ttypes.FateAnswer(id_text, ran is Ran.NO))
+
     def _carry_out(self, action: decisions.Action) -> None:
         if isinstance(action, decisions.Warn):
             log_event(
@@ -104,15 +202,19 @@
                 subject=action.subject,
             )
             return
+        link = self._links.get(action.home)
+        if link is None:
+            return
+        stamp = None
+        if isinstance(action, decisions.Lease):
+            stamp = self._fates.lease(RequestId.parse(action.request_id))
         log_event(
             _log,
             f'{type(action).__name__.lower()}_sent',
             request=action.request_id,
             target=getattr(action, 'target', None),
         )
-        link = self._links.get(action.home)
-        if link is not None:
-            link.send(wire.write_action(action))
+        link.send(wire.write_action(action, stamp))
 
 
 class Scheduler:
@@ -131,17 +233,16 @@
         self._process = process
         self._fleet = fleet
         self._clock = Clock(trio.current_time)
-        self._pool_of_request: dict[str, str] = {}
         self._unlinked = trio.Event()
 
     @property
-    def links_count(self) -> int:
-        """Number of pools in use."""
+    def pools_in_use(self) -> int:
+        """Number of pools that homes are linked for."""
         return sum(1 for pool in self.pools.values() if pool.is_used)
 
     async def wait_unused(self) -> None:
         """Wait until no home is linked."""
-        while self.links_count:
+        while self.pools_in_use:
             self._unlinked = trio.Event()
             await self._unlinked.wait()
 
@@ -161,47 +262,38 @@
         link = wire.Link(
             stream,
             self._process.make_hello(),
-            hybrid=self._process.hybrid,
+            self._make_heartbeat,
+            self._process.hybrid,
         )
         await link.run(self._handle)
-        if link.peer is None:
-            return
-        for pool in self.pools.values():
-            pool.lose(link)
+        if link.peer is not None and link.peer.pool:
+            self._find_pool(link.peer.pool).lose(link)
         self._unlinked.set()
 
     async def tick(self) -> None:
         """Let time pass in all pools, for ever."""
         while True:
             for pool in self.pools.values():
-                pool.handle(decisions.Tick())
+                pool.tick()
             await trio.sleep(to_seconds(TICK_MS))
 
     def _handle(self, link: wire.Link, message: Any) -> None:
-        home = link.peer.incarnation
-        now_ms = self._clock.now()
-        if isinstance(message, ttypes.Reserve):
-            event = wire.read_event(message, home, now_ms)
-            self._pool_of_request[message.request_id] = message.pool
-            self._find_pool(message.pool).receive(link, event)
-        elif isinstance(message, _FROM_HOMES):
-            pool = self._pool_of_request.get(message.request_id)
-            event = wire.read_event(message, home, now_ms)
-            if pool is not None:
-                self._find_pool(pool).receive(link, event)
-            if isinstance(message, ttypes.Withdraw | ttypes.Release):
-                self._forget(message)
-        elif isinstance(message, ttypes.FateQuery):
-            link.send(ttypes.FateAnswer(message.request_id, False))
-
-    def _forget(self, message: Any) -> None:
-        outcome = getattr(message, 'outcome', None)
-        if outcome not in {'not_sent', 'preempted'}:
-            self._pool_of_request.pop(message.request_id, None)
+        if link.peer.pool:
+            self._find_pool(link.peer.pool).receive(link, message)
+
+    def _make_heartbeat(self, link: wire.Link) -> ttypes.Heartbeat:
+        if link.peer is None or not link.peer.pool:
+            return ttypes.Heartbeat()
+        return self._find_pool(link.peer.pool).make_heartbeat(link)
 
     def _find_pool(self, pool: str) -> PoolScheduler:
         if pool not in self.pools:
-            self.pools[pool] = PoolScheduler(pool, self._fleet, self._clock)
+            self.pools[pool] = PoolScheduler(
+                pool,
+                self._process.incarnation,
+                self._fleet,
+                self._clock,
+            )
             log_event(_log, 'pool_taken', pool=pool)
         return self.pools[pool]
 
@@ -252,8 +344,9 @@
 def _make_heartbeat(
     scheduler: Scheduler,
     drain: trio.Event,
+    _link: wire.Link,
 ) -> ttypes.Heartbeat:
-    return ttypes.Heartbeat(scheduler.links_count, drain.is_set())
+    return ttypes.Heartbeat(scheduler.pools_in_use, drain.is_set())
 
 
 if __name__ == '__main__':
--- a/hornbeampulley/wire/__init__.py
+++ b/hornbeampulley/wire/__init__.py
@@ -4,9 +4,11 @@
     HASH_MASK,
     read_action,
     read_event,
+    read_stamp,
     write_action,
     write_event,
     write_reserve,
+    write_stamp,
 )
 from hornbeampulley.wire._frames import (
     MAX_FRAME_BYTES,
@@ -42,10 +44,12 @@
     'read_event',
     'read_news',
     'read_record',
+    'read_stamp',
     'serve_links',
     'write_action',
     'write_event',
     'write_news',
     'write_record',
     'write_reserve',
+    'write_stamp',
 )
--- a/hornbeampulley/wire/_conversions.py
+++ b/hornbeampulley/wire/_conversions.py
@@ -4,6 +4,7 @@
 
 from hornbeampulley import decisions
 from hornbeampulley.errors import WireError
+from hornbeampulley.identity import LeaseStamp, Stamp
 from hornbeampulley.registry import Registry
 from hornbeampulley.wire.generated.peer import ttypes
 
@@ -16,8 +17,10 @@
 
 def write_reserve(
     event: decisions.Reserve,
-    pool: str,
+    stamp: Stamp,
     now_ms: float,
+    *,
+    dispatched: bool = False,
 ) -> ttypes.Reserve:
     """Convert a reserve for the scheduler of a pool.
 
@@ -25,10 +28,12 @@
     ----------
     event : decisions.Reserve
         Its deadline is a moment of the sender's clock.
-    pool : str
-        Pool that is to serve it.
+    stamp : Stamp
+        Number of the message.
     now_ms : float
         The sender's time.
+    dispatched : bool
+        Whether the request was ever dispatched.
 
     Returns
     -------
@@ -52,12 +57,14 @@
         repeatable=event.repeatable,
         target=event.target,
         waited_ms=event.waited_ms,
-        pool=pool,
+        stamp=write_stamp(stamp),
+        dispatched=dispatched,
     )
 
 
 def write_event(
     event: decisions.Withdraw | decisions.Progress | decisions.Release,
+    stamp: Stamp | None = None,
 ) -> Any:
     """Convert an event, other than a reserve, for a scheduler.
 
@@ -65,6 +72,8 @@
     ----------
     event : Withdraw, Progress or Release
         From a home.
+    stamp : Stamp, optional
+        Number of the message.
 
     Returns
     -------
@@ -73,7 +82,7 @@
     """
     match event:
         case decisions.Withdraw():
-            return ttypes.Withdraw(event.request_id)
+            return ttypes.Withdraw(event.request_id, write_stamp(stamp))
         case decisions.Progress():
             return ttypes.Progress(
                 event.request_id,
@@ -87,6 +96,49 @@
         event.first_token_ms,
         event.duration_ms,
         event.cached_tokens,
+        write_stamp(stamp),
+    )
+
+
+def write_stamp(stamp: Stamp | None) -> ttypes.Stamp | None:
+    """Convert the number of a message.
+
+    Parameters
+    ----------
+    stamp : Stamp or None
+        Its incarnations are known from the link.
+
+    Returns
+    -------
+    ttypes.Stamp or None
+        To send.
+    """
+    if stamp is None:
+        return None
+    return ttypes.Stamp(stamp.session, stamp.sequence, stamp.echo)
+
+
+def read_stamp(message: ttypes.Stamp, home: str, scheduler: str) -> Stamp:
+    """Convert the number of a message as received.
+
+    Parameters
+    ----------
+    message : ttypes.Stamp
+        As received.
+    home, scheduler : str
+        Incarnations of the two ends of the link.
+
+    Returns
+    -------
+    Stamp
+        For the record of fates.
+    """
+    return Stamp(
+        home,
+        message.session,
+        message.sequence,
+        message.echo,
+        scheduler,
     )
 
 
@@ -123,13 +175,18 @@
         raise _explain_malformed(message) from error
 
 
-def write_action(action: decisions.Action) -> Any:
+def write_action(
+    action: decisions.Action,
+    stamp: LeaseStamp | None = None,
+) -> Any:
     """Convert an action for the home that it is meant for.
 
     Parameters
     ----------
     action : Lease, Refuse or Preempt
         From the core.
+    stamp : LeaseStamp, optional
+        Stamp of a lease.
 
     Returns
     -------
@@ -143,6 +200,8 @@
                 action.target,
                 action.valid_ms,
                 action.resume,
+                stamp.session if stamp else 0,
+                stamp.heard if stamp else 0,
             )
         case decisions.Refuse():
             return ttypes.Refuse(
--- a/hornbeampulley/wire/_links.py
+++ b/hornbeampulley/wire/_links.py
@@ -14,8 +14,8 @@
 from hornbeampulley.wire._frames import FrameDecoder, encode_frame
 from hornbeampulley.wire.generated.peer import ttypes
 
-HEARTBEAT_MS: Final = 250
-SILENCE_MS: Final = 800
+HEARTBEAT_MS: Final = 200
+SILENCE_MS: Final = 700
 CONNECT_TIMEOUT_MS: Final = 1000
 MAX_QUEUED_MESSAGES: Final = 50_000
 _MAX_BATCH: Final = 200
@@ -24,7 +24,7 @@
 _log = logging.getLogger(__name__)
 
 MessageHandler = Callable[['Link', Any], None]
-HeartbeatMaker = Callable[[], ttypes.Heartbeat]
+HeartbeatMaker = Callable[['Link'], ttypes.Heartbeat]
 
 
 class Link:
@@ -36,8 +36,8 @@
         The connected stream.
     hello : Hello
         What this process says of itself first.
-    make_heartbeat : callable
-        Returns the next heartbeat to send.
+    make_heartbeat : callable, optional
+        Called with the link; returns the next heartbeat to send.
     hybrid : HybridClock, optional
         Its timestamps travel with each frame.
 
@@ -55,13 +55,13 @@
         self,
         stream: trio.abc.Stream,
         hello: ttypes.Hello,
-        make_heartbeat: HeartbeatMaker = ttypes.Heartbeat,
+        make_heartbeat: HeartbeatMaker | None = None,
         hybrid: HybridClock | None = None,
     ) -> None:
         self.peer: ttypes.Hello | None = None
         self._stream = stream
         self._hello = hello
-        self._make_heartbeat = make_heartbeat
+        self._make_heartbeat = make_heartbeat or _make_plain_heartbeat
         self._hybrid = hybrid
         self._clock = Clock(trio.current_time)
         self.opened_ms = self._clock.now()
@@ -172,12 +172,16 @@
     async def _beat(self) -> None:
         self._wakeup.set()
         while not self.is_silent:
-            self.send(self._make_heartbeat())
+            self.send(self._make_heartbeat(self))
             await trio.sleep(to_seconds(HEARTBEAT_MS))
         log_event(_log, 'link_silent')
         self.close()
 
 
+def _make_plain_heartbeat(_link: Link) -> ttypes.Heartbeat:
+    return ttypes.Heartbeat()
+
+
 async def open_stream(
     address: str,
     port: int,
--- a/hornbeampulley/wire/_records.py
+++ b/hornbeampulley/wire/_records.py
@@ -31,6 +31,7 @@
         record.started_ms,
         record.version,
         [_write_member(member) for member in record.members],
+        list(record.ended),
     )
 
 
@@ -60,6 +61,7 @@
             message.started_ms,
             message.version,
             tuple(_read_member(member) for member in message.members),
+            tuple(message.ended),
         )
     except (TypeError, ValueError) as error:
         raise WireError(
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -2,6 +2,14 @@
 // big-endian length and a Frame in the compact protocol.
 namespace py peer
 
+// Home and scheduler number their messages, so that a scheduler can tell for
+// certain what a lost home never ran.
+struct Stamp {
+  1: i32 session
+  2: i64 sequence
+  3: i64 echo
+}
+
 struct Hello {
   1: string role
   2: string host
@@ -10,11 +18,16 @@
   5: string address
   6: i32 caller_port
   7: i32 peer_port
+  8: string pool
+  9: i32 process_number
 }
 
 struct Heartbeat {
   1: i32 load
   2: bool draining
+  3: optional Stamp stamp
+  4: i32 session
+  5: i64 number
 }
 
 struct Reserve {
@@ -31,10 +44,14 @@
   11: bool repeatable
   12: string target
   13: double waited_ms
-  14: string pool
+  14: Stamp stamp
+  15: bool dispatched
 }
 
-struct Withdraw { 1: string request_id }
+struct Withdraw {
+  1: string request_id
+  2: optional Stamp stamp
+}
 
 struct Progress {
   1: string request_id
@@ -49,6 +66,7 @@
   4: double first_token_ms
   5: double duration_ms
   6: i32 cached_tokens
+  7: optional Stamp stamp
 }
 
 struct Lease {
@@ -56,6 +74,8 @@
   2: string target
   3: double valid_ms
   4: bool resume
+  5: i32 session
+  6: i64 heard
 }
 
 struct Refuse {
@@ -85,6 +105,11 @@
   2: bool never_ran
 }
 
+// A home asks for it before it goes to another scheduler.
+struct Leave {}
+
+struct Handover { 1: i32 session }
+
 struct Member {
   1: string role
   2: string incarnation
@@ -101,6 +126,7 @@
   4: i64 started_ms
   5: i64 version
   6: list<Member> members
+  7: list<string> ended
 }
 
 struct TicketSummary {
@@ -178,6 +204,8 @@
   16: Reply reply
   17: TicketNews ticket_news
   18: TicketText ticket_text
+  19: Leave leave
+  20: Handover handover
 }
 
 struct Frame {
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,6 +8,7 @@
 
 from hornbeampulley import decisions, wire
 from hornbeampulley.errors import WireError
+from hornbeampulley.identity import Stamp
 from hornbeampulley.wire.generated.peer import ttypes
 
 HELLO = ttypes.Hello('entry', 'host-1', 'a' * 16, 'split-a', '127.0.0.1', 1, 2)
@@ -28,7 +29,8 @@
         'repeatable': True,
         'target': '',
         'waited_ms': 0.0,
-        'pool': 'p',
+        'stamp': ttypes.Stamp(1, 2, 3),
+        'dispatched': False,
     }
     return ttypes.Reserve(**(fields | changes))
 
@@ -70,6 +72,7 @@
         list(wire.FrameDecoder().feed(b'\xff\xff\xff\xff'))
 
 
+STAMP = Stamp('home', 1, 2, 3, 'scheduler')
 EVENTS = (
     decisions.Reserve('r', 'home', 'w', 's', 't', 5, 6, (1, 2), 7, 90.0),
     decisions.Withdraw('r'),
@@ -86,9 +89,9 @@
 @pytest.mark.parametrize('event', EVENTS)
 def test_events_come_back_as_they_were(event):
     if isinstance(event, decisions.Reserve):
-        message = wire.write_reserve(event, 'p', now_ms=10)
+        message = wire.write_reserve(event, STAMP, now_ms=10)
     else:
-        message = wire.write_event(event)
+        message = wire.write_event(event, STAMP)
     sent = wire.decode_body(wire.encode_frame([message])[4:]).messages[0]
     assert wire.read_event(sent, 'home', now_ms=10) == event
 
@@ -100,6 +103,11 @@
     assert wire.read_action(sent, 'home') == action
 
 
+def test_stamps_come_back_as_they_were():
+    message = wire.write_stamp(STAMP)
+    assert wire.read_stamp(message, 'home', 'scheduler') == STAMP
+
+
 def test_malformed_messages_are_wire_errors():
     with pytest.raises(WireError, match='malformed Release'):
         wire.read_event(ttypes.Release('r', 'flown'), 'home', 0)
