Ask all likely schedulers for the fate of a lost home's request

Cause: two entries with different views can use two schedulers for a while, and only one of them can judge; a query also outran the word that the home ended. Change: the first three in rank are asked, again for a second; hosts on the platform's list may connect before gossip has told of them.

--- a/hornbeampulley/programs/_fleet.py
+++ b/hornbeampulley/programs/_fleet.py
@@ -1,5 +1,6 @@
 """What a process knows of the fleet: the last word of its host's agent."""
 
+import dataclasses
 import functools
 import logging
 from collections.abc import Callable, Iterator
@@ -27,6 +28,25 @@
 _log = logging.getLogger(__name__)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Where a process listens for peers.
+
+    Attributes
+    ----------
+    address : str
+        IP address.
+    port : int
+        TCP port.
+    incarnation : str
+        Incarnation of the process.
+    """
+
+    address: str
+    port: int
+    incarnation: str
+
+
 class Fleet:
     """The fleet as this host's agent sees it.
 
@@ -55,6 +75,7 @@
         self._process = process
         self._clock = Clock(trio.current_time)
         self._fresh_ms = 0.0
+        self._listed: frozenset[str] = frozenset()
 
     @property
     def fresh_age_ms(self) -> float:
@@ -75,6 +96,8 @@
             )
         if view.hosts is not None:
             self.hosts = tuple(map(wire.read_record, view.hosts))
+        if view.listed is not None:
+            self._listed = frozenset(view.listed)
         if view.leaving is not None:
             self.leaving = frozenset(view.leaving)
         self.is_ready = bool(view.ready)
@@ -91,11 +114,11 @@
         Returns
         -------
         bool
-            True for hosts that live, and for this one.
+            True for listed entry hosts, hosts that live, and this one.
         """
         if address == self._process.settings.host.address:
             return True
-        return any(record.address == address for record in self.hosts)
+        return address in self._listed
 
     def count_entries(self) -> int:
         """Count the entries that are believed to live."""
@@ -166,7 +189,7 @@
             incarnation for record in self.hosts for incarnation in record.ended
         )
 
-    def rank_schedulers(self, pool: str) -> tuple[tuple[str, int, str], ...]:
+    def rank_schedulers(self, pool: str) -> tuple[Place, ...]:
         """Rank the schedulers for a pool.
 
         Parameters
@@ -176,11 +199,11 @@
 
         Returns
         -------
-        tuple of (address, port, incarnation)
+        tuple of Place
             The owner first, then its successors.
         """
         places = {
-            member.incarnation: (
+            member.incarnation: Place(
                 record.address,
                 member.peer_port,
                 member.incarnation,
--- a/hornbeampulley/programs/_scheduler_links.py
+++ b/hornbeampulley/programs/_scheduler_links.py
@@ -10,18 +10,15 @@
 from hornbeampulley.clock import Clock, to_seconds
 from hornbeampulley.identity import Handover, LeaseStamp, SchedulerHeartbeat
 from hornbeampulley.logs import log_event
-from hornbeampulley.pipeline import Home, Incoming, PoolChannel
-from hornbeampulley.programs._fleet import Fleet
+from hornbeampulley.pipeline import Home, PoolChannel
+from hornbeampulley.programs._fleet import Fleet, Place
 from hornbeampulley.programs._process import Process
 from hornbeampulley.wire.generated.peer import ttypes
 
 RETRY_MS: Final = 100.0
 AVOID_MS: Final = 2000.0
-FATE_TIMEOUT_MS: Final = 1000.0
 _log = logging.getLogger(__name__)
 
-Place = tuple[str, int, str]
-
 
 class SchedulerLinks:
     """Keeps one link for each pool, to the scheduler that owns it.
@@ -45,8 +42,6 @@
         self._changed = trio.Event()
         self._avoided_until: dict[str, float] = {}
         self._links: dict[str, wire.Link] = {}
-        self._fates: dict[str, bool] = {}
-        self._fate_came = trio.Event()
 
     def refresh(self) -> None:
         """Look again at who owns which pool."""
@@ -56,8 +51,9 @@
             best = self._choose(pool)
             if best is None or link.peer is None:
                 continue
-            if best[2] != link.peer.incarnation:
-                log_event(_log, 'scheduler_changed', pool=pool, to=best[2])
+            owner = best.incarnation
+            if owner != link.peer.incarnation:
+                log_event(_log, 'scheduler_changed', pool=pool, to=owner)
                 link.send(ttypes.Leave())
 
     async def run(self) -> None:
@@ -70,31 +66,6 @@
                 served.update(self.fleet.list_pools())
                 await self._changed.wait()
 
-    async def ask_fate(self, incoming: Incoming) -> bool:
-        """Ask whether a request of a lost home surely never ran.
-
-        Parameters
-        ----------
-        incoming : Incoming
-            Sent again by its caller.
-
-        Returns
-        -------
-        bool
-            False if nobody can tell.
-        """
-        service = self.fleet.configuration.services.get(incoming.service)
-        link = self._links.get(service.pool) if service else None
-        if link is None:
-            return False
-        link.send(
-            ttypes.FateQuery(incoming.id_text, self._process.incarnation),
-        )
-        with trio.move_on_after(to_seconds(FATE_TIMEOUT_MS)):
-            while incoming.id_text not in self._fates:
-                await self._fate_came.wait()
-        return self._fates.pop(incoming.id_text, False)
-
     async def _serve_pool(self, pool: str) -> None:
         while True:
             place = self._choose(pool)
@@ -107,18 +78,21 @@
     def _choose(self, pool: str) -> Place | None:
         now_ms = self._clock.now()
         for place in self.fleet.rank_schedulers(pool):
-            if self._avoided_until.get(place[2], 0) <= now_ms:
+            if self._avoided_until.get(place.incarnation, 0) <= now_ms:
                 return place
         return None
 
     async def _use(self, pool: str, place: Place) -> None:
-        address, port, incarnation = place
         own_address = self._process.settings.host.address
         try:
-            stream = await wire.open_stream(address, port, own_address)
+            stream = await wire.open_stream(
+                place.address,
+                place.port,
+                own_address,
+            )
         except OSError as error:
             log_event(_log, 'scheduler_unreachable', pool=pool, error=error)
-            self._avoid(incarnation)
+            self._avoid(place.incarnation)
             return
         channel = self._home.find_channel(pool)
         hello = self._process.make_hello()
@@ -131,7 +105,7 @@
         )
         await self._run_link(pool, link)
         if self.fleet.rank_schedulers(pool)[:1] == (place,):
-            self._avoid(incarnation)
+            self._avoid(place.incarnation)
 
     async def _run_link(self, pool: str, link: wire.Link) -> None:
         channel = self._home.find_channel(pool)
@@ -165,19 +139,12 @@
             case ttypes.Handover():
                 channel.accept_handover(Handover(scheduler, message.session))
                 link.close()
-            case ttypes.FateAnswer():
-                self._take_fate(message)
             case ttypes.Lease():
                 stamp = LeaseStamp(scheduler, message.session, message.heard)
                 self._home.act(wire.read_action(message, self._own), stamp)
             case ttypes.Refuse() | ttypes.Preempt():
                 self._home.act(wire.read_action(message, self._own))
 
-    def _take_fate(self, message: ttypes.FateAnswer) -> None:
-        self._fates[message.request_id] = bool(message.never_ran)
-        self._fate_came.set()
-        self._fate_came = trio.Event()
-
 
 def _make_heartbeat(
     channel: PoolChannel,
--- a/hornbeampulley/programs/agent.py
+++ b/hornbeampulley/programs/agent.py
@@ -338,7 +338,8 @@
             for entry in ticket.state
         ]
         leaving = self.book.list_excluded(targets)
-        told = self._told.get(id(link), (None, None, None))
+        listed = self.list_addresses()
+        told = self._told.get(id(link), (None, None, None, None))
         if told[0] != self.store.digest():
             view.tickets = [
                 ttypes.TicketText(ticket.scope, ticket.text)
@@ -348,7 +349,9 @@
             view.hosts = [wire.write_record(record) for record in hosts]
         if told[2] != leaving:
             view.leaving = sorted(leaving)
-        self._told[id(link)] = (self.store.digest(), hosts, leaving)
+        if told[3] != listed:
+            view.listed = sorted(listed)
+        self._told[id(link)] = (self.store.digest(), hosts, leaving, listed)
         return view
 
 
--- a/hornbeampulley/programs/entry.py
+++ b/hornbeampulley/programs/entry.py
@@ -19,6 +19,7 @@
     Home,
     TargetClient,
 )
+from hornbeampulley.programs._fate_queries import FateQueries
 from hornbeampulley.programs._fleet import Fleet, follow_agent
 from hornbeampulley.programs._process import Process, run_daemon
 from hornbeampulley.programs._scheduler_links import SchedulerLinks
@@ -82,7 +83,7 @@
     fleet = links.fleet
     forwarder = Forwarder(
         fleet.find_entry_url,
-        links.ask_fate,
+        FateQueries(process, fleet).ask,
         settings.host.address,
     )
     closing = trio.Event()
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -148,6 +148,7 @@
   3: optional list<string> leaving
   4: double fresh_age_ms
   5: bool ready
+  6: optional list<string> listed
 }
 
 struct Pulse {
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -4,6 +4,7 @@
 import json
 import signal
 
+import httpcore
 import pytest
 import trio
 
@@ -214,3 +215,39 @@
             assert await fleet.wait_exit(f'host-1-{daemon}') == 0
 
     run_fleet(scenario)
+
+
+def test_requests_left_on_a_killed_entry_get_a_true_fate(run_fleet):
+    async def scenario(fleet, addresses, service):
+        caller = Caller(fleet, addresses[0])
+        await caller.lease_ids()
+        other = f'http://{addresses[1]}:{CALLER_PORT}'
+        lost = []
+
+        async def send(number):
+            request_id = caller.form_id()
+            document = {'prompt': f'{number} {PROMPT}', 'max_tokens': 60}
+            try:
+                await caller.send('consult', document, request_id)
+            except (httpcore.NetworkError, httpcore.RemoteProtocolError):
+                lost.append((request_id, document))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(30):
+                nursery.start_soon(send, number)
+            await trio.sleep(0.5)
+            fleet.send_signal('host-1-entry', signal.SIGKILL)
+        fates = {}
+        for request_id, document in lost:
+            reply = await caller.send('consult', document, request_id, other)
+            fates[request_id] = reply.read_json()['ran']
+        runs = {}
+        for number in (1, 2):
+            address = f'{fleet.network}.2.{number}'
+            runs |= (await read_counters(fleet, address))['runs']
+        never_ran = {name for name, ran in fates.items() if ran == 'no'}
+        assert not never_ran & set(runs)
+        assert never_ran
+        assert set(fates.values()) == {'no', 'unknown'}
+
+    run_fleet(scenario, slots=1)
