Spread tickets between agents with few reads of the service

Cause: a ticket must be in force at 410 agents within 5 s, also when the service stops after the first reader saw it, within 2,000 reads a second for all readers and 21 KB/s an agent. Ruled out: all agents watching (410 x 13 waiting watches); pushing bodies (each agent would get a megabyte several times); one age for all tickets in a notice (one scope that the service lacks would spoil the freshness of all). Change: Spreader, a state machine. Two readers a region, chosen by rendezvous in different zones, watch. A change goes at once to three peers as a stamp and is named in notices for 3 s; bodies move only on a pull, one at a time, compressed once. An equal serial renews the ages of what is held.

--- a/hornbeampulley/membership/__init__.py
+++ b/hornbeampulley/membership/__init__.py
@@ -3,6 +3,10 @@
 from hornbeampulley.membership._assembly import (
     build_configuration,
     check_references,
+    list_scopes,
+)
+from hornbeampulley.membership._buckets import (
+    TokenBucket,
 )
 from hornbeampulley.membership._hosts import (
     SCOPE_HOSTS,
@@ -13,12 +17,33 @@
     HostRole,
     HostState,
 )
+from hornbeampulley.membership._joining import (
+    JoinSettings,
+)
 from hornbeampulley.membership._liveness import (
     FailureDetector,
     LivenessSettings,
     PeerState,
     StateChange,
 )
+from hornbeampulley.membership._messages import (
+    Body,
+    Notice,
+    PeerMessage,
+    Pull,
+    Read,
+    ReadAnswer,
+    ReadFailed,
+    ReadUnchanged,
+    Received,
+    Report,
+    Send,
+    SetPeers,
+    SpreadEvent,
+    SpreadOutput,
+    SpreadTick,
+    Summary,
+)
 from hornbeampulley.membership._ownership import (
     Acquired,
     HandedOver,
@@ -26,6 +51,13 @@
     Transfer,
     choose_scheduler,
 )
+from hornbeampulley.membership._peers import (
+    Peer,
+    choose_readers,
+)
+from hornbeampulley.membership._reading import (
+    ReadingSettings,
+)
 from hornbeampulley.membership._rendezvous import (
     MAX_SHARD_TARGETS,
     Shard,
@@ -35,6 +67,12 @@
 from hornbeampulley.membership._scopes import (
     scopes,
 )
+from hornbeampulley.membership._spread import (
+    Spreader,
+)
+from hornbeampulley.membership._spread_settings import (
+    SpreadSettings,
+)
 from hornbeampulley.membership._store import (
     Applied,
     Conflict,
@@ -49,6 +87,7 @@
 from hornbeampulley.membership._tickets import (
     MAX_TICKET_BYTES,
     Ticket,
+    parse_document,
     parse_hosts,
     parse_ticket,
 )
@@ -59,6 +98,7 @@
     'SCOPE_HOSTS',
     'Acquired',
     'Applied',
+    'Body',
     'Conflict',
     'FailureDetector',
     'HandedOver',
@@ -68,24 +108,48 @@
     'HostListError',
     'HostRole',
     'HostState',
+    'JoinSettings',
     'LivenessSettings',
+    'Notice',
     'Outcome',
     'Ownership',
+    'Peer',
+    'PeerMessage',
     'PeerState',
+    'Pull',
+    'Read',
+    'ReadAnswer',
+    'ReadFailed',
+    'ReadUnchanged',
+    'ReadingSettings',
+    'Received',
     'Rejected',
+    'Report',
     'Same',
+    'Send',
+    'SetPeers',
     'Shard',
+    'SpreadEvent',
+    'SpreadOutput',
+    'SpreadSettings',
+    'SpreadTick',
+    'Spreader',
     'Stale',
     'Stamp',
     'StateChange',
+    'Summary',
     'Ticket',
     'TicketStore',
+    'TokenBucket',
     'Transfer',
     'build_configuration',
     'check_references',
+    'choose_readers',
     'choose_scheduler',
     'cut_shards',
     'get_stamp',
+    'list_scopes',
+    'parse_document',
     'parse_hosts',
     'parse_ticket',
     'rank_owners',
--- a/hornbeampulley/membership/_assembly.py
+++ b/hornbeampulley/membership/_assembly.py
@@ -14,6 +14,11 @@
 )
 from hornbeampulley.errors import Fault
 from hornbeampulley.membership._hosts import SCOPE_HOSTS
+from hornbeampulley.membership._scopes import (
+    SCOPE_SERVICES,
+    SCOPE_TARGETS,
+    scopes,
+)
 from hornbeampulley.membership._tickets import Ticket
 
 _Kind = TypeVar('_Kind', Tier, Workspace, Service, Target, RoutingRule)
@@ -81,6 +86,32 @@
     )
 
 
+def list_scopes(tickets: Iterable[Ticket]) -> tuple[str, ...]:
+    """List the scopes that the configuration service may hold.
+
+    Parameters
+    ----------
+    tickets : iterable of Ticket
+        Those in force.
+
+    Returns
+    -------
+    tuple of str
+        Sorted: the host list, all scopes without a pool, those in force, and
+        the pools that the services name.
+    """
+    held = tuple(tickets)
+    names = {SCOPE_HOSTS}
+    names.update(name for name, _ in scopes if name != SCOPE_TARGETS)
+    names.update(ticket.scope for ticket in held)
+    services = (ticket for ticket in held if ticket.scope == SCOPE_SERVICES)
+    names.update(
+        f'{SCOPE_TARGETS}/{service.pool}'
+        for service in _select(services, Service)
+    )
+    return tuple(sorted(names))
+
+
 def _get_scope(ticket: Ticket) -> str:
     return ticket.scope
 
--- /dev/null
+++ b/hornbeampulley/membership/_peers.py
@@ -0,0 +1,144 @@
+"""The other agents: whom to tell, and who reads the service."""
+
+import dataclasses
+import random
+from collections import defaultdict
+from collections.abc import Iterable
+
+from hornbeampulley.membership._rendezvous import rank_owners
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Peer:
+    """An agent.
+
+    Attributes
+    ----------
+    name : str
+        Unique name.
+    availability_zone : str
+        Where it runs.
+    region : str
+        Group of zones; may be empty.
+    """
+
+    name: str
+    availability_zone: str
+    region: str = ''
+
+
+class PeerPicker:
+    """Picks the peers to be told next.
+
+    One is of the own zone or region, so that news does not depend on links
+    between regions; the others come from a shuffled round over all peers, so
+    that each is reached in bounded time.
+
+    Parameters
+    ----------
+    own : Peer
+        This agent.
+    generator : random.Random
+        Source of random choices.
+    """
+
+    def __init__(self, own: Peer, generator: random.Random) -> None:
+        self._own = own
+        self._generator = generator
+        self._peers: tuple[str, ...] = ()
+        self._near: tuple[str, ...] = ()
+        self._round: list[str] = []
+
+    @property
+    def peers(self) -> tuple[str, ...]:
+        """Names of all other agents."""
+        return self._peers
+
+    def set_peers(self, peers: Iterable[Peer]) -> None:
+        """Replace the known agents.
+
+        Parameters
+        ----------
+        peers : iterable of Peer
+            All agents; the own entry is ignored.
+        """
+        others = sorted(
+            (peer for peer in peers if peer.name != self._own.name),
+            key=lambda peer: peer.name,
+        )
+        self._peers = tuple(peer.name for peer in others)
+        self._near = tuple(peer.name for peer in others if self._is_near(peer))
+        self._round = []
+
+    def pick(self, count: int) -> tuple[str, ...]:
+        """Pick peers.
+
+        Parameters
+        ----------
+        count : int
+            How many.
+
+        Returns
+        -------
+        tuple of str
+            Distinct names; fewer if there are not as many peers.
+        """
+        picked: list[str] = []
+        if self._near and count:
+            picked.append(self._generator.choice(self._near))
+        wanted = min(count, len(self._peers))
+        while len(picked) < wanted:
+            candidate = self._draw()
+            if candidate not in picked:
+                picked.append(candidate)
+        return tuple(picked)
+
+    def _draw(self) -> str:
+        if not self._round:
+            self._round = list(self._peers)
+            self._generator.shuffle(self._round)
+        return self._round.pop()
+
+    def _is_near(self, peer: Peer) -> bool:
+        if self._own.region:
+            return peer.region == self._own.region
+        return peer.availability_zone == self._own.availability_zone
+
+
+def choose_readers(peers: Iterable[Peer], per_region: int) -> frozenset[str]:
+    """Choose the agents that watch the configuration service.
+
+    Parameters
+    ----------
+    peers : iterable of Peer
+        All agents.
+    per_region : int
+        How many in each region, in different zones where possible.
+
+    Returns
+    -------
+    frozenset of str
+        Their names; the same on each agent that knows the same peers.
+    """
+    regions: dict[str, dict[str, str]] = defaultdict(dict)
+    for peer in peers:
+        regions[peer.region][peer.name] = peer.availability_zone
+    return frozenset(
+        name
+        for region, zones in regions.items()
+        for name in _choose_in_region(region, zones, per_region)
+    )
+
+
+def _choose_in_region(
+    region: str,
+    zones: dict[str, str],
+    count: int,
+) -> list[str]:
+    ranked = rank_owners(f'readers/{region}', zones)
+    first_of_zone: dict[str, str] = {}
+    for name in ranked:
+        first_of_zone.setdefault(zones[name], name)
+    spread = list(first_of_zone.values())
+    rest = [other for other in ranked if other not in spread]
+    return [*spread, *rest][:count]
--- a/hornbeampulley/membership/_scopes.py
+++ b/hornbeampulley/membership/_scopes.py
@@ -30,6 +30,7 @@
 )
 from hornbeampulley.registry import Registry
 
+SCOPE_SERVICES: Final = 'services'
 SCOPE_TARGETS: Final = 'targets'
 Entry = Tier | Workspace | Service | RoutingRule | Target
 _Built = TypeVar('_Built')
@@ -165,7 +166,7 @@
     return workspaces
 
 
-@scopes.register('services')
+@scopes.register(SCOPE_SERVICES)
 def check_services(state: State) -> tuple[Entry, ...]:
     """Check the services: unique names.
 
--- /dev/null
+++ b/hornbeampulley/membership/_spread.py
@@ -0,0 +1,355 @@
+"""Spread of tickets and host lists between agents, without all-to-all."""
+
+import random
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import Any, Final
+
+from hornbeampulley.errors import Fault, WireError
+from hornbeampulley.membership._assembly import list_scopes
+from hornbeampulley.membership._comparisons import ComparisonTable
+from hornbeampulley.membership._contents import ContentCache, unpack
+from hornbeampulley.membership._freshness import Freshness
+from hornbeampulley.membership._joining import Joining
+from hornbeampulley.membership._messages import (
+    Body,
+    Notice,
+    PeerMessage,
+    Pull,
+    Read,
+    ReadAnswer,
+    ReadFailed,
+    ReadUnchanged,
+    Received,
+    Report,
+    Send,
+    SetPeers,
+    SpreadEvent,
+    SpreadOutput,
+    SpreadTick,
+    Summary,
+)
+from hornbeampulley.membership._peers import Peer, PeerPicker, choose_readers
+from hornbeampulley.membership._pulls import PullTable
+from hornbeampulley.membership._reading import ReadPlanner
+from hornbeampulley.membership._spread_settings import SpreadSettings
+from hornbeampulley.membership._store import (
+    Applied,
+    Conflict,
+    Outcome,
+    Rejected,
+    Same,
+    Stamp,
+    TicketStore,
+)
+
+_SERVICE: Final = 'service'
+_Outputs = Iterator[SpreadOutput]
+
+
+class Spreader:
+    """State machine of one agent: events in, messages and reads out.
+
+    Parameters
+    ----------
+    own : Peer
+        This agent.
+    store : TicketStore
+        Holds the tickets in force.
+    settings : SpreadSettings
+        Times and counts.
+    generator : random.Random
+        Source of random choices.
+    now_ms : float
+        The current time.
+    """
+
+    def __init__(
+        self,
+        own: Peer,
+        store: TicketStore,
+        settings: SpreadSettings,
+        generator: random.Random,
+        now_ms: float,
+    ) -> None:
+        self._own = own
+        self._store = store
+        self._settings = settings
+        self._picker = PeerPicker(own, generator)
+        self._freshness = Freshness()
+        self._planner = ReadPlanner(
+            settings.reading,
+            self._freshness,
+            generator,
+            now_ms,
+        )
+        self._pulls = PullTable(settings.pull_ms)
+        self._joining = Joining(settings.join, now_ms)
+        self._contents = ContentCache()
+        self._changed_until_ms: dict[str, float] = {}
+        self._refused: dict[str, Stamp] = {}
+        self._compared = ComparisonTable(settings.compare_ms)
+        self._scopes = list_scopes(store.list_tickets())
+        self._conflicts: dict[str, tuple[int, str]] = {}
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the tickets held may be served to other processes."""
+        return self._joining.is_ready
+
+    def fresh_age_ms(self, scope: str, now_ms: float) -> float:
+        """Return the time since the service confirmed a ticket in force.
+
+        Parameters
+        ----------
+        scope : str
+            The scope.
+        now_ms : float
+            The current time.
+
+        Returns
+        -------
+        float
+            Infinite if it never did.
+        """
+        return self._freshness.get_age_ms(scope, now_ms)
+
+    def handle(
+        self,
+        event: SpreadEvent,
+        now_ms: float,
+    ) -> tuple[SpreadOutput, ...]:
+        """Take an event and return what is to be done about it.
+
+        Parameters
+        ----------
+        event : SpreadEvent
+            What happened.
+        now_ms : float
+            The current time; must not decrease from call to call.
+
+        Returns
+        -------
+        tuple of SpreadOutput
+            Messages to send, reads to start and outcomes to report.
+        """
+        outputs = tuple(_HANDLERS[type(event)](self, event, now_ms))
+        return (*outputs, *self._report_conflicts())
+
+    def _on_set_peers(self, event: SetPeers, now_ms: float) -> _Outputs:
+        peers = {peer.name: peer for peer in event.peers}
+        peers[self._own.name] = self._own
+        self._picker.set_peers(peers.values())
+        self._compared.keep_only(peers)
+        count = self._settings.readers_per_region
+        readers = choose_readers(peers.values(), count)
+        self._planner.set_share(
+            len(peers),
+            len(readers),
+            now_ms,
+            is_reader=self._own.name in readers,
+        )
+        return iter(())
+
+    def _on_tick(self, event: SpreadTick, now_ms: float) -> _Outputs:
+        self._forget_changes(now_ms)
+        self._joining.update(
+            len(self._picker.peers),
+            now_ms,
+            is_pulling=self._pulls.is_waiting(now_ms),
+        )
+        for peer in self._picker.pick(self._settings.fan_out):
+            yield Send(peer, self._make_notice(now_ms))
+            if not self.is_ready:
+                yield Send(peer, self._make_summary(wants_answer=True))
+        yield from self._plan_reads(now_ms)
+
+    def _on_received(self, event: Received, now_ms: float) -> _Outputs:
+        respond = _RESPONDERS[type(event.message)]
+        return respond(self, event.peer, event.message, now_ms)
+
+    def _on_read_answer(self, event: ReadAnswer, now_ms: float) -> _Outputs:
+        outcome = self._store.offer(event.text, _SERVICE, now_ms)
+        is_useful = isinstance(outcome, Applied | Same)
+        self._planner.finish(event.scope, now_ms, is_useful=is_useful)
+        if isinstance(outcome, Same):
+            self._freshness.confirm(outcome.scope, event.as_of_ms)
+        yield from self._settle(outcome, event.as_of_ms, now_ms)
+        yield from self._plan_reads(now_ms)
+
+    def _on_read_unchanged(
+        self,
+        event: ReadUnchanged,
+        now_ms: float,
+    ) -> _Outputs:
+        self._freshness.confirm(event.scope, event.as_of_ms)
+        self._planner.finish(event.scope, now_ms, is_useful=True)
+        yield from self._plan_reads(now_ms)
+
+    def _on_read_failed(self, event: ReadFailed, now_ms: float) -> _Outputs:
+        self._planner.finish(event.scope, now_ms, is_useful=False)
+        return iter(())
+
+    def _respond_to_notice(
+        self,
+        peer: str,
+        message: Notice,
+        now_ms: float,
+    ) -> _Outputs:
+        if message.serial == self._store.digest():
+            self._renew(message, now_ms)
+            return
+        newer = self._find_newer(peer, message.changed)
+        if newer:
+            yield from self._pull(peer, newer, now_ms)
+        elif self._changed_until_ms and not message.is_answer:
+            yield Send(peer, self._make_notice(now_ms, is_answer=True))
+        else:
+            yield from self._compare(peer, message.serial, now_ms)
+
+    def _respond_to_summary(
+        self,
+        peer: str,
+        message: Summary,
+        now_ms: float,
+    ) -> _Outputs:
+        if message.is_ready:
+            self._joining.hear(peer)
+        newer = self._find_newer(peer, message.stamps)
+        yield from self._pull(peer, newer, now_ms)
+        if message.wants_answer:
+            yield Send(peer, self._make_summary(wants_answer=False))
+
+    def _respond_to_pull(
+        self,
+        peer: str,
+        message: Pull,
+        now_ms: float,
+    ) -> _Outputs:
+        for scope in message.scopes:
+            ticket = self._store.find(scope)
+            if ticket is not None:
+                stamp = Stamp(scope, ticket.number, ticket.digest)
+                age_ms = self.fresh_age_ms(scope, now_ms)
+                content = self._contents.pack(ticket)
+                yield Send(peer, Body(stamp, age_ms, content))
+
+    def _respond_to_body(
+        self,
+        peer: str,
+        message: Body,
+        now_ms: float,
+    ) -> _Outputs:
+        stamp = message.stamp
+        known = self._store.compare(stamp, peer)
+        if known is None:
+            outcome = self._take(peer, message, now_ms)
+            confirmed_ms = now_ms - message.age_ms - self._settings.transit_ms
+            yield from self._settle(outcome, confirmed_ms, now_ms)
+        self._pulls.finish(stamp.scope, stamp.number)
+
+    def _take(self, peer: str, message: Body, now_ms: float) -> Outcome:
+        try:
+            text = unpack(message.content)
+        except WireError as error:
+            fault = Fault(f'ticket from {peer}', str(error), 'none needed')
+            return Rejected((fault,), peer)
+        outcome = self._store.offer(text, peer, now_ms)
+        if isinstance(outcome, Rejected):
+            self._refused[message.stamp.scope] = message.stamp
+        return outcome
+
+    def _settle(
+        self,
+        outcome: Outcome,
+        confirmed_ms: float,
+        now_ms: float,
+    ) -> _Outputs:
+        if not isinstance(outcome, Same | Conflict):
+            yield Report(outcome)
+        if not isinstance(outcome, Applied):
+            return
+        scope = outcome.ticket.scope
+        self._scopes = list_scopes(self._store.list_tickets())
+        self._freshness.replace(scope, confirmed_ms)
+        self._pulls.finish(scope, outcome.ticket.number)
+        self._changed_until_ms[scope] = now_ms + self._settings.changed_ms
+        for peer in self._picker.pick(self._settings.fan_out):
+            if peer != outcome.source:
+                yield Send(peer, self._make_notice(now_ms))
+
+    def _find_newer(self, peer: str, stamps: Iterable[Stamp]) -> list[Stamp]:
+        return [
+            stamp
+            for stamp in stamps
+            if self._store.compare(stamp, peer) is None
+            and self._refused.get(stamp.scope) != stamp
+        ]
+
+    def _report_conflicts(self) -> _Outputs:
+        for conflict in self._store.list_conflicts():
+            known = self._conflicts.get(conflict.scope)
+            if known != (conflict.number, conflict.other_digest):
+                found = (conflict.number, conflict.other_digest)
+                self._conflicts[conflict.scope] = found
+                yield Report(conflict)
+
+    def _pull(
+        self,
+        peer: str,
+        newer: Iterable[Stamp],
+        now_ms: float,
+    ) -> _Outputs:
+        wanted = self._pulls.start(newer, now_ms)
+        if wanted:
+            yield Send(peer, Pull(wanted))
+
+    def _make_notice(self, now_ms: float, *, is_answer: bool = False) -> Notice:
+        summary = self._store.summary()
+        ages_ms = self._freshness.list_ages_ms(sorted(summary), now_ms)
+        changed = tuple(summary[scope] for scope in self._changed_until_ms)
+        return Notice(self._store.digest(), ages_ms, changed, is_answer)
+
+    def _make_summary(self, *, wants_answer: bool) -> Summary:
+        stamps = tuple(self._store.summary().values())
+        return Summary(stamps, wants_answer, self.is_ready)
+
+    def _renew(self, notice: Notice, now_ms: float) -> None:
+        if self._settings.renews:
+            sent_ms = now_ms - self._settings.transit_ms
+            held = sorted(self._store.summary())
+            self._freshness.renew(held, notice.ages_ms, sent_ms)
+
+    def _compare(self, peer: str, serial: int, now_ms: float) -> _Outputs:
+        serials = (self._store.digest(), serial)
+        if self._compared.is_due(peer, serials, now_ms):
+            self._compared.remember(peer, serials, now_ms)
+            yield Send(peer, self._make_summary(wants_answer=True))
+
+    def _forget_changes(self, now_ms: float) -> None:
+        for scope, until_ms in tuple(self._changed_until_ms.items()):
+            if now_ms >= until_ms:
+                self._changed_until_ms.pop(scope)
+                self._contents.drop(scope)
+
+    def _plan_reads(self, now_ms: float) -> _Outputs:
+        summary = self._store.summary()
+        for scope in self._planner.plan(self._scopes, now_ms):
+            yield Read(scope, summary.get(scope), self._planner.watch_ms)
+
+
+_Handle = Callable[[Spreader, Any, float], _Outputs]
+_Respond = Callable[[Spreader, str, Any, float], _Outputs]
+_HANDLERS: Final[Mapping[type, _Handle]] = {
+    SpreadTick: Spreader._on_tick,
+    SetPeers: Spreader._on_set_peers,
+    Received: Spreader._on_received,
+    ReadAnswer: Spreader._on_read_answer,
+    ReadUnchanged: Spreader._on_read_unchanged,
+    ReadFailed: Spreader._on_read_failed,
+}
+_RESPONDERS: Final[Mapping[type[PeerMessage], _Respond]] = {
+    Notice: Spreader._respond_to_notice,
+    Summary: Spreader._respond_to_summary,
+    Pull: Spreader._respond_to_pull,
+    Body: Spreader._respond_to_body,
+}
--- a/hornbeampulley/membership/_store.py
+++ b/hornbeampulley/membership/_store.py
@@ -1,7 +1,7 @@
 """The change tickets in force; a number never goes back."""
 
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import xxhash
 
@@ -143,6 +143,7 @@
 
     def __init__(self) -> None:
         self._tickets: dict[str, Ticket] = {}
+        self._stamps: dict[str, Stamp] = {}
         self._applied_ms: dict[str, float] = {}
         self._conflicts: dict[str, Conflict] = {}
         self._serial = _hash_stamps(())
@@ -228,9 +229,7 @@
         dict
             Maps scopes to stamps.
         """
-        return {
-            scope: get_stamp(ticket) for scope, ticket in self._tickets.items()
-        }
+        return dict(self._stamps)
 
     def list_newer_than(
         self,
@@ -311,7 +310,8 @@
         self._tickets[ticket.scope] = ticket
         self._applied_ms[ticket.scope] = now_ms
         self._conflicts.pop(ticket.scope, None)
-        self._serial = _hash_stamps(tuple(self.summary().values()))
+        self._stamps[ticket.scope] = get_stamp(ticket)
+        self._serial = _hash_stamps(self._stamps.values())
         return Applied(ticket, source, held.number if held else 0)
 
 
@@ -331,7 +331,7 @@
     return Stamp(ticket.scope, ticket.number, ticket.digest)
 
 
-def _hash_stamps(stamps: tuple[Stamp, ...]) -> int:
+def _hash_stamps(stamps: Iterable[Stamp]) -> int:
     lines = sorted(
         f'{stamp.scope} {stamp.number} {stamp.digest}' for stamp in stamps
     )
