--- a/hornbeampulley/membership/__init__.py
+++ b/hornbeampulley/membership/__init__.py
@@ -44,6 +44,16 @@
     SpreadTick,
     Summary,
 )
+from hornbeampulley.membership._outcomes import (
+    Applied,
+    Conflict,
+    Outcome,
+    Rejected,
+    Same,
+    Stale,
+    Stamp,
+    get_stamp,
+)
 from hornbeampulley.membership._ownership import (
     Acquired,
     HandedOver,
@@ -74,15 +84,7 @@
     SpreadSettings,
 )
 from hornbeampulley.membership._store import (
-    Applied,
-    Conflict,
-    Outcome,
-    Rejected,
-    Same,
-    Stale,
-    Stamp,
     TicketStore,
-    get_stamp,
 )
 from hornbeampulley.membership._tickets import (
     MAX_TICKET_BYTES,
--- a/hornbeampulley/membership/_contents.py
+++ b/hornbeampulley/membership/_contents.py
@@ -69,5 +69,5 @@
     except zlib.error as error:
         raise WireError(f'a ticket from a peer is damaged: {error}') from error
     if not stream.eof and len(text) <= MAX_TICKET_BYTES:
-        raise WireError('a ticket from a peer is cut short; pull it again')
+        raise WireError('a ticket from a peer is cut short')
     return text
--- a/hornbeampulley/membership/_messages.py
+++ b/hornbeampulley/membership/_messages.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
+from hornbeampulley.membership._outcomes import Outcome, Stamp
 from hornbeampulley.membership._peers import Peer
-from hornbeampulley.membership._store import Outcome, Stamp
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeampulley/membership/_pulls.py
+++ b/hornbeampulley/membership/_pulls.py
@@ -1,15 +1,17 @@
 """Tickets that were asked for and have not come yet."""
 
 import dataclasses
+from collections import defaultdict
 from collections.abc import Iterable
 
-from hornbeampulley.membership._store import Stamp
+from hornbeampulley.membership._outcomes import Stamp
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class _Pending:
     number: int
     until_ms: float
+    holder: str
 
 
 class PullTable:
@@ -18,7 +20,7 @@
     Parameters
     ----------
     timeout_ms : float
-        Time after which another peer may be asked.
+        Time after which the peer that named the ticket last is asked.
     """
 
     def __init__(self, timeout_ms: float) -> None:
@@ -27,6 +29,7 @@
 
     def start(
         self,
+        peer: str,
         stamps: Iterable[Stamp],
         now_ms: float,
     ) -> tuple[str, ...]:
@@ -34,8 +37,10 @@
 
         Parameters
         ----------
+        peer : str
+            Name of the peer that has the tickets.
         stamps : iterable of Stamp
-            Tickets that a peer has and this process lacks.
+            Tickets that it has and this process lacks.
         now_ms : float
             The current time.
 
@@ -47,41 +52,62 @@
         selected: list[str] = []
         for stamp in stamps:
             pending = self._pending.get(stamp.scope)
-            if pending and now_ms < pending.until_ms:
-                if pending.number >= stamp.number:
-                    continue
+            if pending and pending.number >= stamp.number:
+                if pending.number == stamp.number:
+                    pending.holder = peer
+                continue
             until_ms = now_ms + self._timeout_ms
-            self._pending[stamp.scope] = _Pending(stamp.number, until_ms)
+            pending = _Pending(stamp.number, until_ms, peer)
+            self._pending[stamp.scope] = pending
             selected.append(stamp.scope)
         return tuple(selected)
 
-    def finish(self, scope: str, number: int) -> None:
-        """Note that a ticket is in force or was refused.
+    def retry(self, now_ms: float) -> dict[str, tuple[str, ...]]:
+        """Select what to ask for once more.
+
+        Parameters
+        ----------
+        now_ms : float
+            The current time.
+
+        Returns
+        -------
+        dict
+            Maps peers to the scopes that are to be pulled from them.
+        """
+        selected: dict[str, tuple[str, ...]] = defaultdict(tuple)
+        for scope, pending in self._pending.items():
+            if now_ms >= pending.until_ms:
+                pending.until_ms = now_ms + self._timeout_ms
+                selected[pending.holder] += (scope,)
+        return selected
+
+    def finish(self, scope: str) -> None:
+        """Note that a ticket has come; a newer one is named again.
 
         Parameters
         ----------
         scope : str
             The scope.
-        number : int
-            The ticket's number.
         """
-        pending = self._pending.get(scope)
-        if pending and pending.number <= number:
-            self._pending.pop(scope)
+        self._pending.pop(scope, None)
 
-    def is_waiting(self, now_ms: float) -> bool:
-        """Tell whether a ticket is still expected.
+    def keep_only(self, peers: Iterable[str]) -> None:
+        """Forget what only peers that are gone have named.
 
         Parameters
         ----------
-        now_ms : float
-            The current time.
-
-        Returns
-        -------
-        bool
-            False if all have come or timed out.
+        peers : iterable of str
+            Names of those that are known still.
         """
-        return any(
-            now_ms < pending.until_ms for pending in self._pending.values()
-        )
+        known = frozenset(peers)
+        self._pending = {
+            scope: pending
+            for scope, pending in self._pending.items()
+            if pending.holder in known
+        }
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a ticket is still expected."""
+        return bool(self._pending)
--- a/hornbeampulley/membership/_spread.py
+++ b/hornbeampulley/membership/_spread.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import Any, Final
 
-from hornbeampulley.errors import Fault, WireError
 from hornbeampulley.membership._assembly import list_scopes
 from hornbeampulley.membership._comparisons import ComparisonTable
 from hornbeampulley.membership._contents import ContentCache, unpack
@@ -28,19 +27,20 @@
     SpreadTick,
     Summary,
 )
-from hornbeampulley.membership._peers import Peer, PeerPicker, choose_readers
-from hornbeampulley.membership._pulls import PullTable
-from hornbeampulley.membership._reading import ReadPlanner
-from hornbeampulley.membership._spread_settings import SpreadSettings
-from hornbeampulley.membership._store import (
+from hornbeampulley.membership._outcomes import (
     Applied,
     Conflict,
     Outcome,
     Rejected,
     Same,
     Stamp,
-    TicketStore,
+    get_stamp,
 )
+from hornbeampulley.membership._peers import Peer, PeerPicker, choose_readers
+from hornbeampulley.membership._pulls import PullTable
+from hornbeampulley.membership._reading import ReadPlanner
+from hornbeampulley.membership._spread_settings import SpreadSettings
+from hornbeampulley.membership._store import TicketStore
 
 _SERVICE: Final = 'service'
 _Outputs = Iterator[SpreadOutput]
@@ -76,12 +76,9 @@
         self._settings = settings
         self._picker = PeerPicker(own, generator)
         self._freshness = Freshness()
-        self._planner = ReadPlanner(
-            settings.reading,
-            self._freshness,
-            generator,
-            now_ms,
-        )
+        reading = settings.reading
+        ages = self._freshness
+        self._planner = ReadPlanner(reading, ages, generator, now_ms)
         self._pulls = PullTable(settings.pull_ms)
         self._joining = Joining(settings.join, now_ms)
         self._contents = ContentCache()
@@ -89,7 +86,6 @@
         self._refused: dict[str, Stamp] = {}
         self._compared = ComparisonTable(settings.compare_ms)
         self._scopes = list_scopes(store.list_tickets())
-        self._conflicts: dict[str, tuple[int, str]] = {}
 
     @property
     def is_ready(self) -> bool:
@@ -131,15 +127,22 @@
         -------
         tuple of SpreadOutput
             Messages to send, reads to start and outcomes to report.
+
+        Raises
+        ------
+        WireError
+            If a peer sent a damaged ticket; it is pulled again later.
         """
         outputs = tuple(_HANDLERS[type(event)](self, event, now_ms))
-        return (*outputs, *self._report_conflicts())
+        conflicts = self._store.take_new_conflicts()
+        return (*outputs, *map(Report, conflicts))
 
     def _on_set_peers(self, event: SetPeers, now_ms: float) -> _Outputs:
         peers = {peer.name: peer for peer in event.peers}
         peers[self._own.name] = self._own
         self._picker.set_peers(peers.values())
         self._compared.keep_only(peers)
+        self._pulls.keep_only(peers)
         count = self._settings.readers_per_region
         readers = choose_readers(peers.values(), count)
         self._planner.set_share(
@@ -155,12 +158,14 @@
         self._joining.update(
             len(self._picker.peers),
             now_ms,
-            is_pulling=self._pulls.is_waiting(now_ms),
+            is_pulling=self._pulls.is_waiting,
         )
         for peer in self._picker.pick(self._settings.fan_out):
             yield Send(peer, self._make_notice(now_ms))
             if not self.is_ready:
                 yield Send(peer, self._make_summary(wants_answer=True))
+        for holder, scopes in self._pulls.retry(now_ms).items():
+            yield Send(holder, Pull(scopes))
         yield from self._plan_reads(now_ms)
 
     def _on_received(self, event: Received, now_ms: float) -> _Outputs:
@@ -169,7 +174,7 @@
 
     def _on_read_answer(self, event: ReadAnswer, now_ms: float) -> _Outputs:
         outcome = self._store.offer(event.text, _SERVICE, now_ms)
-        is_useful = isinstance(outcome, Applied | Same)
+        is_useful = _is_of_scope(outcome, event.scope)
         self._planner.finish(event.scope, now_ms, is_useful=is_useful)
         if isinstance(outcome, Same):
             self._freshness.confirm(outcome.scope, event.as_of_ms)
@@ -228,10 +233,9 @@
         for scope in message.scopes:
             ticket = self._store.find(scope)
             if ticket is not None:
-                stamp = Stamp(scope, ticket.number, ticket.digest)
                 age_ms = self.fresh_age_ms(scope, now_ms)
                 content = self._contents.pack(ticket)
-                yield Send(peer, Body(stamp, age_ms, content))
+                yield Send(peer, Body(get_stamp(ticket), age_ms, content))
 
     def _respond_to_body(
         self,
@@ -242,21 +246,13 @@
         stamp = message.stamp
         known = self._store.compare(stamp, peer)
         if known is None:
-            outcome = self._take(peer, message, now_ms)
+            text = unpack(message.content)
+            outcome = self._store.offer(text, peer, now_ms)
+            if isinstance(outcome, Rejected):
+                self._refused[stamp.scope] = stamp
             confirmed_ms = now_ms - message.age_ms - self._settings.transit_ms
             yield from self._settle(outcome, confirmed_ms, now_ms)
-        self._pulls.finish(stamp.scope, stamp.number)
-
-    def _take(self, peer: str, message: Body, now_ms: float) -> Outcome:
-        try:
-            text = unpack(message.content)
-        except WireError as error:
-            fault = Fault(f'ticket from {peer}', str(error), 'none needed')
-            return Rejected((fault,), peer)
-        outcome = self._store.offer(text, peer, now_ms)
-        if isinstance(outcome, Rejected):
-            self._refused[message.stamp.scope] = message.stamp
-        return outcome
+        self._pulls.finish(stamp.scope)
 
     def _settle(
         self,
@@ -271,7 +267,7 @@
         scope = outcome.ticket.scope
         self._scopes = list_scopes(self._store.list_tickets())
         self._freshness.replace(scope, confirmed_ms)
-        self._pulls.finish(scope, outcome.ticket.number)
+        self._pulls.finish(scope)
         self._changed_until_ms[scope] = now_ms + self._settings.changed_ms
         for peer in self._picker.pick(self._settings.fan_out):
             if peer != outcome.source:
@@ -285,21 +281,13 @@
             and self._refused.get(stamp.scope) != stamp
         ]
 
-    def _report_conflicts(self) -> _Outputs:
-        for conflict in self._store.list_conflicts():
-            known = self._conflicts.get(conflict.scope)
-            if known != (conflict.number, conflict.other_digest):
-                found = (conflict.number, conflict.other_digest)
-                self._conflicts[conflict.scope] = found
-                yield Report(conflict)
-
     def _pull(
         self,
         peer: str,
         newer: Iterable[Stamp],
         now_ms: float,
     ) -> _Outputs:
-        wanted = self._pulls.start(newer, now_ms)
+        wanted = self._pulls.start(peer, newer, now_ms)
         if wanted:
             yield Send(peer, Pull(wanted))
 
@@ -337,6 +325,12 @@
             yield Read(scope, summary.get(scope), self._planner.watch_ms)
 
 
+def _is_of_scope(outcome: Outcome, scope: str) -> bool:
+    if isinstance(outcome, Applied):
+        return outcome.ticket.scope == scope
+    return isinstance(outcome, Same) and outcome.scope == scope
+
+
 _Handle = Callable[[Spreader, Any, float], _Outputs]
 _Respond = Callable[[Spreader, str, Any, float], _Outputs]
 _HANDLERS: Final[Mapping[type, _Handle]] = {
--- a/hornbeampulley/membership/_spread_settings.py
+++ b/hornbeampulley/membership/_spread_settings.py
@@ -19,7 +19,7 @@
     changed_ms : float
         For how long notices name a ticket that was applied.
     pull_ms : float
-        Time after which a ticket is pulled from another peer.
+        Time after which a ticket that has not come is pulled again.
     compare_ms : float
         Time after which a summary is sent again to a peer whose serial still
         differs.
@@ -38,7 +38,7 @@
     tick_ms: float = 500
     fan_out: int = 3
     changed_ms: float = 3000
-    pull_ms: float = 1000
+    pull_ms: float = 500
     compare_ms: float = 4000
     transit_ms: float = 100
     readers_per_region: int = 2
--- a/hornbeampulley/membership/_store.py
+++ b/hornbeampulley/membership/_store.py
@@ -1,143 +1,23 @@
 """The change tickets in force; a number never goes back."""
 
-import dataclasses
 from collections.abc import Iterable, Mapping
 
 import xxhash
 
-from hornbeampulley.errors import Fault, FaultsError
+from hornbeampulley.errors import FaultsError
+from hornbeampulley.membership._outcomes import (
+    Applied,
+    Conflict,
+    Outcome,
+    Rejected,
+    Same,
+    Stale,
+    Stamp,
+    get_stamp,
+)
 from hornbeampulley.membership._tickets import Ticket, parse_document
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Stamp:
-    """Which ticket of a scope is meant.
-
-    Attributes
-    ----------
-    scope : str
-        The ticket's scope.
-    number : int
-        The ticket's number.
-    digest : str
-        Hash of the ticket's content.
-    """
-
-    scope: str
-    number: int
-    digest: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Applied:
-    """The ticket offered is in force now.
-
-    Attributes
-    ----------
-    ticket : Ticket
-        The ticket.
-    source : str
-        Who offered it.
-    previous_number : int
-        Number that was in force before; 0 if none.
-    """
-
-    ticket: Ticket
-    source: str
-    previous_number: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Stale:
-    """The ticket offered is older than the one in force.
-
-    Attributes
-    ----------
-    scope : str
-        The scope.
-    number : int
-        The number offered.
-    number_in_force : int
-        The number kept.
-    source : str
-        Who offered it.
-    """
-
-    scope: str
-    number: int
-    number_in_force: int
-    source: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Same:
-    """The ticket offered is in force already.
-
-    Attributes
-    ----------
-    scope : str
-        The scope.
-    number : int
-        The number.
-    """
-
-    scope: str
-    number: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Conflict:
-    """Two tickets carry one number; the one in force is kept.
-
-    Attributes
-    ----------
-    scope : str
-        The scope.
-    number : int
-        The number of both.
-    digest : str
-        Hash of the one in force.
-    other_digest : str
-        Hash of the one offered.
-    source : str
-        Who offered it.
-    """
-
-    scope: str
-    number: int
-    digest: str
-    other_digest: str
-    source: str
-
-    def __str__(self) -> str:
-        """Return the conflict with its remedy."""
-        return (
-            f'scope {self.scope}: two tickets carry number {self.number}; '
-            f'{self.digest} stays in force, {self.other_digest} from '
-            f'{self.source} does not; write the state wanted as a ticket '
-            f'numbered {self.number + 1} or higher'
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Rejected:
-    """The text offered has faults; what was in force stays.
-
-    Attributes
-    ----------
-    faults : tuple of Fault
-        Every fault found.
-    source : str
-        Who offered it.
-    """
-
-    faults: tuple[Fault, ...]
-    source: str
-
-
-Outcome = Applied | Stale | Same | Conflict | Rejected
-
-
 class TicketStore:
     """Holds the ticket in force of each scope."""
 
@@ -146,6 +26,7 @@
         self._stamps: dict[str, Stamp] = {}
         self._applied_ms: dict[str, float] = {}
         self._conflicts: dict[str, Conflict] = {}
+        self._new_conflicts: list[Conflict] = []
         self._serial = _hash_stamps(())
 
     def offer(self, text: bytes, source: str, now_ms: float) -> Outcome:
@@ -208,7 +89,7 @@
             stamp.digest,
             source,
         )
-        self._conflicts[stamp.scope] = conflict
+        self._note_conflict(conflict)
         return conflict
 
     def digest(self) -> int:
@@ -288,6 +169,18 @@
         """
         return tuple(self._conflicts.values())
 
+    def take_new_conflicts(self) -> tuple[Conflict, ...]:
+        """Return the conflicts that this method has not returned before.
+
+        Returns
+        -------
+        tuple of Conflict
+            One for each pair of contents, whoever offered it.
+        """
+        found = tuple(self._new_conflicts)
+        self._new_conflicts = []
+        return found
+
     def get_age_ms(self, scope: str, now_ms: float) -> float:
         """Return for how long a ticket has been in force here.
 
@@ -305,6 +198,13 @@
         """
         return now_ms - self._applied_ms.get(scope, float('-inf'))
 
+    def _note_conflict(self, conflict: Conflict) -> None:
+        known = self._conflicts.get(conflict.scope)
+        if known and known.other_digest == conflict.other_digest:
+            return
+        self._conflicts[conflict.scope] = conflict
+        self._new_conflicts.append(conflict)
+
     def _apply(self, ticket: Ticket, source: str, now_ms: float) -> Applied:
         held = self._tickets.get(ticket.scope)
         self._tickets[ticket.scope] = ticket
@@ -315,22 +215,6 @@
         return Applied(ticket, source, held.number if held else 0)
 
 
-def get_stamp(ticket: Ticket) -> Stamp:
-    """Return the stamp of a ticket.
-
-    Parameters
-    ----------
-    ticket : Ticket
-        The ticket.
-
-    Returns
-    -------
-    Stamp
-        Its scope, number and digest.
-    """
-    return Stamp(ticket.scope, ticket.number, ticket.digest)
-
-
 def _hash_stamps(stamps: Iterable[Stamp]) -> int:
     lines = sorted(
         f'{stamp.scope} {stamp.number} {stamp.digest}' for stamp in stamps
