Order targets to load models, fenced by the ticket's number

Cause: a scheduler that was frozen and wakes with an old ticket must not turn a target back, and some targets do not check who orders them. Ruled out: ordering unchecked targets by number alone; nothing but the age of the configuration protects them, so an order carries how long it may still wait to be sent, and none is given past the lease.

--- a/hornbeampulley/membership/__init__.py
+++ b/hornbeampulley/membership/__init__.py
@@ -44,6 +44,13 @@
     SpreadTick,
     Summary,
 )
+from hornbeampulley.membership._orders import (
+    LoadModel,
+    OrderPlanner,
+    OrderSettings,
+    TargetReport,
+    Withheld,
+)
 from hornbeampulley.membership._outcomes import (
     Applied,
     Conflict,
@@ -112,7 +119,10 @@
     'HostState',
     'JoinSettings',
     'LivenessSettings',
+    'LoadModel',
     'Notice',
+    'OrderPlanner',
+    'OrderSettings',
     'Outcome',
     'Ownership',
     'Peer',
@@ -140,10 +150,12 @@
     'Stamp',
     'StateChange',
     'Summary',
+    'TargetReport',
     'Ticket',
     'TicketStore',
     'TokenBucket',
     'Transfer',
+    'Withheld',
     'build_configuration',
     'check_references',
     'choose_readers',
