Spread tickets between agents with the spreader

Cause: every agent read the service by itself and told its host of every change with all tickets. Change: the spreader decides who reads and who is told; the agent's links, processes and tickets are modules of their own; a process is told only of what has changed.

--- a/hornbeampulley/membership/_directory.py
+++ b/hornbeampulley/membership/_directory.py
@@ -64,6 +64,8 @@
         Processes that run there now.
     ended : tuple of str
         Incarnations of processes that have ended there lately, for certain.
+    region : str
+        Group of availability zones; empty if there is one only.
     """
 
     host: str
@@ -73,6 +75,7 @@
     version: int = 0
     members: tuple[Member, ...] = ()
     ended: tuple[str, ...] = ()
+    region: str = ''
 
     @property
     def key(self) -> int:
--- a/hornbeampulley/programs/_fleet.py
+++ b/hornbeampulley/programs/_fleet.py
@@ -16,6 +16,7 @@
     HostRecord,
     Member,
     Role,
+    Ticket,
     build_configuration,
     parse_ticket,
     rank_owners,
@@ -75,6 +76,7 @@
         self._process = process
         self._clock = Clock(trio.current_time)
         self._fresh_ms = 0.0
+        self._tickets: dict[str, Ticket] = {}
         self._listed: frozenset[str] = frozenset()
 
     @property
@@ -90,10 +92,10 @@
         view : ttypes.View
             Fields left out have not changed.
         """
-        if view.tickets is not None:
-            self.configuration = build_configuration(
-                parse_ticket(ticket.text) for ticket in view.tickets
-            )
+        if view.tickets:
+            for ticket in view.tickets:
+                self._tickets[ticket.scope] = parse_ticket(ticket.text)
+            self.configuration = build_configuration(self._tickets.values())
         if view.hosts is not None:
             self.hosts = tuple(map(wire.read_record, view.hosts))
         if view.listed is not None:
@@ -286,7 +288,13 @@
         except OSError as error:
             log_event(_log, 'agent_unreachable', error=error)
         else:
-            link = wire.Link(stream, hello, make_heartbeat, process.hybrid)
+            link = wire.Link(
+                stream,
+                hello,
+                make_heartbeat,
+                process.hybrid,
+                wire.SLOW,
+            )
             await link.run(handle)
         await trio.sleep(to_seconds(RECONNECT_MS))
 
--- /dev/null
+++ b/hornbeampulley/programs/_peer_links.py
@@ -0,0 +1,125 @@
+"""An agent's links to the agents of other hosts, opened when needed."""
+
+import logging
+from collections.abc import Callable
+from typing import Any, Final
+
+import trio
+
+from hornbeampulley import wire
+from hornbeampulley.clock import Clock
+from hornbeampulley.logs import log_event
+from hornbeampulley.programs._process import Process
+
+IDLE_MS: Final = 10_000.0
+MAX_HELD: Final = 200
+_log = logging.getLogger(__name__)
+
+
+class PeerLinks:
+    """Links to other agents by address.
+
+    Parameters
+    ----------
+    process : Process
+        This run of the agent.
+    nursery : trio.Nursery
+        Runs the links.
+    handle : callable
+        Takes what peers send.
+    """
+
+    def __init__(
+        self,
+        process: Process,
+        nursery: trio.Nursery,
+        handle: Callable[[wire.Link, Any], None],
+    ) -> None:
+        self._process = process
+        self._nursery = nursery
+        self._handle = handle
+        self._clock = Clock(trio.current_time)
+        self._links: dict[str, wire.Link] = {}
+        self._held: dict[str, list[Any]] = {}
+        self._used_ms: dict[str, float] = {}
+
+    def add(self, link: wire.Link) -> None:
+        """Use a link that a peer has opened.
+
+        Parameters
+        ----------
+        link : Link
+            Its hello has come.
+        """
+        self._links.setdefault(link.peer.address, link)
+
+    def remove(self, link: wire.Link) -> None:
+        """Forget a link that has closed.
+
+        Parameters
+        ----------
+        link : Link
+            The link.
+        """
+        if link.peer is not None and self._links.get(link.peer.address) is link:
+            self._links.pop(link.peer.address)
+
+    def send(self, address: str, message: Any) -> None:
+        """Send a message, over a new link if there is none.
+
+        Parameters
+        ----------
+        address : str
+            Address of the peer's host.
+        message : thrift struct
+            Dropped if the peer cannot be reached.
+        """
+        self._used_ms[address] = self._clock.now()
+        link = self._links.get(address)
+        if link is not None:
+            link.send(message)
+            return
+        is_opening = address in self._held
+        held = self._held.setdefault(address, [])
+        if len(held) < MAX_HELD:
+            held.append(message)
+        if not is_opening:
+            self._nursery.start_soon(self._open, address)
+
+    def close_idle(self) -> None:
+        """Close the links that were not used for long."""
+        limit_ms = self._clock.now() - IDLE_MS
+        for address, link in tuple(self._links.items()):
+            if self._used_ms.get(address, 0) < limit_ms:
+                self._used_ms.pop(address, None)
+                if link.heard_ms < limit_ms or link.opened_ms < limit_ms:
+                    link.close()
+
+    async def _open(self, address: str) -> None:
+        settings = self._process.settings
+        try:
+            stream = await wire.open_stream(
+                address,
+                settings.ports.agent_peer,
+                settings.host.address,
+            )
+        except OSError as error:
+            self._held.pop(address, None)
+            log_event(
+                _log,
+                'peer_unreachable',
+                severity=logging.DEBUG,
+                error=error,
+            )
+            return
+        link = wire.Link(
+            stream,
+            self._process.make_hello(settings.ports.agent_peer),
+            hybrid=self._process.hybrid,
+            timing=wire.SLOW,
+        )
+        link.send(*self._held.pop(address, ()))
+        try:
+            await link.run(self._handle)
+        finally:
+            self.remove(link)
--- a/hornbeampulley/programs/_platform.py
+++ b/hornbeampulley/programs/_platform.py
@@ -1,7 +1,6 @@
 """Reads of the configuration service and of the host list."""
 
 import dataclasses
-import json
 from typing import Final
 from urllib.parse import quote
 
@@ -12,11 +11,10 @@
 from hornbeampulley.settings import Settings
 
 READ_TIMEOUT_MS: Final = 2000.0
-WATCH_MS: Final = 10_000
 TICKETS_PREFIX: Final = 'tickets/'
 _HTTP_OK: Final = 200
 _HTTP_NOT_MODIFIED: Final = 304
-_CONNECTIONS: Final = 4
+_CONNECTIONS: Final = 100
 
 
 class PlatformError(HornbeamError):
@@ -24,35 +22,19 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class KeyVersion:
-    """A key of the configuration service.
-
-    Attributes
-    ----------
-    key : str
-        The key.
-    version : int
-        Version of its value.
-    """
-
-    key: str
-    version: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeyList:
-    """All keys of change tickets.
+class TicketRead:
+    """A change ticket as the service holds it.
 
     Attributes
     ----------
     version : int
         To be watched for the next change.
-    keys : tuple of KeyVersion
-        In order of their names.
+    text : bytes
+        The ticket's text.
     """
 
     version: int
-    keys: tuple[KeyVersion, ...]
+    text: bytes
 
 
 class PlatformReader:
@@ -77,58 +59,42 @@
             local_address=settings.host.address,
         )
 
-    async def list_keys(self, watched: int | None = None) -> KeyList | None:
-        """List the keys of change tickets.
+    async def read_ticket(
+        self,
+        scope: str,
+        watched: int | None,
+        watch_ms: float,
+    ) -> TicketRead | None:
+        """Read the change ticket of a scope.
 
         Parameters
         ----------
-        watched : int, optional
+        scope : str
+            The scope.
+        watched : int or None
             Wait until there is a version above this one.
+        watch_ms : float
+            How long to wait.
 
         Returns
         -------
-        KeyList or None
+        TicketRead or None
             None if nothing changed while it waited.
 
         Raises
         ------
         PlatformError
-            If the service does not answer.
+            If the service does not answer or holds no such ticket.
         """
-        path = f'/keys?prefix={quote(TICKETS_PREFIX, safe="")}'
+        path = f'/config/{quote(TICKETS_PREFIX + scope)}'
         wait_ms = 0.0
         if watched is not None:
-            path = f'{path}&watch={watched}&timeout_ms={WATCH_MS}'
-            wait_ms = WATCH_MS
+            path = f'{path}?watch={watched}&timeout_ms={round(watch_ms)}'
+            wait_ms = watch_ms
         response = await self._read(path, wait_ms)
         if response.status == _HTTP_NOT_MODIFIED:
             return None
-        keys = tuple(
-            KeyVersion(item['key'], item['version'])
-            for item in json.loads(response.content)
-        )
-        return KeyList(_read_version(response), keys)
-
-    async def read_ticket(self, key: str) -> bytes:
-        """Read one change ticket.
-
-        Parameters
-        ----------
-        key : str
-            Its key.
-
-        Returns
-        -------
-        bytes
-            Its text.
-
-        Raises
-        ------
-        PlatformError
-            If the service does not answer.
-        """
-        response = await self._read(f'/config/{quote(key)}', 0)
-        return response.content
+        return TicketRead(_read_version(response), response.content)
 
     async def read_hosts(self) -> bytes:
         """Read the host list.
--- a/hornbeampulley/settings.py
+++ b/hornbeampulley/settings.py
@@ -41,11 +41,14 @@
         IP address that peers and callers connect to.
     availability_zone : str
         Where the host stands.
+    region : str
+        Group of availability zones; empty if there is one only.
     """
 
     name: str = dataclasses.field(metadata=_NAME)
     address: str = dataclasses.field(metadata=_ADDRESS)
     availability_zone: str = dataclasses.field(metadata=_NAME)
+    region: str = dataclasses.field(default='', metadata=_NAME)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeampulley/wire/__init__.py
+++ b/hornbeampulley/wire/__init__.py
@@ -19,6 +19,7 @@
 from hornbeampulley.wire._links import (
     HEARTBEAT_MS,
     SILENCE_MS,
+    SLOW,
     Link,
     open_stream,
     serve_links,
@@ -29,12 +30,19 @@
     write_news,
     write_record,
 )
+from hornbeampulley.wire._spread import (
+    read_peer_message,
+    read_ticket_stamp,
+    write_peer_message,
+    write_ticket_stamp,
+)
 
 __all__ = (
     'HASH_MASK',
     'HEARTBEAT_MS',
     'MAX_FRAME_BYTES',
     'SILENCE_MS',
+    'SLOW',
     'FrameDecoder',
     'Link',
     'decode_body',
@@ -43,13 +51,17 @@
     'read_action',
     'read_event',
     'read_news',
+    'read_peer_message',
     'read_record',
     'read_stamp',
+    'read_ticket_stamp',
     'serve_links',
     'write_action',
     'write_event',
     'write_news',
+    'write_peer_message',
     'write_record',
     'write_reserve',
     'write_stamp',
+    'write_ticket_stamp',
 )
--- a/hornbeampulley/wire/_links.py
+++ b/hornbeampulley/wire/_links.py
@@ -1,8 +1,9 @@
 """Links: long-lived connections between two processes of the system."""
 
+import dataclasses
 import functools
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any, Final
 
 import trio
@@ -23,6 +24,26 @@
 
 _log = logging.getLogger(__name__)
 
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkTiming:
+    """How often a link's ends speak, the same at both.
+
+    Attributes
+    ----------
+    heartbeat_ms : float
+        Time between heartbeats.
+    silence_ms : float
+        Silence after which a link is closed.
+    """
+
+    heartbeat_ms: float = HEARTBEAT_MS
+    silence_ms: float = SILENCE_MS
+
+
+FAST: Final = LinkTiming()
+SLOW: Final = LinkTiming(heartbeat_ms=1000, silence_ms=3500)
+
 MessageHandler = Callable[['Link', Any], None]
 HeartbeatMaker = Callable[['Link'], ttypes.Heartbeat]
 
@@ -40,6 +61,8 @@
         Called with the link; returns the next heartbeat to send.
     hybrid : HybridClock, optional
         Its timestamps travel with each frame.
+    timing : LinkTiming
+        How often its ends speak.
 
     Attributes
     ----------
@@ -57,12 +80,14 @@
         hello: ttypes.Hello,
         make_heartbeat: HeartbeatMaker | None = None,
         hybrid: HybridClock | None = None,
+        timing: LinkTiming = FAST,
     ) -> None:
         self.peer: ttypes.Hello | None = None
         self._stream = stream
         self._hello = hello
         self._make_heartbeat = make_heartbeat or _make_plain_heartbeat
         self._hybrid = hybrid
+        self._timing = timing
         self._clock = Clock(trio.current_time)
         self.opened_ms = self._clock.now()
         self.heard_ms = self._clock.now()
@@ -77,8 +102,8 @@
 
     @property
     def is_silent(self) -> bool:
-        """Whether the peer was not heard for `SILENCE_MS`."""
-        return self._clock.now() - self.heard_ms >= SILENCE_MS
+        """Whether the peer was not heard for too long."""
+        return self._clock.now() - self.heard_ms >= self._timing.silence_ms
 
     def send(self, *messages: Any) -> None:
         """Queue messages; never blocks.
@@ -162,7 +187,8 @@
         while self._queue:
             batch = self._queue[:_MAX_BATCH]
             del self._queue[:_MAX_BATCH]
-            await self._stream.send_all(encode_frame(batch, self._tick()))
+            for frame in _encode_batch(batch, self._tick()):
+                await self._stream.send_all(frame)
 
     def _tick(self) -> str:
         if self._hybrid is None:
@@ -173,11 +199,22 @@
         self._wakeup.set()
         while not self.is_silent:
             self.send(self._make_heartbeat(self))
-            await trio.sleep(to_seconds(HEARTBEAT_MS))
+            await trio.sleep(to_seconds(self._timing.heartbeat_ms))
         log_event(_log, 'link_silent')
         self.close()
 
 
+def _encode_batch(batch: list[Any], hlc: str) -> Iterator[bytes]:
+    try:
+        whole = encode_frame(batch, hlc)
+    except WireError:
+        # Together they are too long for one frame.
+        for message in batch:
+            yield encode_frame([message], hlc)
+    else:
+        yield whole
+
+
 def _make_plain_heartbeat(_link: Link) -> ttypes.Heartbeat:
     return ttypes.Heartbeat()
 
--- a/hornbeampulley/wire/_records.py
+++ b/hornbeampulley/wire/_records.py
@@ -32,6 +32,7 @@
         record.version,
         [_write_member(member) for member in record.members],
         list(record.ended),
+        record.region,
     )
 
 
@@ -62,6 +63,7 @@
             message.version,
             tuple(_read_member(member) for member in message.members),
             tuple(message.ended),
+            message.region or '',
         )
     except (TypeError, ValueError) as error:
         raise WireError(
--- /dev/null
+++ b/hornbeampulley/wire/_spread.py
@@ -0,0 +1,153 @@
+"""Between the spread of tickets and the peer protocol."""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+from hornbeampulley.errors import WireError
+from hornbeampulley.membership import (
+    Body,
+    Notice,
+    PeerMessage,
+    Pull,
+    Stamp,
+    Summary,
+)
+from hornbeampulley.registry import Registry
+from hornbeampulley.wire.generated.peer import ttypes
+
+_SERIAL_BITS: Final = 64
+_SIGN: Final = 1 << (_SERIAL_BITS - 1)
+
+_READERS: Final[Registry[Callable[[Any], PeerMessage]]] = Registry('message')
+
+
+def write_peer_message(message: PeerMessage) -> Any:
+    """Convert a message of the spread to send it.
+
+    Parameters
+    ----------
+    message : Notice, Summary, Pull or Body
+        From the spreader.
+
+    Returns
+    -------
+    thrift struct
+        To send.
+    """
+    match message:
+        case Notice():
+            return ttypes.TicketNotice(
+                message.serial - _SIGN,
+                list(message.ages_ms),
+                list(map(write_ticket_stamp, message.changed)),
+                message.is_answer,
+            )
+        case Summary():
+            return ttypes.TicketSummary(
+                list(map(write_ticket_stamp, message.stamps)),
+                message.wants_answer,
+                message.is_ready,
+            )
+        case Pull():
+            return ttypes.TicketPull(list(message.scopes))
+    return ttypes.TicketBody(
+        write_ticket_stamp(message.stamp),
+        message.age_ms,
+        message.content,
+    )
+
+
+def read_peer_message(message: Any) -> PeerMessage | None:
+    """Convert a message of the spread as received.
+
+    Parameters
+    ----------
+    message : thrift struct
+        Any message of the peer protocol.
+
+    Returns
+    -------
+    PeerMessage or None
+        None if it is not about tickets.
+
+    Raises
+    ------
+    WireError
+        If a field is missing or not one of the values allowed.
+    """
+    kind = type(message).__name__
+    readers = dict(_READERS)
+    if kind not in readers:
+        return None
+    try:
+        return readers[kind](message)
+    except TypeError as error:
+        raise WireError(
+            f'a peer sent a malformed {kind}; restart it with the version '
+            'that runs here',
+        ) from error
+
+
+def write_ticket_stamp(stamp: Stamp) -> ttypes.TicketStamp:
+    """Convert the stamp of a ticket to send it.
+
+    Parameters
+    ----------
+    stamp : Stamp
+        Of a ticket.
+
+    Returns
+    -------
+    ttypes.TicketStamp
+        To send.
+    """
+    return ttypes.TicketStamp(stamp.scope, stamp.number, stamp.digest)
+
+
+def read_ticket_stamp(message: ttypes.TicketStamp) -> Stamp:
+    """Convert the stamp of a ticket as received.
+
+    Parameters
+    ----------
+    message : ttypes.TicketStamp
+        As received.
+
+    Returns
+    -------
+    Stamp
+        Of a ticket.
+    """
+    return Stamp(message.scope, int(message.number), message.digest)
+
+
+@_READERS.register('TicketNotice')
+def _read_notice(message: ttypes.TicketNotice) -> Notice:
+    return Notice(
+        message.serial + _SIGN,
+        tuple(message.ages_ms),
+        tuple(map(read_ticket_stamp, message.changed)),
+        bool(message.is_answer),
+    )
+
+
+@_READERS.register('TicketSummary')
+def _read_summary(message: ttypes.TicketSummary) -> Summary:
+    return Summary(
+        tuple(map(read_ticket_stamp, message.stamps)),
+        bool(message.wants_answer),
+        bool(message.is_ready),
+    )
+
+
+@_READERS.register('TicketPull')
+def _read_pull(message: ttypes.TicketPull) -> Pull:
+    return Pull(tuple(message.scopes))
+
+
+@_READERS.register('TicketBody')
+def _read_body(message: ttypes.TicketBody) -> Body:
+    return Body(
+        read_ticket_stamp(message.stamp),
+        float(message.age_ms),
+        message.content,
+    )
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -127,12 +127,13 @@
   5: i64 version
   6: list<Member> members
   7: list<string> ended
+  8: string region
 }
 
-struct TicketSummary {
+struct TicketStamp {
   1: string scope
   2: i64 number
-  3: i64 digest
+  3: string digest
 }
 
 struct TicketText {
@@ -164,15 +165,25 @@
 }
 
 // Between agents, about tickets and the host list.
-struct TicketNews {
+struct TicketNotice {
   1: i64 serial
-  2: double fresh_age_ms
-  3: list<TicketSummary> summary
-  4: list<TicketText> tickets
-  5: list<string> wanted
-  6: binary host_list
-  7: i64 host_list_version
-  8: bool asks_summary
+  2: list<i64> ages_ms
+  3: list<TicketStamp> changed
+  4: bool is_answer
+}
+
+struct TicketSummary {
+  1: list<TicketStamp> stamps
+  2: bool wants_answer
+  3: bool is_ready
+}
+
+struct TicketPull { 1: list<string> scopes }
+
+struct TicketBody {
+  1: TicketStamp stamp
+  2: double age_ms
+  3: binary content
 }
 
 struct Query {
@@ -203,10 +214,12 @@
   14: DirectoryNews directory_news
   15: Query query
   16: Reply reply
-  17: TicketNews ticket_news
-  18: TicketText ticket_text
-  19: Leave leave
-  20: Handover handover
+  17: Leave leave
+  18: Handover handover
+  19: TicketNotice ticket_notice
+  20: TicketSummary ticket_summary
+  21: TicketPull ticket_pull
+  22: TicketBody ticket_body
 }
 
 struct Frame {
