Infer the cached tokens from the first delay when the engine is silent

Cause: a wrong cache prediction looked like congestion and cut the limits. Change: the delay to first token is compared after inferring what was cached.

--- a/hornbeampulley/decisions/_completion.py
+++ b/hornbeampulley/decisions/_completion.py
@@ -141,6 +141,11 @@
         if request.sampled or delay_ms <= 0:
             return
         request.sampled = True
+        if request.cached_tokens:
+            request.cached_tokens = self._state.cost.infer_cached(
+                request,
+                delay_ms,
+            )
         state = self._state.fleet.find(request.target)
         if state is not None:
             sample = delay_ms / (request.uncached_tokens + OVERHEAD_TOKENS)
@@ -179,11 +184,14 @@
     def _learn(self, request: Request, event: Release) -> None:
         """Learn from a completed request."""
         state = self._state
-        expected = request.cached_tokens
+        self._sample_first_token(request, event.first_token_ms)
         if event.cached_tokens >= 0:
             request.cached_tokens = event.cached_tokens
-            state.index.confirm(request.target, expected, event.cached_tokens)
-        self._sample_first_token(request, event.first_token_ms)
+        state.index.confirm(
+            request.target,
+            request.expected_cached,
+            request.cached_tokens,
+        )
         state.cost.learn(request, event)
         actual_ms = max(state.cost.price_actual(request, event), 1)
         state.queue.correct(request, actual_ms - request.price_ms)
--- a/hornbeampulley/decisions/_cost.py
+++ b/hornbeampulley/decisions/_cost.py
@@ -80,10 +80,25 @@
         prefilled = request.uncached_tokens if release.first_token_ms else 0
         return self._price_tokens(prefilled, release.output_tokens)
 
-    def price_first_token(self, request: Request) -> float:
-        """Return the expected delay of the first token on an average target."""
-        tokens = request.uncached_tokens + OVERHEAD_TOKENS
-        return tokens * self._pool.prefill_ms
+    def infer_cached(self, request: Request, first_token_ms: float) -> int:
+        """Infer the prompt tokens found in a cache from the first delay.
+
+        Parameters
+        ----------
+        request : Request
+            The request.
+        first_token_ms : float
+            Delay from dispatch to the first token.
+
+        Returns
+        -------
+        int
+            Tokens that the target, at its learnt rate, cannot have prefilled.
+        """
+        rates = self._targets.get(request.target, self._pool)
+        prefilled = first_token_ms / rates.prefill_ms - OVERHEAD_TOKENS
+        prompt_tokens = request.reserve.prompt_tokens
+        return int(min(max(prompt_tokens - prefilled, 0), prompt_tokens))
 
     def expect_ms(
         self,
--- a/hornbeampulley/decisions/_dispatch.py
+++ b/hornbeampulley/decisions/_dispatch.py
@@ -144,6 +144,7 @@
         cached_tokens: int,
     ) -> None:
         request.stage = Stage.RUNNING
+        request.expected_cached = cached_tokens
         request.cached_tokens = cached_tokens
         request.charged = False
         request.sampled = False
--- a/hornbeampulley/decisions/_requests.py
+++ b/hornbeampulley/decisions/_requests.py
@@ -36,8 +36,10 @@
         Where it runs.
     leased_ms : float
         When its lease was given.
+    expected_cached : int
+        Prompt tokens expected in the target's cache when it was leased.
     cached_tokens : int
-        Prompt tokens expected in the target's cache.
+        Prompt tokens found there, as far as known by now.
     output_tokens : int
         Tokens seen so far.
     resume : bool
@@ -58,6 +60,7 @@
     serial: int = 0
     target: str = ''
     leased_ms: float = 0
+    expected_cached: int = 0
     cached_tokens: int = 0
     output_tokens: int = 0
     resume: bool = False
