--- a/hornbeampulley/decisions/_completion.py
+++ b/hornbeampulley/decisions/_completion.py
@@ -48,7 +48,7 @@
             return
         if event.outcome is Outcome.CRASHED:
             self.crash(request.target, request)
-        self._state.fleet.finish(request, self._state.now_ms)
+        self._state.fleet.finish(request)
         self._state.note(request, 'release', event.outcome.value)
         if event.outcome is Outcome.NOT_SENT:
             self._retry(request)
@@ -63,7 +63,7 @@
             if request.is_waiting:
                 self._state.queue.remove(request)
             else:
-                self._state.fleet.finish(request, self._state.now_ms)
+                self._state.fleet.finish(request)
             self._state.ledger.end(request)
             self._state.note(request, 'drop', 'home lost')
 
@@ -124,7 +124,7 @@
         state.health.fail(self._state.now_ms)
         state.limit.restart()
         self._state.index.clear(state.name)
-        self._state.fleet.refresh(state, self._state.now_ms)
+        self._state.fleet.touch(state)
 
     def _stop_copies(self, prints: set[int]) -> None:
         """Stop copies that run elsewhere, since suspects run alone."""
@@ -152,7 +152,7 @@
             state.limit.observe(sample, self._state.now_ms)
             if not request.charged:
                 state.health.confirm()
-            self._state.fleet.refresh(state, self._state.now_ms)
+            self._state.fleet.touch(state)
 
     def _retry(self, request: Request) -> None:
         """Put a request back that was never sent."""
@@ -225,7 +225,7 @@
             is_healthy = target.health.is_healthy
             event = 'target_restored' if is_healthy else 'target_ejected'
             self._state.warn(event, target.name)
-        self._state.fleet.refresh(target, now_ms)
+        self._state.fleet.touch(target)
 
 
 def mark_running(state: State, request: Request, target: TargetState) -> None:
--- a/hornbeampulley/decisions/_core.py
+++ b/hornbeampulley/decisions/_core.py
@@ -103,6 +103,7 @@
         self._state.actions = []
         self._handlers[type(event)](event)
         if self._state.configuration is not None:
+            self._state.fleet.settle(self._state.now_ms)
             self._shedder.shed_late()
             self._dispatcher.dispatch()
             self._preemptor.preempt()
@@ -181,7 +182,7 @@
             reported_ms = self._state.now_ms - event.age_ms
             target.report(event.running + event.queued, reported_ms)
             target.health.hear(reported_ms)
-            self._state.fleet.refresh(target, self._state.now_ms)
+            self._state.fleet.touch(target)
 
     def _configure(self, event: Configure) -> None:
         state = self._state
@@ -217,7 +218,7 @@
         self._completion.check_overdue()
         for target in self._state.fleet:
             if not target.health.is_healthy:
-                self._state.fleet.refresh(target, self._state.now_ms)
+                self._state.fleet.touch(target)
 
 
 @policies.register(POLICY_NAME)
--- a/hornbeampulley/decisions/_dispatch.py
+++ b/hornbeampulley/decisions/_dispatch.py
@@ -108,7 +108,7 @@
         for name in self._state.index.list_holders(match):
             state = fleet.find(name)
             if state is not None and state not in candidates:
-                if fleet.can_take(state, request.rank, self._state.now_ms):
+                if request.rank in state.open_ranks:
                     candidates.append(state)
         return candidates
 
--- a/hornbeampulley/decisions/_fleet.py
+++ b/hornbeampulley/decisions/_fleet.py
@@ -40,6 +40,7 @@
         self._headroom: dict[int, float] = {0: 0.0}
         self._heaps: dict[int, list[tuple[float, int, str]]] = {0: []}
         self._leaving: frozenset[str] = frozenset()
+        self._touched: dict[str, None] = {}
         self._recent_sum = 0.0
 
     def __iter__(self) -> Iterator[TargetState]:
@@ -106,21 +107,33 @@
         self.capacity += state.slots - state.counted_slots
         state.counted_slots = state.slots
         key = self._cost.rate(state.name) * (1 + state.estimate_load(now_ms))
-        for rank, heap in self._heaps.items():
-            if self._has_room(state, rank, now_ms):
-                heapq.heappush(heap, (key, state.version, state.name))
-                self._compact(heap)
+        state.open_ranks = state.find_open_ranks(self._headroom, now_ms)
+        for rank in state.open_ranks:
+            heap = self._heaps[rank]
+            heapq.heappush(heap, (key, state.version, state.name))
+            self._compact(heap)
+
+    def touch(self, state: TargetState) -> None:
+        """Note that a target has changed."""
+        self._touched[state.name] = None
+
+    def settle(self, now_ms: float) -> None:
+        """Refresh the targets that have changed."""
+        for name in self._touched:
+            if name in self._states:
+                self.refresh(self._states[name], now_ms)
+        self._touched.clear()
 
     def has_room(self, rank: int) -> bool:
         """Tell whether any target has room for a rank."""
-        heap = self._heaps[self._clip(rank)]
+        heap = self._heaps[rank]
         while heap and not self._is_valid(heap[0]):
             heapq.heappop(heap)
         return bool(heap)
 
     def list_candidates(self, rank: int) -> list[TargetState]:
         """List a few targets with room, the least loaded first."""
-        heap = self._heaps[self._clip(rank)]
+        heap = self._heaps[rank]
         entries: list[tuple[float, int, str]] = []
         while heap and len(entries) < CANDIDATES:
             entry = heapq.heappop(heap)
@@ -130,10 +143,6 @@
             heapq.heappush(heap, valid)
         return [self._states[name] for _, _, name in entries]
 
-    def can_take(self, state: TargetState, rank: int, now_ms: float) -> bool:
-        """Tell whether a target has room for a rank."""
-        return self._has_room(state, self._clip(rank), now_ms)
-
     def start(
         self,
         state: TargetState,
@@ -148,14 +157,14 @@
             state.health.start_probe(now_ms)
         self.refresh(state, now_ms)
 
-    def finish(self, request: Request, now_ms: float) -> None:
+    def finish(self, request: Request) -> None:
         """Count a request as no longer running."""
         if request.stopping:
             request.stopping = False
             self.stopping -= 1
         state = self._states[request.target]
         state.remove(request)
-        self.refresh(state, now_ms)
+        self.touch(state)
 
     def stop(self, request: Request) -> None:
         """Note that a preemption is under way."""
@@ -223,20 +232,13 @@
         for tier in tiers:
             self._headroom.setdefault(tier.rank, kept)
             kept += tier.headroom
-        lowest = max(self._headroom, default=-1)
-        self._headroom[lowest + 1] = kept
+        self._headroom = self._headroom or {0: 0.0}
         self.top = min(self._headroom)
         self._heaps = {rank: [] for rank in self._headroom}
 
     def _is_leaving(self, name: str, known: dict[str, Target]) -> bool:
         return name in self._leaving or name not in known
 
-    def _has_room(self, state: TargetState, rank: int, now_ms: float) -> bool:
-        return state.has_room(rank, self._headroom[rank], self.top, now_ms)
-
-    def _clip(self, rank: int) -> int:
-        return rank if rank in self._heaps else max(self._heaps)
-
     def _is_valid(self, entry: tuple[float, int, str]) -> bool:
         state = self._states.get(entry[2])
         return state is not None and state.version == entry[1]
--- a/hornbeampulley/decisions/_placement.py
+++ b/hornbeampulley/decisions/_placement.py
@@ -10,7 +10,7 @@
 GAP_TRUST: Final = 0.8
 TRUST_WEIGHT: Final = 0.1
 MIN_TRUST: Final = 0.2
-MAX_HOLDERS: Final = 8
+MAX_HOLDERS: Final = 4
 
 
 class _Cache:
--- a/hornbeampulley/decisions/_queue.py
+++ b/hornbeampulley/decisions/_queue.py
@@ -31,11 +31,6 @@
         """Return the price of the waiting requests without a deadline."""
         return sum(tier.work_ms for tier in self._tiers.values())
 
-    @property
-    def ranks(self) -> list[int]:
-        """Return the ranks in use, the most urgent first."""
-        return sorted(self._tiers)
-
     def configure(
         self,
         tiers: Mapping[str, Tier],
@@ -56,9 +51,9 @@
             self.push(request)
 
     def find_rank(self, tier: str) -> int:
-        """Return the rank of a tier; an unknown one comes last."""
+        """Return the rank of a tier; an unknown one counts as the lowest."""
         lowest = max(self._ranks.values(), default=0)
-        return self._ranks.get(tier, lowest + 1)
+        return self._ranks.get(tier, lowest)
 
     def push(self, request: Request) -> None:
         """Add a request."""
@@ -82,8 +77,8 @@
 
     def find_aside(self) -> Request | None:
         """Return the most urgent request that must run alone."""
-        for rank in self.ranks:
-            aside = self._tiers[rank].aside
+        for tier in self._tiers.values():
+            aside = tier.aside
             if aside:
                 return next(iter(aside.values()))
         return None
@@ -110,7 +105,7 @@
         int or None
             The rank; none if there is no room for the most urgent request.
         """
-        ready = [rank for rank in self.ranks if self._tiers[rank].ready]
+        ready = [rank for rank, tier in self._tiers.items() if tier.ready]
         for rank in ready:
             if self._credits.get(rank, 0) >= 1 and has_room(rank):
                 return rank
@@ -163,11 +158,12 @@
     def _open(self, rank: int) -> TierQueue:
         if rank not in self._tiers:
             self._tiers[rank] = TierQueue()
+            self._tiers = dict(sorted(self._tiers.items()))
         return self._tiers[rank]
 
     def _drain(self) -> Iterator[Request]:
-        for rank in self.ranks:
-            while self._tiers[rank].count:
-                yield self._tiers[rank].pop_worst()
+        for tier in self._tiers.values():
+            while tier.count:
+                yield tier.pop_worst()
         self._tiers.clear()
         self._credits.clear()
--- a/hornbeampulley/decisions/_targets.py
+++ b/hornbeampulley/decisions/_targets.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+from collections.abc import Iterator, Mapping
 
 from hornbeampulley.configuration import Target
 from hornbeampulley.decisions._health import Condition, Health
@@ -32,6 +33,8 @@
         Whether it must get no lease.
     is_reserved : bool
         Whether it is kept for a request that must run alone.
+    open_ranks : tuple of int
+        Ranks it had room for when it was last placed among the candidates.
     version : int
         Number of its valid entry among the candidates.
     counted_slots : int
@@ -45,6 +48,7 @@
     by_rank: dict[int, int] = dataclasses.field(default_factory=dict)
     is_leaving: bool = False
     is_reserved: bool = False
+    open_ranks: tuple[int, ...] = ()
     version: int = 0
     counted_slots: int = 0
     _foreign: float = 0
@@ -62,40 +66,30 @@
             return 0
         return self.limit.slots
 
-    def has_room(
+    def find_open_ranks(
         self,
-        rank: int,
-        headroom: float,
-        top: int,
+        headroom: Mapping[int, float],
         now_ms: float,
-    ) -> bool:
-        """Tell whether a request of a rank may be leased.
+    ) -> tuple[int, ...]:
+        """Find the ranks of which one more request may be leased.
 
         Parameters
         ----------
-        rank : int
-            Rank of its tier.
-        headroom : float
-            Share of the limit kept free of this rank.
-        top : int
-            The most urgent rank.
+        headroom : mapping
+            Share of the limit kept free of each rank, the most urgent first.
         now_ms : float
             The current time.
 
         Returns
         -------
-        bool
-            True if it may.
+        tuple of int
+            The ranks, the most urgent first.
         """
         if self.is_leaving or self.is_reserved:
-            return False
+            return ()
         if not self.health.is_healthy:
-            return self._has_probe(rank == top, now_ms)
-        slots = self.limit.slots
-        if len(self.running) >= slots:
-            return False
-        kept = min(math.ceil(headroom * slots), slots - 1)
-        return self._count_from(rank) < slots - kept
+            return self._find_probe_ranks(tuple(headroom), now_ms)
+        return tuple(self._iterate_open(headroom))
 
     def add(self, request: Request) -> None:
         """Add a request that was leased to it."""
@@ -120,13 +114,26 @@
         used = len(self.running) + trust * self._foreign
         return used / self.limit.slots
 
-    def _count_from(self, rank: int) -> int:
-        return sum(
-            count for other, count in self.by_rank.items() if other >= rank
-        )
-
-    def _has_probe(self, is_top: bool, now_ms: float) -> bool:
+    def _iterate_open(self, headroom: Mapping[int, float]) -> Iterator[int]:
+        slots = self.limit.slots
+        used = len(self.running)
+        for rank, share in headroom.items():
+            kept = min(math.ceil(share * slots), slots - 1)
+            if used >= slots - kept or len(self.running) >= slots:
+                return
+            yield rank
+            used -= self.by_rank.get(rank, 0)
+
+    def _find_probe_ranks(
+        self,
+        ranks: tuple[int, ...],
+        now_ms: float,
+    ) -> tuple[int, ...]:
+        """Keep probes off the top tier, unless it alone has work for long."""
         if self.health.condition is Condition.DOWN and self.running:
-            return False
-        delay_ms = TOP_PROBE_DELAY_MS if is_top else 0
-        return self.health.is_probe_due(now_ms - delay_ms)
+            return ()
+        if self.health.is_probe_due(now_ms - TOP_PROBE_DELAY_MS):
+            return ranks
+        if self.health.is_probe_due(now_ms):
+            return ranks[1:] or ranks
+        return ()
