Count the prefill that a target has pending

Cause: engines prefill one prompt after another, so the delay of a first token was taken for congestion and cut the limits; short work stood behind prefills. Change: a horizon of pending prefill per target enters placement, the limit's signal and the learnt rate, and closes the target to lower tiers while long; a request that runs out of time sheds one of a lower tier first.

--- a/hornbeampulley/decisions/_completion.py
+++ b/hornbeampulley/decisions/_completion.py
@@ -2,7 +2,6 @@
 
 from typing import Final
 
-from hornbeampulley.decisions._cost import OVERHEAD_TOKENS
 from hornbeampulley.decisions._messages import (
     Outcome,
     Progress,
@@ -138,7 +137,7 @@
                 self._preemptor.stop(request)
 
     def _sample_first_token(self, request: Request, delay_ms: float) -> None:
-        if request.sampled or delay_ms <= 0:
+        if request.sampled or request.resume or delay_ms <= 0:
             return
         request.sampled = True
         if request.cached_tokens:
@@ -148,8 +147,8 @@
             )
         state = self._state.fleet.find(request.target)
         if state is not None:
-            sample = delay_ms / (request.uncached_tokens + OVERHEAD_TOKENS)
-            state.limit.observe(sample, self._state.now_ms)
+            expected_ms = self._state.cost.expect_first_token(request)
+            state.limit.observe(delay_ms / expected_ms, self._state.now_ms)
             if not request.charged:
                 state.health.confirm()
             self._state.fleet.touch(state)
--- a/hornbeampulley/decisions/_cost.py
+++ b/hornbeampulley/decisions/_cost.py
@@ -6,11 +6,13 @@
 from hornbeampulley.decisions._messages import Release, Reserve
 from hornbeampulley.decisions._requests import Request
 
-DEFAULT_PREFILL_MS: Final = 0.2
+DEFAULT_PREFILL_MS: Final = 0.05
 DEFAULT_STEP_MS: Final = 20.0
 DEFAULT_CALL_MS: Final = 50.0
 DEFAULT_OUTPUT_TOKENS: Final = 200
-OVERHEAD_TOKENS: Final = 32
+PREFILL_WEIGHT: Final = 8.0
+FULL_WEIGHT_TOKENS: Final = 512
+MAX_SPEED_UP: Final = 0.2
 OUTPUT_QUANTILE: Final = 0.6
 QUANTILE_STEP: Final = 0.05
 RATE_WEIGHT: Final = 0.1
@@ -80,6 +82,16 @@
         prefilled = request.uncached_tokens if release.first_token_ms else 0
         return self._price_tokens(prefilled, release.output_tokens)
 
+    def prefill_ms(self, target: str) -> float:
+        """Return the time in which a target prefills one prompt token."""
+        return self._find_rates(target).prefill_ms
+
+    def expect_first_token(self, request: Request) -> float:
+        """Return the expected delay of a running request's first token."""
+        rates = self._find_rates(request.target)
+        prefill_ms = request.uncached_tokens * rates.prefill_ms
+        return request.ahead_ms + prefill_ms + rates.step_ms
+
     def infer_cached(self, request: Request, first_token_ms: float) -> int:
         """Infer the prompt tokens found in a cache from the first delay.
 
@@ -95,10 +107,11 @@
         int
             Tokens that the target, at its learnt rate, cannot have prefilled.
         """
-        rates = self._targets.get(request.target, self._pool)
-        prefilled = first_token_ms / rates.prefill_ms - OVERHEAD_TOKENS
+        rates = self._find_rates(request.target)
+        busy_ms = first_token_ms - request.ahead_ms - rates.step_ms
         prompt_tokens = request.reserve.prompt_tokens
-        return int(min(max(prompt_tokens - prefilled, 0), prompt_tokens))
+        cached_tokens = prompt_tokens - busy_ms / rates.prefill_ms
+        return int(min(max(cached_tokens, 0), prompt_tokens))
 
     def expect_ms(
         self,
@@ -106,6 +119,7 @@
         reserve: Reserve,
         cached_tokens: float,
         load: float,
+        prefill_weight: float = 1,
     ) -> float:
         """Return the expected time to complete a request on a target.
 
@@ -119,23 +133,25 @@
             Prompt tokens expected in the target's cache.
         load : float
             Share of the target's limit in use.
+        prefill_weight : float
+            Weight of prefill, which holds up the other requests there too.
 
         Returns
         -------
         float
             Milliseconds from dispatch to the last token.
         """
-        rates = self._targets.get(target, self._pool)
+        rates = self._find_rates(target)
         crowding = 1 + CROWDING * load
         if not reserve.prompt_tokens:
             return self._call_ms(reserve.service) * rates.pace * crowding
-        prefill = reserve.prompt_tokens - cached_tokens + OVERHEAD_TOKENS
+        prefill = (reserve.prompt_tokens - cached_tokens) * rates.prefill_ms
         steps = self.expect_output(reserve) * rates.step_ms
-        return (prefill * rates.prefill_ms + steps) * crowding
+        return prefill * prefill_weight + steps * crowding
 
     def rate(self, target: str) -> float:
         """Return a target's slowness; 1 is the pool's average."""
-        rates = self._targets.get(target, self._pool)
+        rates = self._find_rates(target)
         prefill = rates.prefill_ms / self._pool.prefill_ms
         return rates.pace * (prefill + rates.step_ms / self._pool.step_ms) / 2
 
@@ -161,16 +177,8 @@
         request: Request,
         release: Release,
     ) -> None:
-        if release.first_token_ms > 0:
-            tokens = request.uncached_tokens + OVERHEAD_TOKENS
-            sample = release.first_token_ms / tokens
-            pool_weight = self._weigh_pool()
-            self._pool.prefill_ms = smooth(
-                self._pool.prefill_ms,
-                sample,
-                pool_weight,
-            )
-            rates.prefill_ms = smooth(rates.prefill_ms, sample, RATE_WEIGHT)
+        if release.first_token_ms > 0 and not request.resume:
+            self._learn_prefill(rates, request, release.first_token_ms)
         streaming_ms = release.duration_ms - release.first_token_ms
         if release.output_tokens > 1 and streaming_ms > 0:
             sample = streaming_ms / (release.output_tokens - 1)
@@ -183,6 +191,30 @@
             rates.step_ms = smooth(rates.step_ms, sample, RATE_WEIGHT)
         self._learn_length(request.reserve.service, release.output_tokens)
 
+    def _learn_prefill(
+        self,
+        rates: Rates,
+        request: Request,
+        first_token_ms: float,
+    ) -> None:
+        tokens = request.uncached_tokens
+        if not tokens:
+            return
+        busy_ms = first_token_ms - request.ahead_ms - rates.step_ms
+        sample = max(busy_ms / tokens, rates.prefill_ms * MAX_SPEED_UP)
+        # The delay of a short prompt says little about the rate.
+        trust = min(tokens / FULL_WEIGHT_TOKENS, 1)
+        rates.prefill_ms = smooth(
+            rates.prefill_ms,
+            sample,
+            RATE_WEIGHT * trust,
+        )
+        self._pool.prefill_ms = smooth(
+            self._pool.prefill_ms,
+            sample,
+            self._weigh_pool() * trust,
+        )
+
     def _learn_call(
         self,
         rates: Rates,
@@ -212,9 +244,12 @@
     def _weigh_pool(self) -> float:
         return max(POOL_WEIGHT, 1 / self._samples)
 
+    def _find_rates(self, target: str) -> Rates:
+        return self._targets.get(target, self._pool)
+
     def _call_ms(self, service: str) -> float:
         return self._calls.get(service, DEFAULT_CALL_MS)
 
     def _price_tokens(self, prefilled: float, produced: float) -> float:
-        prefill_ms = (prefilled + OVERHEAD_TOKENS) * self._pool.prefill_ms
-        return prefill_ms + produced * self._pool.step_ms
+        prefill_ms = prefilled * self._pool.prefill_ms
+        return prefill_ms + max(produced, 1) * self._pool.step_ms
--- a/hornbeampulley/decisions/_dispatch.py
+++ b/hornbeampulley/decisions/_dispatch.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from hornbeampulley.decisions._cost import PREFILL_WEIGHT
 from hornbeampulley.decisions._messages import Lease, Reason
 from hornbeampulley.decisions._placement import Match
 from hornbeampulley.decisions._requests import Request, Stage
@@ -118,12 +119,15 @@
         state: TargetState,
         match: Match,
     ) -> float:
-        return self._state.cost.expect_ms(
+        now_ms = self._state.now_ms
+        expected_ms = self._state.cost.expect_ms(
             state.name,
             request.reserve,
             self._count_cached(request, state, match),
-            state.estimate_load(self._state.now_ms),
+            state.estimate_load(now_ms),
+            PREFILL_WEIGHT,
         )
+        return expected_ms + max(state.prefilled_ms - now_ms, 0)
 
     def _count_cached(
         self,
--- a/hornbeampulley/decisions/_fleet.py
+++ b/hornbeampulley/decisions/_fleet.py
@@ -11,7 +11,8 @@
 from hornbeampulley.decisions._requests import Request
 from hornbeampulley.decisions._targets import TargetState
 
-CANDIDATES: Final = 4
+CANDIDATES: Final = 8
+PENDING_WEIGHT: Final = 0.002
 MAX_EJECTED_SHARE: Final = 0.5
 STALE_ENTRIES: Final = 64
 
@@ -41,6 +42,7 @@
         self._heaps: dict[int, list[tuple[float, int, str]]] = {0: []}
         self._leaving: frozenset[str] = frozenset()
         self._touched: dict[str, None] = {}
+        self._gates: list[tuple[float, str]] = []
         self._recent_sum = 0.0
 
     def __iter__(self) -> Iterator[TargetState]:
@@ -106,7 +108,11 @@
         state.version += 1
         self.capacity += state.slots - state.counted_slots
         state.counted_slots = state.slots
+        pending_ms = max(state.prefilled_ms - now_ms, 0)
         key = self._cost.rate(state.name) * (1 + state.estimate_load(now_ms))
+        key += PENDING_WEIGHT * pending_ms
+        if now_ms < state.gate_ms:
+            heapq.heappush(self._gates, (state.gate_ms, state.name))
         state.open_ranks = state.find_open_ranks(self._headroom, now_ms)
         for rank in state.open_ranks:
             heap = self._heaps[rank]
@@ -119,6 +125,8 @@
 
     def settle(self, now_ms: float) -> None:
         """Refresh the targets that have changed."""
+        while self._gates and self._gates[0][0] <= now_ms:
+            self._touched[heapq.heappop(self._gates)[1]] = None
         for name in self._touched:
             if name in self._states:
                 self.refresh(self._states[name], now_ms)
@@ -151,6 +159,10 @@
     ) -> None:
         """Count a request as running on a target."""
         state.add(request)
+        request.ahead_ms = state.add_prefill(
+            request.uncached_tokens * self._cost.prefill_ms(state.name),
+            now_ms,
+        )
         request.target = state.name
         request.leased_ms = now_ms
         if not state.health.is_healthy:
--- a/hornbeampulley/decisions/_limits.py
+++ b/hornbeampulley/decisions/_limits.py
@@ -56,7 +56,7 @@
         Parameters
         ----------
         sample : float
-            Delay to the first token per prompt token that was prefilled.
+            Delay of the first token relative to the expected one.
         now_ms : float
             The current time.
         """
--- a/hornbeampulley/decisions/_queue.py
+++ b/hornbeampulley/decisions/_queue.py
@@ -92,6 +92,13 @@
         waiting = [rank for rank in self._tiers if self._tiers[rank].count]
         return max(waiting, default=-1)
 
+    def is_lower_waiting(self) -> bool:
+        """Tell whether a tier waits below one that has late requests."""
+        lowest = self.lowest_rank()
+        return any(
+            rank < lowest and tier.late for rank, tier in self._tiers.items()
+        )
+
     def choose_rank(self, has_room: Callable[[int], bool]) -> int | None:
         """Choose the rank to be served next.
 
@@ -140,10 +147,25 @@
             if waiting <= rank
         )
 
-    def mark_late(self, now_ms: float) -> None:
-        """Move requests that cannot meet their deadline behind the others."""
-        for tier in self._tiers.values():
-            tier.mark_late(now_ms)
+    def mark_late(self, now_ms: float) -> int:
+        """Move requests that cannot meet their deadline behind the others.
+
+        Parameters
+        ----------
+        now_ms : float
+            The current time.
+
+        Returns
+        -------
+        int
+            How many were moved above the lowest tier that waits.
+        """
+        lowest = self.lowest_rank()
+        moved = 0
+        for rank, tier in self._tiers.items():
+            late = tier.mark_late(now_ms)
+            moved += late if rank < lowest else 0
+        return moved
 
     def list_late(self) -> list[Request]:
         """List the late requests of the lowest tier that waits."""
--- a/hornbeampulley/decisions/_requests.py
+++ b/hornbeampulley/decisions/_requests.py
@@ -36,6 +36,8 @@
         Where it runs.
     leased_ms : float
         When its lease was given.
+    ahead_ms : float
+        Prefill that its target had pending when it was leased.
     expected_cached : int
         Prompt tokens expected in the target's cache when it was leased.
     cached_tokens : int
@@ -60,6 +62,7 @@
     serial: int = 0
     target: str = ''
     leased_ms: float = 0
+    ahead_ms: float = 0
     expected_cached: int = 0
     cached_tokens: int = 0
     output_tokens: int = 0
--- a/hornbeampulley/decisions/_shedding.py
+++ b/hornbeampulley/decisions/_shedding.py
@@ -31,7 +31,10 @@
     def shed_late(self) -> None:
         """Refuse what cannot meet its deadline, in the lowest tier only."""
         queue = self._state.queue
-        queue.mark_late(self._state.now_ms)
+        for _ in range(queue.mark_late(self._state.now_ms)):
+            # Time has run out for a request, and a lower tier goes first.
+            if queue.is_lower_waiting():
+                self._refuse_worst(Reason.SHED)
         for request in queue.list_late():
             queue.remove(request)
             self._state.refuse(request, Reason.DEADLINE)
--- a/hornbeampulley/decisions/_targets.py
+++ b/hornbeampulley/decisions/_targets.py
@@ -10,6 +10,7 @@
 from hornbeampulley.decisions._requests import Request
 
 REPORT_LIFE_MS = 3000.0
+MAX_PREFILL_MS = 60.0
 TOP_PROBE_DELAY_MS = 30000.0
 
 
@@ -33,6 +34,8 @@
         Whether it must get no lease.
     is_reserved : bool
         Whether it is kept for a request that must run alone.
+    prefilled_ms : float
+        Moment at which the prefill of its requests is expected to be done.
     open_ranks : tuple of int
         Ranks it had room for when it was last placed among the candidates.
     version : int
@@ -48,6 +51,7 @@
     by_rank: dict[int, int] = dataclasses.field(default_factory=dict)
     is_leaving: bool = False
     is_reserved: bool = False
+    prefilled_ms: float = 0
     open_ranks: tuple[int, ...] = ()
     version: int = 0
     counted_slots: int = 0
@@ -59,6 +63,15 @@
         """Return the target's name."""
         return self.target.name
 
+    @property
+    def gate_ms(self) -> float:
+        """Return when it may get prompts below the top tier again.
+
+        Engines prefill in order of arrival, so a long backlog there would
+        delay the first token of urgent requests.
+        """
+        return self.prefilled_ms - MAX_PREFILL_MS
+
     @property
     def slots(self) -> int:
         """Return how many requests may run; 0 while it gets no work."""
@@ -89,7 +102,10 @@
             return ()
         if not self.health.is_healthy:
             return self._find_probe_ranks(tuple(headroom), now_ms)
-        return tuple(self._iterate_open(headroom))
+        open_ranks = tuple(self._iterate_open(headroom))
+        if now_ms < self.gate_ms:
+            return open_ranks[:1]
+        return open_ranks
 
     def add(self, request: Request) -> None:
         """Add a request that was leased to it."""
@@ -102,6 +118,12 @@
         self.running.pop(request.request_id)
         self.by_rank[request.rank] -= 1
 
+    def add_prefill(self, prefill_ms: float, now_ms: float) -> float:
+        """Add prefill work and return what was pending before."""
+        ahead_ms = max(self.prefilled_ms - now_ms, 0)
+        self.prefilled_ms = now_ms + ahead_ms + prefill_ms
+        return ahead_ms
+
     def report(self, requests: int, reported_ms: float) -> None:
         """Take the target's own report of its load."""
         self._foreign = float(max(requests - len(self.running), 0))
--- a/hornbeampulley/decisions/_tiers.py
+++ b/hornbeampulley/decisions/_tiers.py
@@ -95,13 +95,27 @@
         self.aside[request.request_id] = request
         self._count(request, 1)
 
-    def mark_late(self, now_ms: float) -> None:
-        """Move requests that cannot meet their deadline behind the others."""
+    def mark_late(self, now_ms: float) -> int:
+        """Move requests that cannot meet their deadline behind the others.
+
+        Parameters
+        ----------
+        now_ms : float
+            The current time.
+
+        Returns
+        -------
+        int
+            How many were moved.
+        """
+        moved = 0
         while self._deadlines and self._deadlines[0][0] < now_ms:
             _, serial, request = heapq.heappop(self._deadlines)
             if request.serial == serial:
                 self._lanes[request.reserve.workspace].discard(request)
                 self._late[request.request_id] = request
+                moved += 1
+        return moved
 
     def correct(self, workspace: str, difference_ms: float) -> None:
         """Charge a workspace the difference of actual and expected cost."""
