Weigh saved prefill, and prefixes that a placement would evict

Cause: sessions moved to faster targets and filled their caches beyond what they hold; late events dropped blocks that were in use again. Change: least recently used blocks carry a time; a placement is charged for the blocks it evicts by their chance of use; holders of half a prompt pass the prefill gate; a late event does not remove a block used lately; a gap costs less trust.

--- a/hornbeampulley/decisions/_core.py
+++ b/hornbeampulley/decisions/_core.py
@@ -75,7 +75,7 @@
             Progress: self._completion.progress,
             Release: self._completion.release,
             LoadReport: self._report_load,
-            CacheEvent: self._state.index.apply,
+            CacheEvent: self._apply_cache_event,
             Configure: self._configure,
             TargetsLeaving: self._set_leaving,
             TargetDown: self._take_down,
@@ -184,6 +184,9 @@
             target.health.hear(reported_ms)
             self._state.fleet.touch(target)
 
+    def _apply_cache_event(self, event: CacheEvent) -> None:
+        self._state.index.apply(event, self._state.now_ms)
+
     def _configure(self, event: Configure) -> None:
         state = self._state
         configuration = event.configuration
--- a/hornbeampulley/decisions/_cost.py
+++ b/hornbeampulley/decisions/_cost.py
@@ -10,7 +10,6 @@
 DEFAULT_STEP_MS: Final = 20.0
 DEFAULT_CALL_MS: Final = 50.0
 DEFAULT_OUTPUT_TOKENS: Final = 200
-PREFILL_WEIGHT: Final = 8.0
 FULL_WEIGHT_TOKENS: Final = 512
 MAX_SPEED_UP: Final = 0.2
 OUTPUT_QUANTILE: Final = 0.6
@@ -82,6 +81,10 @@
         prefilled = request.uncached_tokens if release.first_token_ms else 0
         return self._price_tokens(prefilled, release.output_tokens)
 
+    def price_prefill(self, tokens: float) -> float:
+        """Return the price of prompt tokens at the pool's average rate."""
+        return tokens * self._pool.prefill_ms
+
     def prefill_ms(self, target: str) -> float:
         """Return the time in which a target prefills one prompt token."""
         return self._find_rates(target).prefill_ms
@@ -119,7 +122,6 @@
         reserve: Reserve,
         cached_tokens: float,
         load: float,
-        prefill_weight: float = 1,
     ) -> float:
         """Return the expected time to complete a request on a target.
 
@@ -133,8 +135,6 @@
             Prompt tokens expected in the target's cache.
         load : float
             Share of the target's limit in use.
-        prefill_weight : float
-            Weight of prefill, which holds up the other requests there too.
 
         Returns
         -------
@@ -147,7 +147,7 @@
             return self._call_ms(reserve.service) * rates.pace * crowding
         prefill = (reserve.prompt_tokens - cached_tokens) * rates.prefill_ms
         steps = self.expect_output(reserve) * rates.step_ms
-        return prefill * prefill_weight + steps * crowding
+        return prefill + steps * crowding
 
     def rate(self, target: str) -> float:
         """Return a target's slowness; 1 is the pool's average."""
--- a/hornbeampulley/decisions/_dispatch.py
+++ b/hornbeampulley/decisions/_dispatch.py
@@ -2,14 +2,14 @@
 
 from typing import Final
 
-from hornbeampulley.decisions._cost import PREFILL_WEIGHT
-from hornbeampulley.decisions._messages import Lease, Reason
+from hornbeampulley.decisions._messages import Lease, Reason, Reserve
 from hornbeampulley.decisions._placement import Match
 from hornbeampulley.decisions._requests import Request, Stage
 from hornbeampulley.decisions._state import State
 from hornbeampulley.decisions._targets import TargetState
 
 LEASE_VALID_MS: Final = 1000.0
+WASTE_WEIGHT: Final = 10.0
 
 
 class Dispatcher:
@@ -119,15 +119,24 @@
         state: TargetState,
         match: Match,
     ) -> float:
+        """Return the expected time to complete a request on a target.
+
+        Prefill that a cache saves, or that evicting the prefixes of others
+        will cost, weighs more than its time.
+        """
         now_ms = self._state.now_ms
+        reserve = request.reserve
+        cached_tokens = self._count_cached(request, state, match)
+        lost_tokens = self._count_lost(reserve, cached_tokens, state)
         expected_ms = self._state.cost.expect_ms(
             state.name,
-            request.reserve,
-            self._count_cached(request, state, match),
+            reserve,
+            cached_tokens,
             state.estimate_load(now_ms),
-            PREFILL_WEIGHT,
         )
-        return expected_ms + max(state.prefilled_ms - now_ms, 0)
+        waste_ms = self._state.cost.price_prefill(lost_tokens - cached_tokens)
+        pending_ms = max(state.prefilled_ms - now_ms, 0)
+        return expected_ms + pending_ms + WASTE_WEIGHT * waste_ms
 
     def _count_cached(
         self,
@@ -141,6 +150,24 @@
         share = self._state.index.expect_cached(state.name, match) / blocks
         return share * request.reserve.prompt_tokens
 
+    def _count_lost(
+        self,
+        reserve: Reserve,
+        cached_tokens: float,
+        state: TargetState,
+    ) -> float:
+        blocks = len(reserve.block_hashes)
+        if not blocks:
+            return 0
+        block_tokens = reserve.prompt_tokens / blocks
+        fresh = blocks - cached_tokens / block_tokens
+        lost = self._state.index.estimate_loss(
+            state.name,
+            fresh,
+            self._state.now_ms,
+        )
+        return lost * block_tokens
+
     def _lease(
         self,
         request: Request,
@@ -153,7 +180,11 @@
         request.charged = False
         request.sampled = False
         self._state.fleet.start(state, request, self._state.now_ms)
-        self._state.index.insert(state.name, request.reserve.block_hashes)
+        self._state.index.insert(
+            state.name,
+            request.reserve.block_hashes,
+            self._state.now_ms,
+        )
         self._state.queue.note_dispatch(request.rank)
         self._state.retries.earn(request.reserve.workspace)
         self._state.note(request, 'lease', state.name)
--- a/hornbeampulley/decisions/_fleet.py
+++ b/hornbeampulley/decisions/_fleet.py
@@ -109,12 +109,13 @@
         self.capacity += state.slots - state.counted_slots
         state.counted_slots = state.slots
         pending_ms = max(state.prefilled_ms - now_ms, 0)
+        is_gated = now_ms < state.gate_ms
         key = self._cost.rate(state.name) * (1 + state.estimate_load(now_ms))
         key += PENDING_WEIGHT * pending_ms
-        if now_ms < state.gate_ms:
+        if is_gated:
             heapq.heappush(self._gates, (state.gate_ms, state.name))
         state.open_ranks = state.find_open_ranks(self._headroom, now_ms)
-        for rank in state.open_ranks:
+        for rank in state.open_ranks[:1] if is_gated else state.open_ranks:
             heap = self._heaps[rank]
             heapq.heappush(heap, (key, state.version, state.name))
             self._compact(heap)
--- a/hornbeampulley/decisions/_placement.py
+++ b/hornbeampulley/decisions/_placement.py
@@ -1,5 +1,6 @@
 """Which prompt blocks the targets hold, and how far that is trusted."""
 
+import math
 from collections.abc import Iterator
 from typing import Final
 
@@ -7,7 +8,10 @@
 from hornbeampulley.decisions._messages import CacheEvent
 
 DEFAULT_CACHE_BLOCKS: Final = 4096
-GAP_TRUST: Final = 0.8
+GAP_TRUST: Final = 0.95
+EVENT_LAG_MS: Final = 3000.0
+REUSE_MS: Final = 10000.0
+MIN_SHARE: Final = 0.5
 TRUST_WEIGHT: Final = 0.1
 MIN_TRUST: Final = 0.2
 MAX_HOLDERS: Final = 4
@@ -19,7 +23,7 @@
     def __init__(self, number: int, capacity: int) -> None:
         self.bit = 1 << number
         self.capacity = capacity or DEFAULT_CACHE_BLOCKS
-        self.blocks: dict[int, None] = {}
+        self.used_ms: dict[int, float] = {}
         self.sequence = 0
         self.trust = 1.0
 
@@ -32,10 +36,13 @@
     steps : list of (int, int)
         Depth in blocks and mask of the targets that hold as much, by
         increasing depth.
+    blocks : int
+        Length of the prompt in blocks.
     """
 
-    def __init__(self, steps: list[tuple[int, int]]) -> None:
+    def __init__(self, steps: list[tuple[int, int]], blocks: int) -> None:
         self._steps = steps
+        self._blocks = blocks
 
     def depth(self, bit: int) -> int:
         """Return how many blocks the target of a bit holds."""
@@ -45,9 +52,14 @@
         return 0
 
     def iterate_bits(self) -> Iterator[int]:
-        """Iterate over a few bits of holders, the longest prefix first."""
+        """Iterate over a few bits of holders, the longest prefix first.
+
+        Holders of less than ``MIN_SHARE`` of the prompt are left out.
+        """
         seen = 0
-        for _, mask in reversed(self._steps):
+        for depth, mask in reversed(self._steps):
+            if depth < self._blocks * MIN_SHARE:
+                return
             rest = mask & ~seen
             while rest and seen.bit_count() < MAX_HOLDERS:
                 bit = rest & -rest
@@ -89,7 +101,7 @@
         """Forget the blocks of a target, as it restarted."""
         cache = self._caches.get(name)
         if cache is not None:
-            for block in tuple(cache.blocks):
+            for block in tuple(cache.used_ms):
                 self._drop(cache, block)
             cache.sequence = 0
 
@@ -103,10 +115,10 @@
                 steps.append((depth, mask))
             mask = held
             if not mask:
-                return Match(steps)
-        if blocks:
+                break
+        if blocks and mask:
             steps.append((len(blocks), mask))
-        return Match(steps)
+        return Match(steps, len(blocks))
 
     def list_holders(self, match: Match) -> list[str]:
         """List a few targets of a match, the longest prefix first."""
@@ -117,7 +129,36 @@
         cache = self._caches[name]
         return match.depth(cache.bit) * cache.trust
 
-    def insert(self, name: str, blocks: tuple[int, ...]) -> None:
+    def estimate_loss(self, name: str, fresh: float, now_ms: float) -> float:
+        """Return how many useful blocks fresh ones would evict.
+
+        Parameters
+        ----------
+        name : str
+            Name of the target.
+        fresh : float
+            Blocks to be added.
+        now_ms : float
+            The current time.
+
+        Returns
+        -------
+        float
+            Blocks, weighted by the chance that they are used again.
+        """
+        cache = self._caches[name]
+        evicted = len(cache.used_ms) + fresh - cache.capacity
+        if evicted <= 0:
+            return 0
+        idle_ms = now_ms - next(iter(cache.used_ms.values()), now_ms)
+        return min(evicted, fresh) * math.exp(-idle_ms / REUSE_MS)
+
+    def insert(
+        self,
+        name: str,
+        blocks: tuple[int, ...],
+        now_ms: float,
+    ) -> None:
         """Note that a target prefills a prompt.
 
         The last blocks count as least recent, since engines evict the end
@@ -127,25 +168,31 @@
         if cache is None:
             return
         for block in reversed(blocks[: cache.capacity]):
-            if block in cache.blocks:
-                cache.blocks.pop(block)
+            if block in cache.used_ms:
+                cache.used_ms.pop(block)
             else:
                 self._holders[block] = self._holders.get(block, 0) | cache.bit
-            cache.blocks[block] = None
-        while len(cache.blocks) > cache.capacity:
-            self._drop(cache, next(iter(cache.blocks)))
+            cache.used_ms[block] = now_ms
+        while len(cache.used_ms) > cache.capacity:
+            self._drop(cache, next(iter(cache.used_ms)))
 
-    def apply(self, event: CacheEvent) -> None:
-        """Correct a target's blocks by its own word."""
+    def apply(self, event: CacheEvent, now_ms: float) -> None:
+        """Correct a target's blocks by its own word, which comes late."""
         cache = self._caches.get(event.target)
         if cache is None or event.sequence <= cache.sequence:
             return
         if cache.sequence and event.sequence > cache.sequence + 1:
             cache.trust = max(cache.trust * GAP_TRUST, MIN_TRUST)
         cache.sequence = event.sequence
-        for block in event.removed:
-            self._drop(cache, block)
-        self.insert(event.target, event.added)
+        # A block used lately is there again, whatever a late event says.
+        since_ms = now_ms - EVENT_LAG_MS
+        for removed in event.removed:
+            if cache.used_ms.get(removed, now_ms) < since_ms:
+                self._drop(cache, removed)
+        unknown = tuple(
+            block for block in event.added if block not in cache.used_ms
+        )
+        self.insert(event.target, unknown, now_ms)
 
     def confirm(self, name: str, expected: int, found: int) -> None:
         """Learn trust from what an engine found in its cache.
@@ -164,9 +211,9 @@
         cache.trust = max(smooth(cache.trust, share, TRUST_WEIGHT), MIN_TRUST)
 
     def _drop(self, cache: _Cache, block: int) -> None:
-        if block not in cache.blocks:
+        if block not in cache.used_ms:
             return
-        cache.blocks.pop(block)
+        cache.used_ms.pop(block)
         mask = self._holders[block] & ~cache.bit
         if mask:
             self._holders[block] = mask
--- a/hornbeampulley/decisions/_targets.py
+++ b/hornbeampulley/decisions/_targets.py
@@ -37,7 +37,7 @@
     prefilled_ms : float
         Moment at which the prefill of its requests is expected to be done.
     open_ranks : tuple of int
-        Ranks it had room for when it was last placed among the candidates.
+        Ranks it had a slot for when it was last placed among the candidates.
     version : int
         Number of its valid entry among the candidates.
     counted_slots : int
@@ -102,10 +102,7 @@
             return ()
         if not self.health.is_healthy:
             return self._find_probe_ranks(tuple(headroom), now_ms)
-        open_ranks = tuple(self._iterate_open(headroom))
-        if now_ms < self.gate_ms:
-            return open_ranks[:1]
-        return open_ranks
+        return tuple(self._iterate_open(headroom))
 
     def add(self, request: Request) -> None:
         """Add a request that was leased to it."""
