Keep the headroom free while the top tier runs

Change: lower tiers leave the headroom free whatever runs; a lease to the top tier that uses it stops one stream there; victims on targets with pending prefill weigh more; resumed requests count as prefilled.

--- a/hornbeampulley/decisions/_completion.py
+++ b/hornbeampulley/decisions/_completion.py
@@ -184,13 +184,8 @@
         """Learn from a completed request."""
         state = self._state
         self._sample_first_token(request, event.first_token_ms)
-        if event.cached_tokens >= 0:
-            request.cached_tokens = event.cached_tokens
-        state.index.confirm(
-            request.target,
-            request.expected_cached,
-            request.cached_tokens,
-        )
+        if not request.resume:
+            self._confirm_cached(request, event.cached_tokens)
         state.cost.learn(request, event)
         actual_ms = max(state.cost.price_actual(request, event), 1)
         state.queue.correct(request, actual_ms - request.price_ms)
@@ -202,6 +197,15 @@
         if event.duration_ms > 0:
             self._learn_pace(target, request, event, actual_ms)
 
+    def _confirm_cached(self, request: Request, cached_tokens: int) -> None:
+        if cached_tokens >= 0:
+            request.cached_tokens = cached_tokens
+        self._state.index.confirm(
+            request.target,
+            request.expected_cached,
+            request.cached_tokens,
+        )
+
     def _learn_pace(
         self,
         target: TargetState,
--- a/hornbeampulley/decisions/_dispatch.py
+++ b/hornbeampulley/decisions/_dispatch.py
@@ -10,6 +10,7 @@
 
 LEASE_VALID_MS: Final = 1000.0
 WASTE_WEIGHT: Final = 10.0
+URGENT_WEIGHT: Final = 5.0
 
 
 class Dispatcher:
@@ -135,7 +136,9 @@
             state.estimate_load(now_ms),
         )
         waste_ms = self._state.cost.price_prefill(lost_tokens - cached_tokens)
-        pending_ms = max(state.prefilled_ms - now_ms, 0)
+        pending_ms = state.estimate_pending(now_ms)
+        if request.rank == self._state.fleet.top:
+            pending_ms *= URGENT_WEIGHT
         return expected_ms + pending_ms + WASTE_WEIGHT * waste_ms
 
     def _count_cached(
@@ -175,6 +178,9 @@
         cached_tokens: int,
     ) -> None:
         request.stage = Stage.RUNNING
+        if request.resume:
+            # Its KV cache is imported instead of a second prefill.
+            cached_tokens = request.reserve.prompt_tokens
         request.expected_cached = cached_tokens
         request.cached_tokens = cached_tokens
         request.charged = False
@@ -186,6 +192,8 @@
             self._state.now_ms,
         )
         self._state.queue.note_dispatch(request.rank)
+        if request.rank == self._state.fleet.top:
+            self._state.urgent_targets.append(state.name)
         self._state.retries.earn(request.reserve.workspace)
         self._state.note(request, 'lease', state.name)
         self._state.actions.append(
--- a/hornbeampulley/decisions/_fleet.py
+++ b/hornbeampulley/decisions/_fleet.py
@@ -108,10 +108,9 @@
         state.version += 1
         self.capacity += state.slots - state.counted_slots
         state.counted_slots = state.slots
-        pending_ms = max(state.prefilled_ms - now_ms, 0)
         is_gated = now_ms < state.gate_ms
         key = self._cost.rate(state.name) * (1 + state.estimate_load(now_ms))
-        key += PENDING_WEIGHT * pending_ms
+        key += PENDING_WEIGHT * state.estimate_pending(now_ms)
         if is_gated:
             heapq.heappush(self._gates, (state.gate_ms, state.name))
         state.open_ranks = state.find_open_ranks(self._headroom, now_ms)
@@ -215,6 +214,11 @@
             state.limit.restart()
         return True
 
+    def is_headroom_used(self, state: TargetState) -> bool:
+        """Tell whether a target lacks free slots for the top tier."""
+        shares = list(self._headroom.values())
+        return len(shares) > 1 and state.is_headroom_used(shares[1])
+
     def find_calmest(self) -> TargetState | None:
         """Return the healthy target that runs least."""
         states = [state for state in self if state.slots]
--- a/hornbeampulley/decisions/_preemption.py
+++ b/hornbeampulley/decisions/_preemption.py
@@ -8,6 +8,7 @@
 from hornbeampulley.decisions._targets import TargetState
 
 SAMPLED_TARGETS: Final = 16
+PENDING_WEIGHT: Final = 20.0
 
 
 class Preemptor:
@@ -25,6 +26,7 @@
     def preempt(self) -> None:
         """Order one stop for each top request that finds no room."""
         fleet = self._state.fleet
+        self._restore_headroom()
         if fleet.has_room(fleet.top):
             return
         waiting = self._state.queue.count_ready(fleet.top)
@@ -34,6 +36,21 @@
                 return
             self.stop(victim)
 
+    def _restore_headroom(self) -> None:
+        """Free a slot on each target that the top tier has just used.
+
+        The next urgent request then finds room on several targets, and not
+        only behind the prefill of the last one.
+        """
+        fleet = self._state.fleet
+        for name in self._state.urgent_targets:
+            target = fleet.find(name)
+            if target is not None and fleet.is_headroom_used(target):
+                victims = self._list_victims(target)
+                if victims:
+                    self.stop(min(victims, key=self._weigh))
+        self._state.urgent_targets.clear()
+
     def stop(self, request: Request) -> None:
         """Order a running request to stop and wait again."""
         self._state.fleet.stop(request)
@@ -69,4 +86,9 @@
         return request.rank > self._state.fleet.top
 
     def _weigh(self, request: Request) -> tuple[int, float]:
-        return (-request.rank, self._state.now_ms - request.leased_ms)
+        """Weigh the work lost and the prefill that is in the way."""
+        now_ms = self._state.now_ms
+        target = self._state.fleet.find(request.target)
+        pending_ms = target.estimate_pending(now_ms) if target else 0
+        elapsed_ms = now_ms - request.leased_ms
+        return (-request.rank, elapsed_ms + PENDING_WEIGHT * pending_ms)
--- a/hornbeampulley/decisions/_state.py
+++ b/hornbeampulley/decisions/_state.py
@@ -38,6 +38,7 @@
     )
     drain: DrainRate = dataclasses.field(default_factory=DrainRate)
     history: History = dataclasses.field(default_factory=History)
+    urgent_targets: list[str] = dataclasses.field(default_factory=list)
     actions: list[Action] = dataclasses.field(default_factory=list)
 
     def note(self, request: Request, decision: str, detail: str = '') -> None:
--- a/hornbeampulley/decisions/_targets.py
+++ b/hornbeampulley/decisions/_targets.py
@@ -10,7 +10,7 @@
 from hornbeampulley.decisions._requests import Request
 
 REPORT_LIFE_MS = 3000.0
-MAX_PREFILL_MS = 60.0
+MAX_PREFILL_MS = 20.0
 TOP_PROBE_DELAY_MS = 30000.0
 
 
@@ -28,8 +28,6 @@
         Whether it is up and as fast as usual.
     running : dict
         Requests leased to it, by id.
-    by_rank : dict
-        Number of those by rank of tier.
     is_leaving : bool
         Whether it must get no lease.
     is_reserved : bool
@@ -48,7 +46,6 @@
     limit: AdaptiveLimit
     health: Health = dataclasses.field(default_factory=Health)
     running: dict[str, Request] = dataclasses.field(default_factory=dict)
-    by_rank: dict[int, int] = dataclasses.field(default_factory=dict)
     is_leaving: bool = False
     is_reserved: bool = False
     prefilled_ms: float = 0
@@ -107,20 +104,38 @@
     def add(self, request: Request) -> None:
         """Add a request that was leased to it."""
         self.running[request.request_id] = request
-        count = self.by_rank.get(request.rank, 0)
-        self.by_rank[request.rank] = count + 1
 
     def remove(self, request: Request) -> None:
         """Remove a request that ended."""
         self.running.pop(request.request_id)
-        self.by_rank[request.rank] -= 1
+
+    def is_headroom_used(self, share: float) -> bool:
+        """Tell whether too few slots are free or about to be.
+
+        Parameters
+        ----------
+        share : float
+            Share of the limit that is to be free.
+
+        Returns
+        -------
+        bool
+            True if another request should stop.
+        """
+        staying = sum(not request.stopping for request in self.running.values())
+        slots = self.limit.slots
+        return staying > slots - _count_kept(share, slots)
 
     def add_prefill(self, prefill_ms: float, now_ms: float) -> float:
         """Add prefill work and return what was pending before."""
-        ahead_ms = max(self.prefilled_ms - now_ms, 0)
+        ahead_ms = self.estimate_pending(now_ms)
         self.prefilled_ms = now_ms + ahead_ms + prefill_ms
         return ahead_ms
 
+    def estimate_pending(self, now_ms: float) -> float:
+        """Return the time until its pending prefill is done."""
+        return max(self.prefilled_ms - now_ms, 0)
+
     def report(self, requests: int, reported_ms: float) -> None:
         """Take the target's own report of its load."""
         self._foreign = float(max(requests - len(self.running), 0))
@@ -137,11 +152,9 @@
         slots = self.limit.slots
         used = len(self.running)
         for rank, share in headroom.items():
-            kept = min(math.ceil(share * slots), slots - 1)
-            if used >= slots - kept or len(self.running) >= slots:
+            if used >= slots - _count_kept(share, slots):
                 return
             yield rank
-            used -= self.by_rank.get(rank, 0)
 
     def _find_probe_ranks(
         self,
@@ -156,3 +169,7 @@
         if self.health.is_probe_due(now_ms):
             return ranks[1:] or ranks
         return ()
+
+
+def _count_kept(share: float, slots: int) -> int:
+    return min(math.ceil(share * slots), slots - 1)
