Shed the last in line when its deadline cannot be met

Cause: with deadlines everywhere the queue had no bound, and lower tiers were held past their deadlines while others of their kind waited below. Change: the newest of the workspace most over its share in the lowest tier is shed once the drain time exceeds what its deadline allows; the charge for evicted prefixes follows how often prompts are found in any cache.

--- a/hornbeampulley/decisions/_dispatch.py
+++ b/hornbeampulley/decisions/_dispatch.py
@@ -93,6 +93,8 @@
 
     def _place(self, request: Request) -> None:
         match = self._state.index.match(request.reserve.block_hashes)
+        if request.reserve.block_hashes:
+            self._state.index.note_reuse(match)
         best = min(
             self._list_candidates(request, match),
             key=lambda state: (self._score(request, state, match), state.name),
--- a/hornbeampulley/decisions/_lanes.py
+++ b/hornbeampulley/decisions/_lanes.py
@@ -59,13 +59,11 @@
                 self.discard(request)
                 return request
 
-    def pop_newest(self) -> Request:
-        """Remove the request to be shed next."""
-        while True:
-            serial, request = self._newest.pop()
-            if request.serial == serial:
-                self.discard(request)
-                return request
+    def find_newest(self) -> Request:
+        """Return the request to be shed next."""
+        while self._newest[-1][1].serial != self._newest[-1][0]:
+            self._newest.pop()
+        return self._newest[-1][1]
 
     def discard(self, request: Request) -> None:
         """Remove a request wherever it stands."""
--- a/hornbeampulley/decisions/_placement.py
+++ b/hornbeampulley/decisions/_placement.py
@@ -11,6 +11,7 @@
 GAP_TRUST: Final = 0.95
 EVENT_LAG_MS: Final = 3000.0
 REUSE_MS: Final = 10000.0
+REUSE_WEIGHT: Final = 0.05
 MIN_SHARE: Final = 0.5
 TRUST_WEIGHT: Final = 0.1
 MIN_TRUST: Final = 0.2
@@ -44,6 +45,11 @@
         self._steps = steps
         self._blocks = blocks
 
+    @property
+    def share(self) -> float:
+        """Return the longest held share of the prompt."""
+        return self._steps[-1][0] / self._blocks if self._steps else 0
+
     def depth(self, bit: int) -> int:
         """Return how many blocks the target of a bit holds."""
         for depth, mask in reversed(self._steps):
@@ -79,6 +85,7 @@
         self._caches: dict[str, _Cache] = {}
         self._names: dict[int, str] = {}
         self._holders: dict[int, int] = {}
+        self._reuse = 0.0
 
     def add_target(self, name: str, capacity: int) -> None:
         """Start an empty cache, or change the capacity of a known one."""
@@ -151,7 +158,12 @@
         if evicted <= 0:
             return 0
         idle_ms = now_ms - next(iter(cache.used_ms.values()), now_ms)
-        return min(evicted, fresh) * math.exp(-idle_ms / REUSE_MS)
+        chance = min(2 * self._reuse, 1) * math.exp(-idle_ms / REUSE_MS)
+        return min(evicted, fresh) * chance
+
+    def note_reuse(self, match: Match) -> None:
+        """Learn how much of prompts is found in any cache."""
+        self._reuse = smooth(self._reuse, match.share, REUSE_WEIGHT)
 
     def insert(
         self,
--- a/hornbeampulley/decisions/_queue.py
+++ b/hornbeampulley/decisions/_queue.py
@@ -28,7 +28,7 @@
 
     @property
     def work_ms(self) -> float:
-        """Return the price of the waiting requests without a deadline."""
+        """Return the price of the waiting requests."""
         return sum(tier.work_ms for tier in self._tiers.values())
 
     def configure(
@@ -83,6 +83,10 @@
                 return next(iter(aside.values()))
         return None
 
+    def find_worst(self) -> Request:
+        """Return the request that is to be shed next; one must wait."""
+        return self._tiers[self.lowest_rank()].find_worst()
+
     def pop_worst(self) -> Request:
         """Remove the request that is to be shed next."""
         return self._tiers[self.lowest_rank()].pop_worst()
--- a/hornbeampulley/decisions/_shedding.py
+++ b/hornbeampulley/decisions/_shedding.py
@@ -3,10 +3,12 @@
 from typing import Final
 
 from hornbeampulley.decisions._messages import Reason
+from hornbeampulley.decisions._requests import Request
 from hornbeampulley.decisions._state import State
 
 MAX_DRAIN_MS: Final = 15000.0
 MAX_WAITING: Final = 120000
+DEADLINE_SLACK: Final = 1.2
 
 
 class Shedder:
@@ -46,7 +48,16 @@
             return False
         if queue.count > MAX_WAITING:
             return True
-        return queue.work_ms > MAX_DRAIN_MS * capacity
+        wait_ms = queue.work_ms / capacity
+        return wait_ms > self._find_allowed_wait(queue.find_worst())
+
+    def _find_allowed_wait(self, request: Request) -> float:
+        """Return how long the last request to be served may wait."""
+        deadline_ms = request.reserve.deadline_ms
+        if not deadline_ms:
+            return MAX_DRAIN_MS
+        left_ms = deadline_ms - self._state.now_ms - request.price_ms
+        return max(left_ms, 0) * DEADLINE_SLACK
 
     def _refuse_worst(self, reason: Reason) -> None:
         request = self._state.queue.pop_worst()
--- a/hornbeampulley/decisions/_tiers.py
+++ b/hornbeampulley/decisions/_tiers.py
@@ -63,20 +63,21 @@
         self._count(request, -1)
         return request
 
-    def pop_worst(self) -> Request:
-        """Remove the request to be shed next; ``count`` must not be 0.
+    def find_worst(self) -> Request:
+        """Return the request to be shed next; ``count`` must not be 0.
 
         It is the newest of the workspace that is most over its share.
         """
         lane = self._find_excess()
         if lane is not None:
-            request = lane.pop_newest()
-            self._list(lane)
-        elif self._late:
-            request = self._late.popitem()[1]
-        else:
-            request = self.aside.popitem()[1]
-        self._count(request, -1)
+            return lane.find_newest()
+        rest = self._late or self.aside
+        return next(reversed(rest.values()))
+
+    def pop_worst(self) -> Request:
+        """Remove the request to be shed next; ``count`` must not be 0."""
+        request = self.find_worst()
+        self.remove(request)
         return request
 
     def remove(self, request: Request) -> None:
@@ -87,7 +88,9 @@
         elif name in self._late:
             self._late.pop(name)
         else:
-            self._lanes[request.reserve.workspace].discard(request)
+            lane = self._lanes[request.reserve.workspace]
+            lane.discard(request)
+            self._list(lane)
         self._count(request, -1)
 
     def set_aside(self, request: Request) -> None:
@@ -168,7 +171,6 @@
 
     def _count(self, request: Request, number: int) -> None:
         self.count += number
-        if not request.reserve.deadline_ms:
-            self.work_ms += number * request.price_ms
+        self.work_ms += number * request.price_ms
         if not self.count:
             self.work_ms = 0
