Keep the last slots of a target for short work

Cause: long requests filled the fast targets, and tags ran on slow ones; the reuse of prompts was judged by short prompts that share a system block. Change: a placement on a target with few free slots costs a long request more; reuse is weighted by the length of the prompt.

--- a/hornbeampulley/decisions/_cost.py
+++ b/hornbeampulley/decisions/_cost.py
@@ -16,6 +16,7 @@
 QUANTILE_STEP: Final = 0.05
 RATE_WEIGHT: Final = 0.1
 POOL_WEIGHT: Final = 0.02
+PRICE_WEIGHT: Final = 0.02
 CROWDING: Final = 0.5
 MIN_PRICE_MS: Final = 0.1
 
@@ -53,6 +54,7 @@
         self._lengths: dict[str, float] = {}
         self._calls: dict[str, float] = {}
         self._samples = 0
+        self.mean_price_ms = MIN_PRICE_MS
 
     def declare_length(self, service: str, output_tokens: int) -> None:
         """Take the operator's expected output length, if none was learnt."""
@@ -74,6 +76,10 @@
             self.expect_output(reserve),
         )
 
+    def note_price(self, price_ms: float) -> None:
+        """Learn the mean price of leased requests."""
+        self.mean_price_ms = smooth(self.mean_price_ms, price_ms, PRICE_WEIGHT)
+
     def price_actual(self, request: Request, release: Release) -> float:
         """Return what a request did cost, at the pool's average rates."""
         if not request.reserve.prompt_tokens:
--- a/hornbeampulley/decisions/_dispatch.py
+++ b/hornbeampulley/decisions/_dispatch.py
@@ -11,6 +11,8 @@
 LEASE_VALID_MS: Final = 1000.0
 WASTE_WEIGHT: Final = 10.0
 URGENT_WEIGHT: Final = 5.0
+SPARE_SLOTS: Final = 3
+SCARCITY: Final = 1.0
 
 
 class Dispatcher:
@@ -137,12 +139,25 @@
             cached_tokens,
             state.estimate_load(now_ms),
         )
+        if request.rank != self._state.fleet.top:
+            expected_ms *= self._weigh_scarcity(request, state)
         waste_ms = self._state.cost.price_prefill(lost_tokens - cached_tokens)
         pending_ms = state.estimate_pending(now_ms)
         if request.rank == self._state.fleet.top:
             pending_ms *= URGENT_WEIGHT
         return expected_ms + pending_ms + WASTE_WEIGHT * waste_ms
 
+    def _weigh_scarcity(self, request: Request, state: TargetState) -> float:
+        """Keep the last slots of a target for short work, if others have more.
+
+        A long request holds a slot for so long that short ones would find
+        only the slow targets free.
+        """
+        if state.limit.slots - len(state.running) > SPARE_SLOTS:
+            return 1
+        length = request.price_ms / self._state.cost.mean_price_ms
+        return 1 + SCARCITY * min(length, 1)
+
     def _count_cached(
         self,
         request: Request,
@@ -194,6 +209,7 @@
             self._state.now_ms,
         )
         self._state.queue.note_dispatch(request.rank)
+        self._state.cost.note_price(request.price_ms)
         if request.rank == self._state.fleet.top:
             self._state.urgent_targets.append(state.name)
         self._state.retries.earn(request.reserve.workspace)
--- a/hornbeampulley/decisions/_placement.py
+++ b/hornbeampulley/decisions/_placement.py
@@ -12,6 +12,7 @@
 EVENT_LAG_MS: Final = 3000.0
 REUSE_MS: Final = 10000.0
 REUSE_WEIGHT: Final = 0.05
+LONG_BLOCKS: Final = 32
 MIN_SHARE: Final = 0.5
 TRUST_WEIGHT: Final = 0.1
 MIN_TRUST: Final = 0.2
@@ -43,12 +44,12 @@
 
     def __init__(self, steps: list[tuple[int, int]], blocks: int) -> None:
         self._steps = steps
-        self._blocks = blocks
+        self.blocks = blocks
 
     @property
     def share(self) -> float:
         """Return the longest held share of the prompt."""
-        return self._steps[-1][0] / self._blocks if self._steps else 0
+        return self._steps[-1][0] / self.blocks if self._steps else 0
 
     def depth(self, bit: int) -> int:
         """Return how many blocks the target of a bit holds."""
@@ -64,7 +65,7 @@
         """
         seen = 0
         for depth, mask in reversed(self._steps):
-            if depth < self._blocks * MIN_SHARE:
+            if depth < self.blocks * MIN_SHARE:
                 return
             rest = mask & ~seen
             while rest and seen.bit_count() < MAX_HOLDERS:
@@ -163,7 +164,9 @@
 
     def note_reuse(self, match: Match) -> None:
         """Learn how much of prompts is found in any cache."""
-        self._reuse = smooth(self._reuse, match.share, REUSE_WEIGHT)
+        # A short prompt is often found whole, and says little about long ones.
+        weight = REUSE_WEIGHT * min(match.blocks / LONG_BLOCKS, 1)
+        self._reuse = smooth(self._reuse, match.share, weight)
 
     def insert(
         self,
--- a/hornbeampulley/decisions/_shedding.py
+++ b/hornbeampulley/decisions/_shedding.py
@@ -8,7 +8,7 @@
 
 MAX_DRAIN_MS: Final = 15000.0
 MAX_WAITING: Final = 120000
-DEADLINE_SLACK: Final = 1.2
+DEADLINE_SLACK: Final = 1.05
 
 
 class Shedder:
