Skip the search for a preemption victim when none can stop

Cause: a saturated top tier searched 16 targets at each event; a learnt rate of prefill could fall towards zero. Change: stoppable requests are counted, eight targets are sampled, and the rate has a floor.

--- a/hornbeampulley/decisions/_cost.py
+++ b/hornbeampulley/decisions/_cost.py
@@ -11,7 +11,7 @@
 DEFAULT_CALL_MS: Final = 50.0
 DEFAULT_OUTPUT_TOKENS: Final = 200
 FULL_WEIGHT_TOKENS: Final = 512
-MAX_SPEED_UP: Final = 0.2
+MIN_PREFILL_MS: Final = 0.001
 OUTPUT_QUANTILE: Final = 0.6
 QUANTILE_STEP: Final = 0.05
 RATE_WEIGHT: Final = 0.1
@@ -207,7 +207,7 @@
         if not tokens:
             return
         busy_ms = first_token_ms - request.ahead_ms - rates.step_ms
-        sample = max(busy_ms / tokens, rates.prefill_ms * MAX_SPEED_UP)
+        sample = max(busy_ms / tokens, MIN_PREFILL_MS)
         # The delay of a short prompt says little about the rate.
         trust = min(tokens / FULL_WEIGHT_TOKENS, 1)
         rates.prefill_ms = smooth(
--- a/hornbeampulley/decisions/_fleet.py
+++ b/hornbeampulley/decisions/_fleet.py
@@ -34,6 +34,7 @@
     def __init__(self, cost: CostModel, is_takeover: bool = False) -> None:
         self.capacity = 0
         self.stopping = 0
+        self.stoppable = 0
         self.top = 0
         self._cost = cost
         self._is_takeover = is_takeover
@@ -165,6 +166,9 @@
         )
         request.target = state.name
         request.leased_ms = now_ms
+        is_lower = request.rank > self.top
+        request.stoppable = is_lower and request.reserve.repeatable
+        self.stoppable += request.stoppable
         if not state.health.is_healthy:
             state.health.start_probe(now_ms)
         self.refresh(state, now_ms)
@@ -174,6 +178,8 @@
         if request.stopping:
             request.stopping = False
             self.stopping -= 1
+        elif request.stoppable:
+            self.stoppable -= 1
         state = self._states[request.target]
         state.remove(request)
         self.touch(state)
@@ -182,6 +188,7 @@
         """Note that a preemption is under way."""
         request.stopping = True
         self.stopping += 1
+        self.stoppable -= request.stoppable
 
     def observe(self, state: TargetState, ratio: float, now_ms: float) -> bool:
         """Judge a target by a completed request.
--- a/hornbeampulley/decisions/_preemption.py
+++ b/hornbeampulley/decisions/_preemption.py
@@ -7,7 +7,7 @@
 from hornbeampulley.decisions._state import State
 from hornbeampulley.decisions._targets import TargetState
 
-SAMPLED_TARGETS: Final = 16
+SAMPLED_TARGETS: Final = 8
 PENDING_WEIGHT: Final = 20.0
 
 
@@ -30,7 +30,7 @@
         if fleet.has_room(fleet.top):
             return
         waiting = self._state.queue.count_ready(fleet.top)
-        while fleet.stopping < waiting:
+        while fleet.stoppable and fleet.stopping < waiting:
             victim = self._find_victim()
             if victim is None:
                 return
@@ -77,14 +77,9 @@
         return [
             request
             for request in state.running.values()
-            if self._can_stop(request)
+            if request.stoppable and not request.stopping
         ]
 
-    def _can_stop(self, request: Request) -> bool:
-        if request.stopping or not request.reserve.repeatable:
-            return False
-        return request.rank > self._state.fleet.top
-
     def _weigh(self, request: Request) -> tuple[int, float]:
         """Weigh the work lost and the prefill that is in the way."""
         now_ms = self._state.now_ms
--- a/hornbeampulley/decisions/_requests.py
+++ b/hornbeampulley/decisions/_requests.py
@@ -46,6 +46,8 @@
         Tokens seen so far.
     resume : bool
         Whether it was preempted before.
+    stoppable : bool
+        Whether it may be preempted while it runs.
     stopping : bool
         Whether its preemption is under way.
     charged : bool
@@ -67,6 +69,7 @@
     cached_tokens: int = 0
     output_tokens: int = 0
     resume: bool = False
+    stoppable: bool = False
     stopping: bool = False
     charged: bool = False
     sampled: bool = False
