Decide only after events that change something

Cause: progress, cache events and load reports ran all decisions again. Change: they do so only if a target changed; ranks with the same headroom share a heap of candidates.

--- a/hornbeampulley/decisions/_core.py
+++ b/hornbeampulley/decisions/_core.py
@@ -34,6 +34,8 @@
 
 _Handler = Callable[[Any], None]
 
+# Events that by themselves give no room and bring no work.
+_QUIET_EVENTS: Final = (Progress, CacheEvent, LoadReport)
 POLICY_NAME: Final = 'hornbeam'
 
 
@@ -102,12 +104,10 @@
         self._state.now_ms = max(now_ms, self._state.now_ms)
         self._state.actions = []
         self._handlers[type(event)](event)
-        if self._state.configuration is not None:
-            self._state.fleet.settle(self._state.now_ms)
-            self._shedder.shed_late()
-            self._dispatcher.dispatch()
-            self._preemptor.preempt()
-            self._shedder.shed()
+        is_changed = self._state.fleet.settle(self._state.now_ms)
+        is_quiet = isinstance(event, _QUIET_EVENTS) and not is_changed
+        if self._state.configuration is not None and not is_quiet:
+            self._decide()
         return tuple(self._state.actions)
 
     def describe(self) -> PoolState:
@@ -135,6 +135,12 @@
         """
         return self._state.history.list_lines(request_id)
 
+    def _decide(self) -> None:
+        self._shedder.shed_late()
+        self._dispatcher.dispatch()
+        self._preemptor.preempt()
+        self._shedder.shed()
+
     def _reserve(self, event: Reserve) -> None:
         known = self._state.ledger.find(event.request_id)
         target = self._state.fleet.find(event.target)
--- a/hornbeampulley/decisions/_dispatch.py
+++ b/hornbeampulley/decisions/_dispatch.py
@@ -114,7 +114,7 @@
         for name in self._state.index.list_holders(match):
             state = fleet.find(name)
             if state is not None and state not in candidates:
-                if request.rank in state.open_ranks:
+                if fleet.has_slot(state, request.rank):
                     candidates.append(state)
         return candidates
 
--- a/hornbeampulley/decisions/_fleet.py
+++ b/hornbeampulley/decisions/_fleet.py
@@ -20,8 +20,9 @@
 class Fleet:
     """Finds targets with room without looking at all of them.
 
-    For each rank a heap holds the targets with room by their load and speed;
-    entries become stale when the state of their target changes.
+    A heap for the top rank, and one for each headroom below, holds the targets
+    with room by their load and speed; entries become stale when the state of
+    their target changes.
 
     Parameters
     ----------
@@ -40,6 +41,7 @@
         self._is_takeover = is_takeover
         self._states: dict[str, TargetState] = {}
         self._headroom: dict[int, float] = {0: 0.0}
+        self._alike: dict[int, int] = {0: 0}
         self._heaps: dict[int, list[tuple[float, int, str]]] = {0: []}
         self._leaving: frozenset[str] = frozenset()
         self._touched: dict[str, None] = {}
@@ -116,7 +118,7 @@
             heapq.heappush(self._gates, (state.gate_ms, state.name))
         state.open_ranks = state.find_open_ranks(self._headroom, now_ms)
         for rank in state.open_ranks[:1] if is_gated else state.open_ranks:
-            heap = self._heaps[rank]
+            heap = self._heaps[self._alike[rank]]
             heapq.heappush(heap, (key, state.version, state.name))
             self._compact(heap)
 
@@ -124,25 +126,42 @@
         """Note that a target has changed."""
         self._touched[state.name] = None
 
-    def settle(self, now_ms: float) -> None:
-        """Refresh the targets that have changed."""
+    def settle(self, now_ms: float) -> bool:
+        """Refresh the targets that have changed.
+
+        Parameters
+        ----------
+        now_ms : float
+            The current time.
+
+        Returns
+        -------
+        bool
+            True if there were any.
+        """
         while self._gates and self._gates[0][0] <= now_ms:
             self._touched[heapq.heappop(self._gates)[1]] = None
         for name in self._touched:
             if name in self._states:
                 self.refresh(self._states[name], now_ms)
+        is_changed = bool(self._touched)
         self._touched.clear()
+        return is_changed
 
     def has_room(self, rank: int) -> bool:
         """Tell whether any target has room for a rank."""
-        heap = self._heaps[rank]
+        heap = self._heaps[self._alike[rank]]
         while heap and not self._is_valid(heap[0]):
             heapq.heappop(heap)
         return bool(heap)
 
+    def has_slot(self, state: TargetState, rank: int) -> bool:
+        """Tell whether a target has a slot for a rank."""
+        return self._alike[rank] in state.open_ranks
+
     def list_candidates(self, rank: int) -> list[TargetState]:
         """List a few targets with room, the least loaded first."""
-        heap = self._heaps[rank]
+        heap = self._heaps[self._alike[rank]]
         entries: list[tuple[float, int, str]] = []
         while heap and len(entries) < CANDIDATES:
             entry = heapq.heappop(heap)
@@ -252,11 +271,15 @@
 
     def _set_headroom(self, tiers: list[Tier]) -> None:
         self._headroom = {}
+        self._alike = {}
         kept = 0.0
-        for tier in tiers:
-            self._headroom.setdefault(tier.rank, kept)
+        previous = -1.0
+        for tier in tiers or [Tier('', 0)]:
+            if len(self._alike) < 2 or kept != previous:
+                self._headroom.setdefault(tier.rank, kept)
+            self._alike[tier.rank] = max(self._headroom)
+            previous = kept
             kept += tier.headroom
-        self._headroom = self._headroom or {0: 0.0}
         self.top = min(self._headroom)
         self._heaps = {rank: [] for rank in self._headroom}
 
