--- a/hornbeampulley/decisions/_completion.py
+++ b/hornbeampulley/decisions/_completion.py
@@ -2,7 +2,6 @@
 
 from typing import Final
 
-from hornbeampulley.decisions._cost import OVERHEAD_TOKENS
 from hornbeampulley.decisions._messages import (
     Outcome,
     Progress,
@@ -48,7 +47,7 @@
             return
         if event.outcome is Outcome.CRASHED:
             self.crash(request.target, request)
-        self._state.fleet.finish(request, self._state.now_ms)
+        self._state.fleet.finish(request)
         self._state.note(request, 'release', event.outcome.value)
         if event.outcome is Outcome.NOT_SENT:
             self._retry(request)
@@ -63,7 +62,7 @@
             if request.is_waiting:
                 self._state.queue.remove(request)
             else:
-                self._state.fleet.finish(request, self._state.now_ms)
+                self._state.fleet.finish(request)
             self._state.ledger.end(request)
             self._state.note(request, 'drop', 'home lost')
 
@@ -124,7 +123,7 @@
         state.health.fail(self._state.now_ms)
         state.limit.restart()
         self._state.index.clear(state.name)
-        self._state.fleet.refresh(state, self._state.now_ms)
+        self._state.fleet.touch(state)
 
     def _stop_copies(self, prints: set[int]) -> None:
         """Stop copies that run elsewhere, since suspects run alone."""
@@ -138,16 +137,23 @@
                 self._preemptor.stop(request)
 
     def _sample_first_token(self, request: Request, delay_ms: float) -> None:
-        if request.sampled or delay_ms <= 0:
+        if request.sampled or request.resume or delay_ms <= 0:
             return
         request.sampled = True
+        if request.cached_tokens:
+            request.cached_tokens = self._state.cost.infer_cached(
+                request,
+                delay_ms,
+            )
         state = self._state.fleet.find(request.target)
         if state is not None:
-            sample = delay_ms / (request.uncached_tokens + OVERHEAD_TOKENS)
-            state.limit.observe(sample, self._state.now_ms)
+            expected_ms = self._state.cost.expect_first_token(request)
+            slots = state.slots
+            state.limit.observe(delay_ms / expected_ms, self._state.now_ms)
             if not request.charged:
                 state.health.confirm()
-            self._state.fleet.refresh(state, self._state.now_ms)
+            if state.slots != slots:
+                self._state.fleet.touch(state)
 
     def _retry(self, request: Request) -> None:
         """Put a request back that was never sent."""
@@ -179,11 +185,9 @@
     def _learn(self, request: Request, event: Release) -> None:
         """Learn from a completed request."""
         state = self._state
-        expected = request.cached_tokens
-        if event.cached_tokens >= 0:
-            request.cached_tokens = event.cached_tokens
-            state.index.confirm(request.target, expected, event.cached_tokens)
         self._sample_first_token(request, event.first_token_ms)
+        if not request.resume:
+            self._confirm_cached(request, event.cached_tokens)
         state.cost.learn(request, event)
         actual_ms = max(state.cost.price_actual(request, event), 1)
         state.queue.correct(request, actual_ms - request.price_ms)
@@ -195,6 +199,15 @@
         if event.duration_ms > 0:
             self._learn_pace(target, request, event, actual_ms)
 
+    def _confirm_cached(self, request: Request, cached_tokens: int) -> None:
+        if cached_tokens >= 0:
+            request.cached_tokens = cached_tokens
+        self._state.index.confirm(
+            request.target,
+            request.expected_cached,
+            request.cached_tokens,
+        )
+
     def _learn_pace(
         self,
         target: TargetState,
@@ -217,7 +230,7 @@
             is_healthy = target.health.is_healthy
             event = 'target_restored' if is_healthy else 'target_ejected'
             self._state.warn(event, target.name)
-        self._state.fleet.refresh(target, now_ms)
+        self._state.fleet.touch(target)
 
 
 def mark_running(state: State, request: Request, target: TargetState) -> None:
--- a/hornbeampulley/decisions/_core.py
+++ b/hornbeampulley/decisions/_core.py
@@ -34,6 +34,8 @@
 
 _Handler = Callable[[Any], None]
 
+# Events that by themselves give no room and bring no work.
+_QUIET_EVENTS: Final = (Progress, CacheEvent, LoadReport)
 POLICY_NAME: Final = 'hornbeam'
 
 
@@ -75,7 +77,7 @@
             Progress: self._completion.progress,
             Release: self._completion.release,
             LoadReport: self._report_load,
-            CacheEvent: self._state.index.apply,
+            CacheEvent: self._apply_cache_event,
             Configure: self._configure,
             TargetsLeaving: self._set_leaving,
             TargetDown: self._take_down,
@@ -102,11 +104,10 @@
         self._state.now_ms = max(now_ms, self._state.now_ms)
         self._state.actions = []
         self._handlers[type(event)](event)
-        if self._state.configuration is not None:
-            self._shedder.shed_late()
-            self._dispatcher.dispatch()
-            self._preemptor.preempt()
-            self._shedder.shed()
+        is_changed = self._state.fleet.settle(self._state.now_ms)
+        is_quiet = isinstance(event, _QUIET_EVENTS) and not is_changed
+        if self._state.configuration is not None and not is_quiet:
+            self._decide()
         return tuple(self._state.actions)
 
     def describe(self) -> PoolState:
@@ -134,6 +135,12 @@
         """
         return self._state.history.list_lines(request_id)
 
+    def _decide(self) -> None:
+        self._shedder.shed_late()
+        self._dispatcher.dispatch()
+        self._preemptor.preempt()
+        self._shedder.shed()
+
     def _reserve(self, event: Reserve) -> None:
         known = self._state.ledger.find(event.request_id)
         target = self._state.fleet.find(event.target)
@@ -181,7 +188,10 @@
             reported_ms = self._state.now_ms - event.age_ms
             target.report(event.running + event.queued, reported_ms)
             target.health.hear(reported_ms)
-            self._state.fleet.refresh(target, self._state.now_ms)
+            self._state.fleet.touch(target)
+
+    def _apply_cache_event(self, event: CacheEvent) -> None:
+        self._state.index.apply(event, self._state.now_ms)
 
     def _configure(self, event: Configure) -> None:
         state = self._state
@@ -217,7 +227,7 @@
         self._completion.check_overdue()
         for target in self._state.fleet:
             if not target.health.is_healthy:
-                self._state.fleet.refresh(target, self._state.now_ms)
+                self._state.fleet.touch(target)
 
 
 @policies.register(POLICY_NAME)
--- a/hornbeampulley/decisions/_dispatch.py
+++ b/hornbeampulley/decisions/_dispatch.py
@@ -2,13 +2,17 @@
 
 from typing import Final
 
-from hornbeampulley.decisions._messages import Lease, Reason
+from hornbeampulley.decisions._messages import Lease, Reason, Reserve
 from hornbeampulley.decisions._placement import Match
 from hornbeampulley.decisions._requests import Request, Stage
 from hornbeampulley.decisions._state import State
 from hornbeampulley.decisions._targets import TargetState
 
 LEASE_VALID_MS: Final = 1000.0
+WASTE_WEIGHT: Final = 10.0
+URGENT_WEIGHT: Final = 5.0
+SPARE_SLOTS: Final = 3
+SCARCITY: Final = 1.0
 
 
 class Dispatcher:
@@ -91,6 +95,8 @@
 
     def _place(self, request: Request) -> None:
         match = self._state.index.match(request.reserve.block_hashes)
+        if request.reserve.block_hashes:
+            self._state.index.note_reuse(match)
         best = min(
             self._list_candidates(request, match),
             key=lambda state: (self._score(request, state, match), state.name),
@@ -108,7 +114,7 @@
         for name in self._state.index.list_holders(match):
             state = fleet.find(name)
             if state is not None and state not in candidates:
-                if fleet.can_take(state, request.rank, self._state.now_ms):
+                if fleet.has_slot(state, request.rank):
                     candidates.append(state)
         return candidates
 
@@ -118,12 +124,39 @@
         state: TargetState,
         match: Match,
     ) -> float:
-        return self._state.cost.expect_ms(
+        """Return the expected time to complete a request on a target.
+
+        Prefill that a cache saves, or that evicting the prefixes of others
+        will cost, weighs more than its time.
+        """
+        now_ms = self._state.now_ms
+        reserve = request.reserve
+        cached_tokens = self._count_cached(request, state, match)
+        lost_tokens = self._count_lost(reserve, cached_tokens, state)
+        expected_ms = self._state.cost.expect_ms(
             state.name,
-            request.reserve,
-            self._count_cached(request, state, match),
-            state.estimate_load(self._state.now_ms),
+            reserve,
+            cached_tokens,
+            state.estimate_load(now_ms),
         )
+        if request.rank != self._state.fleet.top:
+            expected_ms *= self._weigh_scarcity(request, state)
+        waste_ms = self._state.cost.price_prefill(lost_tokens - cached_tokens)
+        pending_ms = state.estimate_pending(now_ms)
+        if request.rank == self._state.fleet.top:
+            pending_ms *= URGENT_WEIGHT
+        return expected_ms + pending_ms + WASTE_WEIGHT * waste_ms
+
+    def _weigh_scarcity(self, request: Request, state: TargetState) -> float:
+        """Keep the last slots of a target for short work, if others have more.
+
+        A long request holds a slot for so long that short ones would find
+        only the slow targets free.
+        """
+        if state.limit.slots - len(state.running) > SPARE_SLOTS:
+            return 1
+        length = request.price_ms / self._state.cost.mean_price_ms
+        return 1 + SCARCITY * min(length, 1)
 
     def _count_cached(
         self,
@@ -137,6 +170,24 @@
         share = self._state.index.expect_cached(state.name, match) / blocks
         return share * request.reserve.prompt_tokens
 
+    def _count_lost(
+        self,
+        reserve: Reserve,
+        cached_tokens: float,
+        state: TargetState,
+    ) -> float:
+        blocks = len(reserve.block_hashes)
+        if not blocks:
+            return 0
+        block_tokens = reserve.prompt_tokens / blocks
+        fresh = blocks - cached_tokens / block_tokens
+        lost = self._state.index.estimate_loss(
+            state.name,
+            fresh,
+            self._state.now_ms,
+        )
+        return lost * block_tokens
+
     def _lease(
         self,
         request: Request,
@@ -144,12 +195,23 @@
         cached_tokens: int,
     ) -> None:
         request.stage = Stage.RUNNING
+        if request.resume:
+            # Its KV cache is imported instead of a second prefill.
+            cached_tokens = request.reserve.prompt_tokens
+        request.expected_cached = cached_tokens
         request.cached_tokens = cached_tokens
         request.charged = False
         request.sampled = False
         self._state.fleet.start(state, request, self._state.now_ms)
-        self._state.index.insert(state.name, request.reserve.block_hashes)
+        self._state.index.insert(
+            state.name,
+            request.reserve.block_hashes,
+            self._state.now_ms,
+        )
         self._state.queue.note_dispatch(request.rank)
+        self._state.cost.note_price(request.price_ms)
+        if request.rank == self._state.fleet.top:
+            self._state.urgent_targets.append(state.name)
         self._state.retries.earn(request.reserve.workspace)
         self._state.note(request, 'lease', state.name)
         self._state.actions.append(
--- a/hornbeampulley/decisions/_fleet.py
+++ b/hornbeampulley/decisions/_fleet.py
@@ -11,7 +11,8 @@
 from hornbeampulley.decisions._requests import Request
 from hornbeampulley.decisions._targets import TargetState
 
-CANDIDATES: Final = 4
+CANDIDATES: Final = 8
+PENDING_WEIGHT: Final = 0.002
 MAX_EJECTED_SHARE: Final = 0.5
 STALE_ENTRIES: Final = 64
 
@@ -19,8 +20,9 @@
 class Fleet:
     """Finds targets with room without looking at all of them.
 
-    For each rank a heap holds the targets with room by their load and speed;
-    entries become stale when the state of their target changes.
+    A heap for the top rank, and one for each headroom below, holds the targets
+    with room by their load and speed; entries become stale when the state of
+    their target changes.
 
     Parameters
     ----------
@@ -33,13 +35,17 @@
     def __init__(self, cost: CostModel, is_takeover: bool = False) -> None:
         self.capacity = 0
         self.stopping = 0
+        self.stoppable = 0
         self.top = 0
         self._cost = cost
         self._is_takeover = is_takeover
         self._states: dict[str, TargetState] = {}
         self._headroom: dict[int, float] = {0: 0.0}
+        self._alike: dict[int, int] = {0: 0}
         self._heaps: dict[int, list[tuple[float, int, str]]] = {0: []}
         self._leaving: frozenset[str] = frozenset()
+        self._touched: dict[str, None] = {}
+        self._gates: list[tuple[float, str]] = []
         self._recent_sum = 0.0
 
     def __iter__(self) -> Iterator[TargetState]:
@@ -105,22 +111,57 @@
         state.version += 1
         self.capacity += state.slots - state.counted_slots
         state.counted_slots = state.slots
+        is_gated = now_ms < state.gate_ms
         key = self._cost.rate(state.name) * (1 + state.estimate_load(now_ms))
-        for rank, heap in self._heaps.items():
-            if self._has_room(state, rank, now_ms):
-                heapq.heappush(heap, (key, state.version, state.name))
-                self._compact(heap)
+        key += PENDING_WEIGHT * state.estimate_pending(now_ms)
+        if is_gated:
+            heapq.heappush(self._gates, (state.gate_ms, state.name))
+        state.open_ranks = state.find_open_ranks(self._headroom, now_ms)
+        for rank in state.open_ranks[:1] if is_gated else state.open_ranks:
+            heap = self._heaps[self._alike[rank]]
+            heapq.heappush(heap, (key, state.version, state.name))
+            self._compact(heap)
+
+    def touch(self, state: TargetState) -> None:
+        """Note that a target has changed."""
+        self._touched[state.name] = None
+
+    def settle(self, now_ms: float) -> bool:
+        """Refresh the targets that have changed.
+
+        Parameters
+        ----------
+        now_ms : float
+            The current time.
+
+        Returns
+        -------
+        bool
+            True if there were any.
+        """
+        while self._gates and self._gates[0][0] <= now_ms:
+            self._touched[heapq.heappop(self._gates)[1]] = None
+        for name in self._touched:
+            if name in self._states:
+                self.refresh(self._states[name], now_ms)
+        is_changed = bool(self._touched)
+        self._touched.clear()
+        return is_changed
 
     def has_room(self, rank: int) -> bool:
         """Tell whether any target has room for a rank."""
-        heap = self._heaps[self._clip(rank)]
+        heap = self._heaps[self._alike[rank]]
         while heap and not self._is_valid(heap[0]):
             heapq.heappop(heap)
         return bool(heap)
 
+    def has_slot(self, state: TargetState, rank: int) -> bool:
+        """Tell whether a target has a slot for a rank."""
+        return self._alike[rank] in state.open_ranks
+
     def list_candidates(self, rank: int) -> list[TargetState]:
         """List a few targets with room, the least loaded first."""
-        heap = self._heaps[self._clip(rank)]
+        heap = self._heaps[self._alike[rank]]
         entries: list[tuple[float, int, str]] = []
         while heap and len(entries) < CANDIDATES:
             entry = heapq.heappop(heap)
@@ -130,10 +171,6 @@
             heapq.heappush(heap, valid)
         return [self._states[name] for _, _, name in entries]
 
-    def can_take(self, state: TargetState, rank: int, now_ms: float) -> bool:
-        """Tell whether a target has room for a rank."""
-        return self._has_room(state, self._clip(rank), now_ms)
-
     def start(
         self,
         state: TargetState,
@@ -142,25 +179,35 @@
     ) -> None:
         """Count a request as running on a target."""
         state.add(request)
+        request.ahead_ms = state.add_prefill(
+            request.uncached_tokens * self._cost.prefill_ms(state.name),
+            now_ms,
+        )
         request.target = state.name
         request.leased_ms = now_ms
+        is_lower = request.rank > self.top
+        request.stoppable = is_lower and request.reserve.repeatable
+        self.stoppable += request.stoppable
         if not state.health.is_healthy:
             state.health.start_probe(now_ms)
         self.refresh(state, now_ms)
 
-    def finish(self, request: Request, now_ms: float) -> None:
+    def finish(self, request: Request) -> None:
         """Count a request as no longer running."""
         if request.stopping:
             request.stopping = False
             self.stopping -= 1
+        elif request.stoppable:
+            self.stoppable -= 1
         state = self._states[request.target]
         state.remove(request)
-        self.refresh(state, now_ms)
+        self.touch(state)
 
     def stop(self, request: Request) -> None:
         """Note that a preemption is under way."""
         request.stopping = True
         self.stopping += 1
+        self.stoppable -= request.stoppable
 
     def observe(self, state: TargetState, ratio: float, now_ms: float) -> bool:
         """Judge a target by a completed request.
@@ -193,6 +240,11 @@
             state.limit.restart()
         return True
 
+    def is_headroom_used(self, state: TargetState) -> bool:
+        """Tell whether a target lacks free slots for the top tier."""
+        shares = list(self._headroom.values())
+        return len(shares) > 1 and state.is_headroom_used(shares[1])
+
     def find_calmest(self) -> TargetState | None:
         """Return the healthy target that runs least."""
         states = [state for state in self if state.slots]
@@ -219,24 +271,21 @@
 
     def _set_headroom(self, tiers: list[Tier]) -> None:
         self._headroom = {}
+        self._alike = {}
         kept = 0.0
-        for tier in tiers:
-            self._headroom.setdefault(tier.rank, kept)
+        previous = -1.0
+        for tier in tiers or [Tier('', 0)]:
+            if len(self._alike) < 2 or kept != previous:
+                self._headroom.setdefault(tier.rank, kept)
+            self._alike[tier.rank] = max(self._headroom)
+            previous = kept
             kept += tier.headroom
-        lowest = max(self._headroom, default=-1)
-        self._headroom[lowest + 1] = kept
         self.top = min(self._headroom)
         self._heaps = {rank: [] for rank in self._headroom}
 
     def _is_leaving(self, name: str, known: dict[str, Target]) -> bool:
         return name in self._leaving or name not in known
 
-    def _has_room(self, state: TargetState, rank: int, now_ms: float) -> bool:
-        return state.has_room(rank, self._headroom[rank], self.top, now_ms)
-
-    def _clip(self, rank: int) -> int:
-        return rank if rank in self._heaps else max(self._heaps)
-
     def _is_valid(self, entry: tuple[float, int, str]) -> bool:
         state = self._states.get(entry[2])
         return state is not None and state.version == entry[1]
--- a/hornbeampulley/decisions/_requests.py
+++ b/hornbeampulley/decisions/_requests.py
@@ -36,12 +36,18 @@
         Where it runs.
     leased_ms : float
         When its lease was given.
+    ahead_ms : float
+        Prefill that its target had pending when it was leased.
+    expected_cached : int
+        Prompt tokens expected in the target's cache when it was leased.
     cached_tokens : int
-        Prompt tokens expected in the target's cache.
+        Prompt tokens found there, as far as known by now.
     output_tokens : int
         Tokens seen so far.
     resume : bool
         Whether it was preempted before.
+    stoppable : bool
+        Whether it may be preempted while it runs.
     stopping : bool
         Whether its preemption is under way.
     charged : bool
@@ -58,9 +64,12 @@
     serial: int = 0
     target: str = ''
     leased_ms: float = 0
+    ahead_ms: float = 0
+    expected_cached: int = 0
     cached_tokens: int = 0
     output_tokens: int = 0
     resume: bool = False
+    stoppable: bool = False
     stopping: bool = False
     charged: bool = False
     sampled: bool = False
