Add the benchmark's fakes, scenarios and baselines

Cause: the policy is to be measured against what a user would pick instead. Ruled out: a simulator of steps of each engine; a counter of decoded tokens shared by the batch gives the same ends of streams at a cost per event.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export HYPOTHESIS_PROFILE ?= ci
 export PYTHONHASHSEED = 0
 
-.PHONY: all env format check imports tests bench demo test generate
+.PHONY: all env format check imports tests bench bench-core demo test generate
 
 all: test
 
@@ -33,6 +33,12 @@
 test: check imports
 	$(MAKE) --no-print-directory tests
 
+bench: env
+	$(PYTHON) -m bench
+
+bench-core: env
+	$(PYTHON) -m bench.cost
+
 # Regenerates the committed code of the peer protocol; needs thrift-compiler.
 generate:
 	rm -rf hornbeampulley/wire/generated
--- a/hornbeampulley/decisions/__init__.py
+++ b/hornbeampulley/decisions/__init__.py
@@ -1,5 +1,10 @@
 """The pure decision core: events in, actions out."""
 
+from hornbeampulley.decisions._baselines import (
+    FifoTiers,
+    LeastLoad,
+    RoundRobin,
+)
 from hornbeampulley.decisions._messages import (
     Action,
     CacheEvent,
@@ -29,8 +34,10 @@
     'CacheEvent',
     'Configure',
     'Event',
+    'FifoTiers',
     'HomeLost',
     'Lease',
+    'LeastLoad',
     'LoadReport',
     'Outcome',
     'Policy',
@@ -41,6 +48,7 @@
     'Refuse',
     'Release',
     'Reserve',
+    'RoundRobin',
     'TargetDown',
     'TargetsLeaving',
     'Tick',
