--- a/hornbeampulley/decisions/__init__.py
+++ b/hornbeampulley/decisions/__init__.py
@@ -5,6 +5,7 @@
     LeastLoad,
     RoundRobin,
 )
+from hornbeampulley.decisions._core import Core
 from hornbeampulley.decisions._messages import (
     Action,
     CacheEvent,
@@ -28,11 +29,13 @@
     Withdraw,
 )
 from hornbeampulley.decisions._policies import Policy, policies
+from hornbeampulley.decisions._views import PoolState, TargetView
 
 __all__ = (
     'Action',
     'CacheEvent',
     'Configure',
+    'Core',
     'Event',
     'FifoTiers',
     'HomeLost',
@@ -41,6 +44,7 @@
     'LoadReport',
     'Outcome',
     'Policy',
+    'PoolState',
     'Preempt',
     'Progress',
     'Quarantine',
@@ -50,6 +54,7 @@
     'Reserve',
     'RoundRobin',
     'TargetDown',
+    'TargetView',
     'TargetsLeaving',
     'Tick',
     'Warn',
