--- a/bench/_scenarios.py
+++ b/bench/_scenarios.py
@@ -225,13 +225,22 @@
     )
 
 
+TAGS_PER_S: Final = 30.0
+
+
 @scenarios.register('tags')
 def run_tags(deployment: Deployment, policy: str) -> tuple[Figure, ...]:
     """Measure short tags beside long work on one pool."""
     span = (0.0, 40_000.0)
     flows = (
         make_flow(deployment, 'regular', 0.9, span, ((deployment.long, 1),)),
-        make_flow(deployment, 'regular', 0.02, span, ((deployment.tag, 1),)),
+        Flow(
+            'regular',
+            ((deployment.tag, 1),),
+            TAGS_PER_S,
+            *span,
+            patience_ms=PATIENCE_MS,
+        ),
     )
     requests = draw_flows(deployment, flows)
     tag = deployment.tag.service
