--- a/bench/_deployments.py
+++ b/bench/_deployments.py
@@ -18,6 +18,7 @@
 FAST: Final = EngineSpec(32, prefill_tokens_per_ms=30, step_ms=16)
 MEDIUM: Final = EngineSpec(32, prefill_tokens_per_ms=20, step_ms=22)
 SLOW: Final = EngineSpec(24, prefill_tokens_per_ms=12, step_ms=32)
+PLAIN_SLOTS: Final = 2
 GENERATIONS: Final = {'fast': FAST, 'medium': MEDIUM, 'slow': SLOW}
 
 TIERS: Final = (
@@ -125,6 +126,7 @@
                 port=8000,
                 availability_zone=self.zones[index % len(self.zones)],
                 kind=ServiceKind.PLAIN,
+                slots=PLAIN_SLOTS,
             )
             for index in range(self.plain_targets)
         )
