--- a/bench/_faults.py
+++ b/bench/_faults.py
@@ -81,7 +81,8 @@
         for tier, load in zip(TIERS, (0.05, 0.2, 0.2, 0.15), strict=True)
     )
     requests = draw_flows(deployment, flows)
-    model = next(one for one in requests if one.prompt_tokens > BLOCK_TOKENS)
+    long = deployment.long.service
+    model = next(one for one in requests if one.service == long)
     bad = tuple(
         dataclasses.replace(
             model,
--- a/bench/_homes.py
+++ b/bench/_homes.py
@@ -25,6 +25,7 @@
 
 HOP_MS: Final = 0.5
 PROGRESS_INTERVAL_MS: Final = 1000.0
+CRASH_MS: Final = 100.0
 HOMES: Final = 8
 
 FakeTarget = Engine | PlainService
@@ -123,11 +124,15 @@
             return
         target.submit(stream)
         if request.crashes:
-            self._loop.call_after(100, self._crash, record.target, stream)
+            self._loop.call_after(CRASH_MS, self._crash, record.target, stream)
 
     def _crash(self, name: str, stream: Stream) -> None:
-        if not stream.is_gone:
-            self.on_crash(name)
+        if stream.is_gone:
+            return
+        if stream.admitted_ms < 0:
+            self._loop.call_after(CRASH_MS, self._crash, name, stream)
+            return
+        self.on_crash(name)
 
     def _refuse(self, refusal: Refuse) -> None:
         record = self.records[refusal.request_id]
