--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,13 +1,13 @@
 """Runs hornbeampulley and the baselines and writes the results."""
 
 import argparse
+import dataclasses
 import math
 import pathlib
 import subprocess
 from typing import Final
 
 from bench import DEPLOYMENTS, Figure, scenarios
-from bench._driver import SEED
 from hornbeampulley.decisions import policies
 
 HORNBEAM: Final = 'hornbeam'
@@ -51,14 +51,15 @@
     return rows
 
 
-def run_all(names: list[str], chosen: list[str]) -> list[str]:
+def run_all(names: list[str], chosen: list[str], seed: int) -> list[str]:
     """Run the chosen scenarios with the named policies."""
     head = ' '.join(f'{name:>11}' for name in names)
     rows = [
         f'{"deployment scenario":<24} {"figure":<33} {"bound":>8} '
         f'{head} {"/ best":>7} met',
     ]
-    for deployment in DEPLOYMENTS:
+    for fleet in DEPLOYMENTS:
+        deployment = dataclasses.replace(fleet, seed=seed)
         for scenario, function in scenarios:
             if chosen and scenario not in chosen:
                 continue
@@ -73,13 +74,15 @@
     parser = argparse.ArgumentParser(prog='python -m bench')
     parser.add_argument('scenarios', nargs='*', help='all if none is named')
     parser.add_argument('--policies', help='names, split by commas')
+    parser.add_argument('--seed', type=int, default=0)
     arguments = parser.parse_args()
     known = [name for name, _ in policies]
     names = arguments.policies.split(',') if arguments.policies else known
-    rows = run_all(names, arguments.scenarios)
-    text = '\n'.join([f'seed {SEED}, commit {read_commit()}', *rows, ''])
+    rows = run_all(names, arguments.scenarios, arguments.seed)
+    head = f'seed {arguments.seed}, commit {read_commit()}'
+    text = '\n'.join([head, *rows, ''])
     print(text)
-    if not arguments.scenarios and not arguments.policies:
+    if not (arguments.scenarios or arguments.policies or arguments.seed):
         RESULTS.write_text(text)
 
 
--- a/bench/_calls.py
+++ b/bench/_calls.py
@@ -27,12 +27,12 @@
         ('bulk', deployment.lookup, 5, FLOOD_MS),
     )
     requests: list[Request] = []
-    for seed, (tier, work, load, span) in enumerate(loads):
+    for place, (tier, work, load, span) in enumerate(loads):
         mix = ((work, 1.0),)
         mean_ms = measure_mean_work(mix)
         rate_per_s = load * slots / mean_ms * MS_PER_SECOND
         flow = Flow(tier, mix, rate_per_s, *span, patience_ms=PATIENCE_MS)
-        requests.extend(draw_flow(deployment, flow, seed))
+        requests.extend(draw_flow(deployment, flow, place))
     return tuple(requests)
 
 
--- a/bench/_deployments.py
+++ b/bench/_deployments.py
@@ -72,6 +72,8 @@
         Its kinds of work, longest first, then those of the plain pool.
     workspaces : tuple of Workspace
         Its customers; the first are the large ones.
+    seed : int
+        Seed of its arrivals.
     """
 
     name: str
@@ -86,6 +88,7 @@
     lookup: Work
     booking: Work
     workspaces: tuple[Workspace, ...]
+    seed: int = 0
 
     def build_configuration(self) -> Configuration:
         """Build what its change tickets say."""
--- a/bench/_faults.py
+++ b/bench/_faults.py
@@ -119,7 +119,7 @@
 
 
 def _draw_sessions(deployment: Deployment) -> tuple[Request, ...]:
-    dice = random.Random(5)
+    dice = random.Random(5 + deployment.seed)
     names = [one.name for one in deployment.workspaces]
     requests = []
     for session in range(SESSIONS):
--- a/bench/_scenarios.py
+++ b/bench/_scenarios.py
@@ -76,7 +76,7 @@
     deployment: Deployment,
     flows: tuple[Flow, ...],
 ) -> tuple[Request, ...]:
-    """Draw all flows; the place of a flow gives its seed."""
+    """Draw all flows."""
     return tuple(
         request
         for place, flow in enumerate(flows)
--- a/bench/_traffic.py
+++ b/bench/_traffic.py
@@ -12,6 +12,7 @@
 SPREAD: Final = 0.3
 HASH_BITS: Final = 62
 SYSTEM_BLOCKS: Final = 1
+FLOWS: Final = 16
 
 Mix = tuple[tuple[Work, float], ...]
 
@@ -93,7 +94,7 @@
 def draw_flow(
     deployment: Deployment,
     flow: Flow,
-    seed: int,
+    place: int,
 ) -> list[Request]:
     """Draw the arrivals of a flow.
 
@@ -103,15 +104,16 @@
         Whose requests they are.
     flow : Flow
         What arrives.
-    seed : int
-        Seed of this flow alone, so that other flows do not change it.
+    place : int
+        Place of the flow in its scenario. Each place has its own seed, so
+        that other flows do not change it.
 
     Returns
     -------
     list of Request
         In order of arrival.
     """
-    dice = random.Random(seed)
+    dice = random.Random(place + deployment.seed * FLOWS)
     names, shares = _list_shares(deployment, flow)
     works = [work for work, _ in flow.mix]
     weights = [weight for _, weight in flow.mix]
@@ -122,7 +124,7 @@
         if moment_ms >= flow.end_ms:
             return requests
         work = dice.choices(works, weights)[0]
-        drawn = draw_request(deployment, work, dice, f'{seed}.{number}')
+        drawn = draw_request(deployment, work, dice, f'{place}.{number}')
         request = dataclasses.replace(
             drawn,
             workspace=dice.choices(names, shares)[0],
