--- a/hornbeampulley/decisions/_fleet.py
+++ b/hornbeampulley/decisions/_fleet.py
@@ -20,8 +20,9 @@
 class Fleet:
     """Finds targets with room without looking at all of them.
 
-    For each rank a heap holds the targets with room by their load and speed;
-    entries become stale when the state of their target changes.
+    A heap for the top rank, and one for each headroom below, holds the targets
+    with room by their load and speed; entries become stale when the state of
+    their target changes.
 
     Parameters
     ----------
@@ -34,11 +35,13 @@
     def __init__(self, cost: CostModel, is_takeover: bool = False) -> None:
         self.capacity = 0
         self.stopping = 0
+        self.stoppable = 0
         self.top = 0
         self._cost = cost
         self._is_takeover = is_takeover
         self._states: dict[str, TargetState] = {}
         self._headroom: dict[int, float] = {0: 0.0}
+        self._alike: dict[int, int] = {0: 0}
         self._heaps: dict[int, list[tuple[float, int, str]]] = {0: []}
         self._leaving: frozenset[str] = frozenset()
         self._touched: dict[str, None] = {}
@@ -115,7 +118,7 @@
             heapq.heappush(self._gates, (state.gate_ms, state.name))
         state.open_ranks = state.find_open_ranks(self._headroom, now_ms)
         for rank in state.open_ranks[:1] if is_gated else state.open_ranks:
-            heap = self._heaps[rank]
+            heap = self._heaps[self._alike[rank]]
             heapq.heappush(heap, (key, state.version, state.name))
             self._compact(heap)
 
@@ -123,25 +126,42 @@
         """Note that a target has changed."""
         self._touched[state.name] = None
 
-    def settle(self, now_ms: float) -> None:
-        """Refresh the targets that have changed."""
+    def settle(self, now_ms: float) -> bool:
+        """Refresh the targets that have changed.
+
+        Parameters
+        ----------
+        now_ms : float
+            The current time.
+
+        Returns
+        -------
+        bool
+            True if there were any.
+        """
         while self._gates and self._gates[0][0] <= now_ms:
             self._touched[heapq.heappop(self._gates)[1]] = None
         for name in self._touched:
             if name in self._states:
                 self.refresh(self._states[name], now_ms)
+        is_changed = bool(self._touched)
         self._touched.clear()
+        return is_changed
 
     def has_room(self, rank: int) -> bool:
         """Tell whether any target has room for a rank."""
-        heap = self._heaps[rank]
+        heap = self._heaps[self._alike[rank]]
         while heap and not self._is_valid(heap[0]):
             heapq.heappop(heap)
         return bool(heap)
 
+    def has_slot(self, state: TargetState, rank: int) -> bool:
+        """Tell whether a target has a slot for a rank."""
+        return self._alike[rank] in state.open_ranks
+
     def list_candidates(self, rank: int) -> list[TargetState]:
         """List a few targets with room, the least loaded first."""
-        heap = self._heaps[rank]
+        heap = self._heaps[self._alike[rank]]
         entries: list[tuple[float, int, str]] = []
         while heap and len(entries) < CANDIDATES:
             entry = heapq.heappop(heap)
@@ -165,6 +185,9 @@
         )
         request.target = state.name
         request.leased_ms = now_ms
+        is_lower = request.rank > self.top
+        request.stoppable = is_lower and request.reserve.repeatable
+        self.stoppable += request.stoppable
         if not state.health.is_healthy:
             state.health.start_probe(now_ms)
         self.refresh(state, now_ms)
@@ -174,6 +197,8 @@
         if request.stopping:
             request.stopping = False
             self.stopping -= 1
+        elif request.stoppable:
+            self.stoppable -= 1
         state = self._states[request.target]
         state.remove(request)
         self.touch(state)
@@ -182,6 +207,7 @@
         """Note that a preemption is under way."""
         request.stopping = True
         self.stopping += 1
+        self.stoppable -= request.stoppable
 
     def observe(self, state: TargetState, ratio: float, now_ms: float) -> bool:
         """Judge a target by a completed request.
@@ -245,11 +271,15 @@
 
     def _set_headroom(self, tiers: list[Tier]) -> None:
         self._headroom = {}
+        self._alike = {}
         kept = 0.0
-        for tier in tiers:
-            self._headroom.setdefault(tier.rank, kept)
+        previous = -1.0
+        for tier in tiers or [Tier('', 0)]:
+            if len(self._alike) < 2 or kept != previous:
+                self._headroom.setdefault(tier.rank, kept)
+            self._alike[tier.rank] = max(self._headroom)
+            previous = kept
             kept += tier.headroom
-        self._headroom = self._headroom or {0: 0.0}
         self.top = min(self._headroom)
         self._heaps = {rank: [] for rank in self._headroom}
 
