--- a/hornbeampulley/decisions/__init__.py
+++ b/hornbeampulley/decisions/__init__.py
@@ -1,5 +1,10 @@
 """The pure decision core: events in, actions out."""
 
+from hornbeampulley.decisions._baselines import (
+    FifoTiers,
+    LeastLoad,
+    RoundRobin,
+)
 from hornbeampulley.decisions._core import Core
 from hornbeampulley.decisions._messages import (
     Action,
@@ -32,8 +37,10 @@
     'Configure',
     'Core',
     'Event',
+    'FifoTiers',
     'HomeLost',
     'Lease',
+    'LeastLoad',
     'LoadReport',
     'Outcome',
     'Policy',
@@ -45,6 +52,7 @@
     'Refuse',
     'Release',
     'Reserve',
+    'RoundRobin',
     'TargetDown',
     'TargetView',
     'TargetsLeaving',
