Count reads at equal freshness and through an outage in the bench

Cause: the count of reads without renewal was taken at a lower freshness, and nothing bounded the calls while the service is down.

--- a/bench/spread.py
+++ b/bench/spread.py
@@ -3,6 +3,7 @@
 import dataclasses
 import json
 import math
+from collections import Counter
 from typing import Final
 
 from bench.fleet import Fleet, make_target, write_hosts, write_ticket
@@ -22,6 +23,8 @@
 SECONDS_PER_DAY: Final = 86_400
 MEGABYTE_TARGETS: Final = 9_300
 UNBOUNDED: Final = ReadingSettings(calls_per_second=1e9)
+OFTEN_MS: Final = 1600.0
+OUTAGE_MS: Final = 30_000.0
 BASE_SCOPES: Final = ('tiers', 'workspaces', 'services', 'rules')
 
 
@@ -138,6 +141,25 @@
     return burst, spent
 
 
+def measure_outage(count: int) -> tuple[int, int]:
+    """Return the most calls in a second of an outage and after it."""
+    fleet = make_fleet(count, SpreadSettings(), SEEDS[0])
+    fleet.service.is_up = False
+    down_ms = fleet.now_ms
+    fleet.run_until(down_ms + OUTAGE_MS)
+    fleet.service.is_up = True
+    fleet.run_until(down_ms + OUTAGE_MS + 10_000)
+    seconds = Counter(
+        int((moment_ms - down_ms) // 1000)
+        for moment_ms in fleet.service.calls
+        if moment_ms >= down_ms
+    )
+    outage_seconds = int(OUTAGE_MS // 1000)
+    during = [seconds[index] for index in range(outage_seconds)]
+    after = [seconds[outage_seconds + index] for index in range(10)]
+    return max(during), max(after)
+
+
 def sum_bytes(fleet: Fleet) -> int:
     """Return the bytes sent and received by all agents."""
     return sum(
@@ -169,13 +191,20 @@
 
 
 def report_reads() -> None:
-    """Print the calls a second with and without renewal by serials."""
+    """Print the calls a second with and without renewal by serials.
+
+    The last of each three reads often enough to keep tickets as fresh as the
+    first does.
+    """
+    often = dataclasses.replace(UNBOUNDED, refresh_ms=OFTEN_MS)
+    variants = ((True, UNBOUNDED), (False, UNBOUNDED), (False, often))
     for count in SIZES:
-        for renews in (True, False):
-            settings = SpreadSettings(renews=renews, reading=UNBOUNDED)
+        for renews, reading in variants:
+            settings = SpreadSettings(renews=renews, reading=reading)
             steady = measure_steady(count, settings)
             print(
                 f'steady agents={count} renews={renews} '
+                f'refresh_ms={reading.refresh_ms:.0f} '
                 f'scopes={len(list_service_scopes(count)) + 1} '
                 f'reads_per_second={steady.reads_per_second:.1f} '
                 f'oldest_ms={steady.oldest_ms:.0f} '
@@ -196,11 +225,22 @@
         )
 
 
+def report_outages() -> None:
+    """Print the calls while the service is down and when it returns."""
+    for count in SIZES:
+        during, after = measure_outage(count)
+        print(
+            f'outage agents={count} most_calls_a_second={during} '
+            f'after_return={after}',
+        )
+
+
 def main() -> None:
     """Print all figures."""
     report_spread()
     report_reads()
     report_changes()
+    report_outages()
 
 
 if __name__ == '__main__':
