Serve nothing before the peers are known

Cause: an agent that had no list of peers yet counted as having asked all of them, and could have served what a stale service says. Change: it waits for the list, or for the bound on joining; a test of it.

--- a/hornbeampulley/membership/_joining.py
+++ b/hornbeampulley/membership/_joining.py
@@ -52,19 +52,27 @@
         if not self._is_ready:
             self._answered.add(peer)
 
-    def update(self, peers: int, now_ms: float, *, is_pulling: bool) -> None:
+    def update(
+        self,
+        peers: int | None,
+        now_ms: float,
+        *,
+        is_pulling: bool,
+    ) -> None:
         """Look whether the agent has become ready.
 
         Parameters
         ----------
-        peers : int
-            How many peers are known.
+        peers : int or None
+            How many peers there are; None if that is not known yet.
         now_ms : float
             The current time.
         is_pulling : bool
             Whether a ticket of a peer is still expected.
         """
-        wanted = min(self._settings.answers, peers)
-        has_answers = len(self._answered) >= wanted and not is_pulling
+        has_answers = peers is not None and not is_pulling
+        if has_answers:
+            wanted = min(self._settings.answers, peers)
+            has_answers = len(self._answered) >= wanted
         if has_answers or now_ms >= self._until_ms:
             self._is_ready = True
--- a/hornbeampulley/membership/_peers.py
+++ b/hornbeampulley/membership/_peers.py
@@ -48,11 +48,12 @@
         self._peers: tuple[str, ...] = ()
         self._near: tuple[str, ...] = ()
         self._round: list[str] = []
+        self._is_set = False
 
     @property
-    def peers(self) -> tuple[str, ...]:
-        """Names of all other agents."""
-        return self._peers
+    def count(self) -> int | None:
+        """How many other agents there are; None before they are set."""
+        return len(self._peers) if self._is_set else None
 
     def set_peers(self, peers: Iterable[Peer]) -> None:
         """Replace the known agents.
@@ -69,6 +70,7 @@
         self._peers = tuple(peer.name for peer in others)
         self._near = tuple(peer.name for peer in others if self._is_near(peer))
         self._round = []
+        self._is_set = True
 
     def pick(self, count: int) -> tuple[str, ...]:
         """Pick peers.
--- a/hornbeampulley/membership/_spread.py
+++ b/hornbeampulley/membership/_spread.py
@@ -156,7 +156,7 @@
     def _on_tick(self, event: SpreadTick, now_ms: float) -> _Outputs:
         self._forget_changes(now_ms)
         self._joining.update(
-            len(self._picker.peers),
+            self._picker.count,
             now_ms,
             is_pulling=self._pulls.is_waiting,
         )
--- a/tests/test_spread_rounds.py
+++ b/tests/test_spread_rounds.py
@@ -1,5 +1,7 @@
 """Tests of the spread of tickets, in virtual time."""
 
+import random
+
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -15,8 +17,12 @@
     ReadAnswer,
     Received,
     Rejected,
+    SetPeers,
+    Spreader,
     SpreadSettings,
+    SpreadTick,
     Stamp,
+    TicketStore,
     choose_readers,
 )
 
@@ -86,6 +92,16 @@
     assert list_numbers(fleet) == {5}
 
 
+def test_agent_that_knows_no_peers_yet_does_not_serve():
+    peer = make_peers(8)[0]
+    spreader = Spreader(peer, TicketStore(), SETTINGS, random.Random(1), 0)
+    spreader.handle(SpreadTick(), 500)
+    assert not spreader.is_ready
+    spreader.handle(SetPeers((peer,)), 600)
+    spreader.handle(SpreadTick(), 1000)
+    assert spreader.is_ready
+
+
 def test_fresh_fleet_serves_what_the_service_holds():
     fleet = Fleet(8, SETTINGS, 1)
     fleet.service.write(write_ticket(1), 'tiers')
