Let only schedulers near in rank watch each other

Cause: heartbeats from all to all do not fit 410 hosts, and a home ranked all schedulers again for each request. Ruled out: a home that watches every scheduler; it now watches those it chooses, and one it does not watch counts as live. A scheduler beyond the first three ranks watches all higher ones once a home asks it for a shard. Change: Ranking (cached), Ownership.list_watched and note_asked, update takes the unusable peers, SchedulerChooser in place of a function.

--- a/hornbeampulley/membership/__init__.py
+++ b/hornbeampulley/membership/__init__.py
@@ -65,8 +65,8 @@
     Acquired,
     HandedOver,
     Ownership,
+    SchedulerChooser,
     Transfer,
-    choose_scheduler,
 )
 from hornbeampulley.membership._peers import (
     Peer,
@@ -77,6 +77,7 @@
 )
 from hornbeampulley.membership._rendezvous import (
     MAX_SHARD_TARGETS,
+    Ranking,
     Shard,
     cut_shards,
     rank_owners,
@@ -129,6 +130,7 @@
     'PeerMessage',
     'PeerState',
     'Pull',
+    'Ranking',
     'Read',
     'ReadAnswer',
     'ReadFailed',
@@ -138,6 +140,7 @@
     'Rejected',
     'Report',
     'Same',
+    'SchedulerChooser',
     'Send',
     'SetPeers',
     'Shard',
@@ -159,7 +162,6 @@
     'build_configuration',
     'check_references',
     'choose_readers',
-    'choose_scheduler',
     'cut_shards',
     'get_stamp',
     'list_scopes',
--- a/hornbeampulley/membership/_liveness.py
+++ b/hornbeampulley/membership/_liveness.py
@@ -160,10 +160,10 @@
         Returns
         -------
         PeerState
-            DEAD if the peer is unknown.
+            LIVE if the peer is not watched: nothing speaks against it.
         """
         record = self._records.get(peer)
-        return record.state if record else PeerState.DEAD
+        return record.state if record else PeerState.LIVE
 
     def list_peers(self, *states: PeerState) -> tuple[str, ...]:
         """List the peers in given states.
@@ -186,15 +186,15 @@
             ),
         )
 
-    def list_usable(self) -> tuple[str, ...]:
-        """List the peers that may own shards.
+    def list_unusable(self) -> tuple[str, ...]:
+        """List the peers that may own no shard.
 
         Returns
         -------
         tuple of str
-            Sorted names of the live and the suspect.
+            Sorted names of the dead and the draining.
         """
-        return self.list_peers(PeerState.LIVE, PeerState.SUSPECT)
+        return self.list_peers(PeerState.DEAD, PeerState.DRAINING)
 
     @property
     def resumed_ms(self) -> float:
--- a/hornbeampulley/membership/_ownership.py
+++ b/hornbeampulley/membership/_ownership.py
@@ -2,9 +2,10 @@
 
 import dataclasses
 from collections.abc import Iterable
+from typing import Final
 
 from hornbeampulley.membership._liveness import FailureDetector, PeerState
-from hornbeampulley.membership._rendezvous import rank_owners
+from hornbeampulley.membership._rendezvous import Ranking, rank_owners
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,6 +38,7 @@
 
 
 Transfer = Acquired | HandedOver
+_USABLE: Final = frozenset((PeerState.LIVE, PeerState.SUSPECT))
 
 
 class Ownership:
@@ -46,12 +48,19 @@
     ----------
     own : str
         Name of this scheduler.
+    depth : int
+        Ranks of a shard whose schedulers watch each other, so that heartbeats
+        do not go from all to all.
     """
 
-    def __init__(self, own: str) -> None:
+    def __init__(self, own: str, depth: int = 3) -> None:
         self._own = own
+        self._depth = depth
         self._shards: frozenset[str] = frozenset()
         self._owned: set[str] = set()
+        self._asked: set[str] = set()
+        self._ranking = Ranking()
+        self._ranking.set_candidates((own,))
         self._is_draining = False
 
     @property
@@ -59,6 +68,16 @@
         """Names of the shards owned now."""
         return frozenset(self._owned)
 
+    def set_schedulers(self, schedulers: Iterable[str]) -> None:
+        """Replace the schedulers that are known.
+
+        Parameters
+        ----------
+        schedulers : iterable of str
+            Names of all schedulers, whatever their state.
+        """
+        self._ranking.set_candidates({self._own, *schedulers})
+
     def set_shards(self, shards: Iterable[str]) -> tuple[Transfer, ...]:
         """Replace the shards that exist.
 
@@ -76,19 +95,49 @@
         self._shards = frozenset(shards)
         gone = sorted(self._owned - self._shards)
         self._owned &= self._shards
+        self._asked &= self._shards
         return tuple(HandedOver(shard, '') for shard in gone)
 
+    def list_watched(self) -> frozenset[str]:
+        """List the schedulers to exchange heartbeats with.
+
+        Returns
+        -------
+        frozenset of str
+            Those near this one in rank for some shard; watching is mutual.
+        """
+        watched: set[str] = set()
+        for shard in self._shards:
+            ranked = self._ranking.rank(shard)
+            first = ranked[: self._depth]
+            if self._own in first:
+                watched.update(first)
+            if shard in self._asked:
+                watched.update(ranked[: ranked.index(self._own)])
+        return frozenset(watched - {self._own})
+
+    def note_asked(self, shard: str) -> None:
+        """Watch all that rank higher for a shard, since a home asks for it.
+
+        Parameters
+        ----------
+        shard : str
+            Name of the shard; the home found all higher ranks silent.
+        """
+        if shard in self._shards:
+            self._asked.add(shard)
+
     def drain(self) -> None:
         """Leave the ranking; ``update`` then hands all shards over."""
         self._is_draining = True
 
-    def update(self, usable: Iterable[str]) -> tuple[Transfer, ...]:
+    def update(self, unusable: Iterable[str]) -> tuple[Transfer, ...]:
         """Take and hand over shards as the view of the peers says.
 
         Parameters
         ----------
-        usable : iterable of str
-            The other schedulers that are neither dead nor draining.
+        unusable : iterable of str
+            The other schedulers that are dead or draining.
 
         Returns
         -------
@@ -96,12 +145,10 @@
             What changed. A draining scheduler without a successor keeps its
             shards until it ends.
         """
-        candidates = set(usable) - {self._own}
-        if not self._is_draining or not candidates:
-            candidates.add(self._own)
+        excluded = set(unusable) - {self._own}
         transfers: list[Transfer] = []
         for shard in sorted(self._shards):
-            owner = rank_owners(shard, candidates)[0]
+            owner = self._find_owner(shard, excluded)
             transfers.extend(self._settle(shard, owner))
         return tuple(transfers)
 
@@ -128,6 +175,13 @@
             return ()
         return self._settle(shard, claimant)
 
+    def _find_owner(self, shard: str, excluded: set[str]) -> str:
+        for candidate in self._ranking.rank(shard):
+            is_leaving = candidate == self._own and self._is_draining
+            if candidate not in excluded and not is_leaving:
+                return candidate
+        return self._own
+
     def _settle(self, shard: str, owner: str) -> tuple[Transfer, ...]:
         if owner == self._own:
             if shard in self._owned:
@@ -140,23 +194,48 @@
         return (HandedOver(shard, owner),)
 
 
-def choose_scheduler(shard: str, detector: FailureDetector) -> str:
-    """Choose the scheduler that a home asks for leases.
+class SchedulerChooser:
+    """Tells a home which scheduler to ask for leases.
 
     Parameters
     ----------
-    shard : str
-        Name of the shard.
     detector : FailureDetector
-        The home's own view of the schedulers.
-
-    Returns
-    -------
-    str
-        The first in rank that is not silent; a draining one only if there is
-        no other; empty if none is left, so that the home goes on alone.
+        The home's own view; it need watch only the schedulers chosen.
     """
-    usable = detector.list_usable()
-    draining = detector.list_peers(PeerState.DRAINING)
-    ranked = rank_owners(shard, usable) or rank_owners(shard, draining)
-    return ranked[0] if ranked else ''
+
+    def __init__(self, detector: FailureDetector) -> None:
+        self._detector = detector
+        self._ranking = Ranking()
+
+    def set_schedulers(self, schedulers: Iterable[str]) -> None:
+        """Replace the schedulers that are known.
+
+        Parameters
+        ----------
+        schedulers : iterable of str
+            Names of all schedulers, whatever their state.
+        """
+        self._ranking.set_candidates(schedulers)
+
+    def choose_scheduler(self, shard: str) -> str:
+        """Choose the scheduler of a shard.
+
+        Parameters
+        ----------
+        shard : str
+            Name of the shard.
+
+        Returns
+        -------
+        str
+            The first in rank that is not silent; a draining one only if there
+            is no other; empty if none is left, so that the home goes on alone.
+        """
+        draining = ''
+        for candidate in self._ranking.rank(shard):
+            state = self._detector.get_state(candidate)
+            if state in _USABLE:
+                return candidate
+            if state is PeerState.DRAINING:
+                draining = draining or candidate
+        return draining
--- a/hornbeampulley/membership/_rendezvous.py
+++ b/hornbeampulley/membership/_rendezvous.py
@@ -54,6 +54,44 @@
     return tuple(sorted(scores, key=lambda name: (scores[name], name)))
 
 
+class Ranking:
+    """Remembers the rank of candidates for each key asked about."""
+
+    def __init__(self) -> None:
+        self._candidates: frozenset[str] = frozenset()
+        self._ranked: dict[str, tuple[str, ...]] = {}
+
+    def set_candidates(self, candidates: Iterable[str]) -> None:
+        """Replace the candidates.
+
+        Parameters
+        ----------
+        candidates : iterable of str
+            Names of hosts or incarnations.
+        """
+        names = frozenset(candidates)
+        if names != self._candidates:
+            self._candidates = names
+            self._ranked = {}
+
+    def rank(self, key: str) -> tuple[str, ...]:
+        """Rank the candidates for a key.
+
+        Parameters
+        ----------
+        key : str
+            What is to be owned.
+
+        Returns
+        -------
+        tuple of str
+            The owner first, then its successors.
+        """
+        if key not in self._ranked:
+            self._ranked[key] = rank_owners(key, self._candidates)
+        return self._ranked[key]
+
+
 def cut_shards(targets: Iterable[Target]) -> tuple[Shard, ...]:
     """Cut pools into shards, by availability zone where possible.
 
