Count goodput, sheds, queue wait and wasted prefill at the home

Cause: the metrics were declared and listed, and nothing sent them. Ruled out: counting in the scheduler; only the home sees whether an answer was whole and in time. Ruled out too: counting a preempted stream as wasted, since its KV state is exported and used again. Change: a home takes a Metrics and counts through pipeline/_measures.py. The takeovers metric is described as it is counted. Conclusion: a program that passes a Metrics to its Home sends these four.

--- a/hornbeampulley/metrics.py
+++ b/hornbeampulley/metrics.py
@@ -100,9 +100,9 @@
     Metric(
         'takeovers',
         MetricKind.COUNTER,
-        'shards',
+        'pools',
         ('pool',),
-        'Shards that a scheduler took over from another.',
+        'Pools that a scheduler began to schedule, first or after another.',
     ),
 )
 TICKET_NUMBER: Final = _declare(
--- a/hornbeampulley/pipeline/_filters.py
+++ b/hornbeampulley/pipeline/_filters.py
@@ -16,8 +16,6 @@
 from hornbeampulley.decisions import (
     Outcome,
     Progress,
-    Reason,
-    Refuse,
     Release,
     Withdraw,
 )
@@ -31,7 +29,17 @@
 from hornbeampulley.pipeline._calls import CallEnd, TargetCall
 from hornbeampulley.pipeline._content import inspect_content
 from hornbeampulley.pipeline._home import Home
-from hornbeampulley.pipeline._problems import Problem, ProblemError
+from hornbeampulley.pipeline._measures import (
+    count_answer,
+    count_dispatch,
+    count_refusal,
+    count_waste,
+)
+from hornbeampulley.pipeline._problems import (
+    Problem,
+    ProblemError,
+    explain_refusal,
+)
 from hornbeampulley.pipeline._requests import Request
 from hornbeampulley.pipeline._runners import (
     cancel_stream,
@@ -49,26 +57,6 @@
 filters: Final[Registry[Filter]] = Registry('filter')
 """Maps names to filters in the order in which requests pass them."""
 
-_STATUS_OF_REASON: Final = {
-    Reason.SHED: 503,
-    Reason.DEADLINE: 504,
-    Reason.QUARANTINED: 422,
-    Reason.DUPLICATE_KEY: 409,
-    Reason.NO_TARGET: 503,
-}
-_DETAIL_OF_REASON: Final = {
-    Reason.SHED: 'the pool has no room for this request; send it again under '
-    'a new id after the time given',
-    Reason.DEADLINE: 'the deadline cannot be met; send the request with a '
-    'later one',
-    Reason.QUARANTINED: 'this content crashed targets; change it before '
-    'sending it again',
-    Reason.DUPLICATE_KEY: 'a request with this idempotency key was leased '
-    'before; look up its outcome',
-    Reason.NO_TARGET: 'no target of the pool can take the request; send it '
-    'again under a new id after the time given',
-}
-
 
 async def run_filters(home: Home, request: Request) -> None:
     """Pass a request through all filters; its answer is whole afterwards.
@@ -195,7 +183,8 @@
         channel.send(Withdraw(request_id))
         raise ProblemError(_explain_cancellation(home, request))
     if request.refusal is not None:
-        raise ProblemError(_explain_refusal(request.refusal))
+        count_refusal(home.metrics, request)
+        raise ProblemError(explain_refusal(request.refusal))
 
 
 async def _dispatch(home: Home, request: Request) -> CallEnd:
@@ -209,6 +198,7 @@
         end = await _stop_call(home, request, end)
     request.call = None
     request.lease = None
+    count_waste(home.metrics, request, end)
     _send_release(home, request, end)
     return end
 
@@ -239,6 +229,7 @@
     if request.kv_state:
         return
     home.ledger.mark_dispatched(request.request_id)
+    count_dispatch(home.metrics, request, now_ms)
     log_event(
         _log,
         'request_dispatched',
@@ -292,22 +283,13 @@
 def _conclude(home: Home, request: Request, end: CallEnd) -> None:
     if end.outcome is Outcome.DONE:
         request.answer.end()
+        count_answer(home.metrics, request, home.clock.now())
     elif end.outcome is Outcome.CANCELLED:
         request.answer.end_with(_explain_cancellation(home, request))
     else:
         request.answer.end_with(_explain_failure(home, request))
 
 
-def _explain_refusal(refusal: Refuse) -> Problem:
-    return Problem(
-        _STATUS_OF_REASON[refusal.reason],
-        refusal.reason.value.replace('_', ' '),
-        _DETAIL_OF_REASON[refusal.reason],
-        Ran.YES if refusal.ran else Ran.NO,
-        refusal.retry_after_ms,
-    )
-
-
 def _find_ran(home: Home, request: Request) -> Ran:
     state = home.ledger.find_state(request.request_id)
     return Ran.NO if state is State.WAITING else Ran.UNKNOWN
--- a/hornbeampulley/pipeline/_home.py
+++ b/hornbeampulley/pipeline/_home.py
@@ -10,6 +10,7 @@
 from hornbeampulley.configuration import Configuration
 from hornbeampulley.identity import Admission, Ledger, RequestId
 from hornbeampulley.logs import log_event
+from hornbeampulley.metrics import Metrics
 from hornbeampulley.pipeline._admissions import refuse_admission
 from hornbeampulley.pipeline._answers import Answer, decode_answer
 from hornbeampulley.pipeline._channels import PoolChannel
@@ -41,6 +42,8 @@
         What it knows of the fleet.
     client : TargetClient
         For calls to targets.
+    metrics : Metrics
+        Where it sends what it counts.
 
     Attributes
     ----------
@@ -53,10 +56,12 @@
         ledger: Ledger,
         view: FleetView,
         client: TargetClient,
+        metrics: Metrics | None = None,
     ) -> None:
         self.ledger = ledger
         self.view = view
         self.client = client
+        self.metrics = metrics or Metrics()
         self.clock = client.clock
         self.is_draining = False
         self._requests: dict[str, Request] = {}
--- a/hornbeampulley/pipeline/_problems.py
+++ b/hornbeampulley/pipeline/_problems.py
@@ -6,10 +6,30 @@
 from typing import Any, Final
 
 from hornbeampulley.clock import MS_PER_SECOND
+from hornbeampulley.decisions import Reason, Refuse
 from hornbeampulley.errors import HornbeamError
 from hornbeampulley.identity import Ran
 
 PROBLEM_TYPE: Final = 'application/problem+json'
+_STATUS_OF_REASON: Final = {
+    Reason.SHED: 503,
+    Reason.DEADLINE: 504,
+    Reason.QUARANTINED: 422,
+    Reason.DUPLICATE_KEY: 409,
+    Reason.NO_TARGET: 503,
+}
+_DETAIL_OF_REASON: Final = {
+    Reason.SHED: 'the pool has no room for this request; send it again under '
+    'a new id after the time given',
+    Reason.DEADLINE: 'the deadline cannot be met; send the request with a '
+    'later one',
+    Reason.QUARANTINED: 'this content crashed targets; change it before '
+    'sending it again',
+    Reason.DUPLICATE_KEY: 'a request with this idempotency key was leased '
+    'before; look up its outcome',
+    Reason.NO_TARGET: 'no target of the pool can take the request; send it '
+    'again under a new id after the time given',
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,3 +110,25 @@
     def __init__(self, problem: Problem) -> None:
         super().__init__(problem.detail)
         self.problem = problem
+
+
+def explain_refusal(refusal: Refuse) -> Problem:
+    """Explain the scheduler's refusal to the caller.
+
+    Parameters
+    ----------
+    refusal : Refuse
+        The scheduler's final word.
+
+    Returns
+    -------
+    Problem
+        With its remedy.
+    """
+    return Problem(
+        _STATUS_OF_REASON[refusal.reason],
+        refusal.reason.value.replace('_', ' '),
+        _DETAIL_OF_REASON[refusal.reason],
+        Ran.YES if refusal.ran else Ran.NO,
+        refusal.retry_after_ms,
+    )
--- a/hornbeampulley/programs/_process.py
+++ b/hornbeampulley/programs/_process.py
@@ -16,6 +16,7 @@
 from hornbeampulley.errors import SettingsError
 from hornbeampulley.logs import LogOrigin, configure_logs, log_event
 from hornbeampulley.membership import Role
+from hornbeampulley.metrics import Metrics, open_metrics
 from hornbeampulley.settings import Settings, read_settings
 from hornbeampulley.timeline import HybridClock
 from hornbeampulley.wire.generated.peer import ttypes
@@ -42,6 +43,8 @@
         Hybrid logical clock of its events.
     started_ms : int
         Wall time of its start.
+    metrics : Metrics
+        Where it sends what it counts.
     """
 
     role: Role
@@ -49,6 +52,7 @@
     settings: Settings
     hybrid: HybridClock
     started_ms: int
+    metrics: Metrics = dataclasses.field(default_factory=Metrics)
 
     def make_hello(self, peer_port: int = 0) -> ttypes.Hello:
         """Say what this process is.
@@ -97,6 +101,11 @@
         settings,
         HybridClock(wall.now),
         int(wall.now()),
+        open_metrics(
+            settings.metrics.statsd_address,
+            settings.metrics.statsd_port,
+            f'hornbeam.{role.value}',
+        ),
     )
 
 
