Answer operators' queries in all three daemons

Cause: the messages Query and Reply were unused, and the entry had no peer listener, so nobody could ask a process for its state. Ruled out: HTTP for operators, since the agent and the scheduler serve none; one answerer per role and command, since the roles differ only in the fields that they fill in. Change: wire/_reports.py holds what is said, wire/_queries.py asks, and programs/_queries.py answers from a registry of commands: status, explain and drain. The entry listens on ports.entry_peer. Whatever fails in an answer is logged and told to the asker. The agent sends number and age of the tickets in force, the scheduler counts the pools that it begins to schedule. Conclusion: the command line can be built on this.

--- /dev/null
+++ b/hornbeampulley/programs/_agent_reports.py
@@ -0,0 +1,93 @@
+"""What an agent tells operators and the metrics server."""
+
+import dataclasses
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+from hornbeampulley import wire
+from hornbeampulley.membership import HostRecord, TicketStore
+from hornbeampulley.metrics import TICKET_AGE, TICKET_NUMBER, Metrics
+from hornbeampulley.programs._queries import list_tickets
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AgentState:
+    """What an agent holds at one moment.
+
+    Attributes
+    ----------
+    store : TicketStore
+        Tickets in force.
+    fresh_age_ms : float
+        Age of the last word of the configuration service.
+    load : int
+        Number of processes linked.
+    hosts : tuple of HostRecord
+        Hosts that live.
+    """
+
+    store: TicketStore
+    fresh_age_ms: float
+    load: int
+    hosts: tuple[HostRecord, ...]
+
+
+def describe_agent(state: AgentState) -> dict[str, Any]:
+    """Describe an agent.
+
+    Parameters
+    ----------
+    state : AgentState
+        What it holds.
+
+    Returns
+    -------
+    dict
+        Fields of a ``ProcessReport``.
+    """
+    members = sorted(_list_members(state.hosts), key=_get_place)
+    return {
+        'load': state.load,
+        'tickets': _list_tickets(state),
+        'conflicts': tuple(map(str, state.store.list_conflicts())),
+        'members': tuple(members),
+    }
+
+
+def measure_tickets(metrics: Metrics, state: AgentState) -> None:
+    """Send number and age of the tickets in force.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Where they go.
+    state : AgentState
+        What the agent holds.
+    """
+    for ticket in _list_tickets(state):
+        metrics.gauge(TICKET_NUMBER, ticket.scope, level=ticket.number)
+        metrics.gauge(TICKET_AGE, ticket.scope, level=ticket.age_ms)
+
+
+def _list_tickets(state: AgentState) -> tuple[wire.TicketReport, ...]:
+    stamps = state.store.summary().values()
+    numbers = {stamp.scope: stamp.number for stamp in stamps}
+    return list_tickets(numbers, state.fresh_age_ms)
+
+
+def _list_members(
+    records: Iterable[HostRecord],
+) -> Iterator[wire.MemberReport]:
+    for record in records:
+        for member in record.members:
+            yield wire.MemberReport(
+                record.host,
+                record.address,
+                member.role.value,
+                member.incarnation,
+                member.peer_port,
+            )
+
+
+def _get_place(member: wire.MemberReport) -> tuple[str, str]:
+    return member.host, member.role
--- /dev/null
+++ b/hornbeampulley/programs/_scheduler_reports.py
@@ -0,0 +1,54 @@
+"""What a scheduler tells operators."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from hornbeampulley.decisions import Core
+from hornbeampulley.programs._fleet import Fleet
+from hornbeampulley.programs._queries import list_tickets
+
+
+def describe_scheduler(cores: Iterable[Core], fleet: Fleet) -> dict[str, Any]:
+    """Describe a scheduler.
+
+    Parameters
+    ----------
+    cores : iterable of Core
+        Of the pools that homes ask it to schedule.
+    fleet : Fleet
+        What it knows of the fleet.
+
+    Returns
+    -------
+    dict
+        Fields of a ``ProcessReport``.
+    """
+    pools = tuple(core.describe() for core in cores)
+    numbers = fleet.configuration.numbers
+    return {
+        'load': len(pools),
+        'pools': pools,
+        'tickets': list_tickets(numbers, fleet.fresh_age_ms),
+    }
+
+
+def explain_decisions(
+    cores: Iterable[Core],
+    request_id: str,
+) -> dict[str, Any]:
+    """Tell what a scheduler decided about a request.
+
+    Parameters
+    ----------
+    cores : iterable of Core
+        Of all its pools.
+    request_id : str
+        Id of the request.
+
+    Returns
+    -------
+    dict
+        Fields of a ``RequestReport``.
+    """
+    lines = (line for core in cores for line in core.explain(request_id))
+    return {'decisions': tuple(lines)}
--- a/hornbeampulley/programs/agent.py
+++ b/hornbeampulley/programs/agent.py
@@ -24,8 +24,14 @@
     parse_hosts,
     rank_owners,
 )
+from hornbeampulley.programs._agent_reports import (
+    AgentState,
+    describe_agent,
+    measure_tickets,
+)
 from hornbeampulley.programs._platform import PlatformError, PlatformReader
 from hornbeampulley.programs._process import Process, run_daemon
+from hornbeampulley.programs._queries import Subject, answer_query
 from hornbeampulley.wire.generated.peer import ttypes
 
 GOSSIP_MS: Final = 500.0
@@ -41,15 +47,22 @@
     ----------
     process : Process
         This run of the program.
+    drain : trio.Event
+        Set when it is to shut down.
     """
 
-    def __init__(self, process: Process) -> None:
+    def __init__(self, process: Process, drain: trio.Event) -> None:
         self.process = process
         self.clock = Clock(trio.current_time)
         self.store = TicketStore()
         self.book = HostBook()
         self.directory = Directory(_make_record(process), self.clock.now())
         self.fresh_ms = self.clock.now()
+        self._subject = Subject(
+            process,
+            drain,
+            lambda: describe_agent(self.describe()),
+        )
         self._locals: list[wire.Link] = []
         self._heartbeats: dict[str, ttypes.Heartbeat] = {}
         self._peers: dict[str, wire.Link] = {}
@@ -90,6 +103,22 @@
         records = self.directory.list_live(self.clock.now())
         return listed | {record.address for record in records}
 
+    def describe(self) -> AgentState:
+        """Describe what the agent holds.
+
+        Returns
+        -------
+        AgentState
+            As of now.
+        """
+        now_ms = self.clock.now()
+        return AgentState(
+            self.store,
+            now_ms - self.fresh_ms,
+            len(self._locals),
+            self.directory.list_live(now_ms),
+        )
+
     def list_members(self) -> tuple[Member, ...]:
         """List the processes of this host.
 
@@ -202,6 +231,7 @@
                     nursery.start_soon(self.meet, address)
                 self._tell_peers(now_ms)
                 self.tell_locals()
+                measure_tickets(self.process.metrics, self.describe())
                 await trio.sleep(to_seconds(GOSSIP_MS))
 
     def tell_locals(self) -> None:
@@ -240,6 +270,8 @@
                 self._take_news(message)
             case ttypes.TicketText():
                 self.offer_ticket(message.text, link.peer.host)
+            case ttypes.Query():
+                link.send(answer_query(self._subject, message))
 
     def _greet(self, link: wire.Link) -> None:
         role = Role(link.peer.role)
@@ -322,7 +354,7 @@
     drain : trio.Event
         Set when it is to shut down.
     """
-    agent = Agent(process)
+    agent = Agent(process, drain)
     reader = PlatformReader(process.settings)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(agent.gossip)
--- a/hornbeampulley/programs/entry.py
+++ b/hornbeampulley/programs/entry.py
@@ -8,6 +8,7 @@
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
+from hornbeampulley import wire
 from hornbeampulley.clock import to_seconds
 from hornbeampulley.identity import Ledger, LedgerLimits
 from hornbeampulley.logs import log_event
@@ -18,8 +19,13 @@
     Home,
     TargetClient,
 )
+from hornbeampulley.programs._entry_reports import (
+    describe_entry,
+    explain_at_home,
+)
 from hornbeampulley.programs._fleet import Fleet, follow_agent
 from hornbeampulley.programs._process import Process, run_daemon
+from hornbeampulley.programs._queries import Subject, answer_query
 from hornbeampulley.programs._scheduler_links import SchedulerLinks
 from hornbeampulley.wire.generated.peer import ttypes
 
@@ -54,6 +60,13 @@
         Ledger(process.incarnation, limits),
         fleet,
         TargetClient(settings.host.address),
+        process.metrics,
+    )
+    subject = Subject(
+        process,
+        drain,
+        functools.partial(describe_entry, home, fleet),
+        functools.partial(explain_at_home, home),
     )
     links = SchedulerLinks(process, fleet, home)
     async with trio.open_nursery() as background:
@@ -67,10 +80,33 @@
             functools.partial(_make_heartbeat, home),
             links.refresh,
         )
+        background.start_soon(
+            wire.serve_links,
+            settings.host.address,
+            settings.ports.entry_peer,
+            functools.partial(_serve_operator, subject),
+            fleet.is_listed,
+        )
         await _serve_callers(process, home, links, drain)
         background.cancel_scope.cancel()
 
 
+async def _serve_operator(
+    subject: Subject,
+    stream: trio.SocketStream,
+) -> None:
+    hello = subject.process.make_hello(
+        subject.process.settings.ports.entry_peer
+    )
+    link = wire.Link(stream, hello, hybrid=subject.process.hybrid)
+    await link.run(functools.partial(_answer, subject))
+
+
+def _answer(subject: Subject, link: wire.Link, message: object) -> None:
+    if isinstance(message, ttypes.Query):
+        link.send(answer_query(subject, message))
+
+
 async def _serve_callers(
     process: Process,
     home: Home,
--- a/hornbeampulley/programs/scheduler.py
+++ b/hornbeampulley/programs/scheduler.py
@@ -10,9 +10,15 @@
 from hornbeampulley.clock import Clock, to_seconds
 from hornbeampulley.logs import log_event
 from hornbeampulley.membership import Role
+from hornbeampulley.metrics import TAKEOVERS
 from hornbeampulley.programs._fleet import Fleet, follow_agent
 from hornbeampulley.programs._polling import poll_targets
 from hornbeampulley.programs._process import Process, run_daemon
+from hornbeampulley.programs._queries import Subject, answer_query
+from hornbeampulley.programs._scheduler_reports import (
+    describe_scheduler,
+    explain_decisions,
+)
 from hornbeampulley.wire.generated.peer import ttypes
 
 TICK_MS: Final = 100.0
@@ -124,15 +130,23 @@
         This run of the program.
     fleet : Fleet
         What it knows of the fleet.
+    drain : trio.Event
+        Set when it is to shut down.
     """
 
-    def __init__(self, process: Process, fleet: Fleet) -> None:
+    def __init__(
+        self,
+        process: Process,
+        fleet: Fleet,
+        drain: trio.Event,
+    ) -> None:
         self.pools: dict[str, PoolScheduler] = {}
         self._process = process
         self._fleet = fleet
         self._clock = Clock(trio.current_time)
         self._pool_of_request: dict[str, str] = {}
         self._unlinked = trio.Event()
+        self._subject = Subject(process, drain, self._describe, self._explain)
 
     @property
     def links_count(self) -> int:
@@ -193,6 +207,16 @@
                 self._forget(message)
         elif isinstance(message, ttypes.FateQuery):
             link.send(ttypes.FateAnswer(message.request_id, False))
+        elif isinstance(message, ttypes.Query):
+            link.send(answer_query(self._subject, message))
+
+    def _describe(self) -> dict[str, Any]:
+        used = (pool.core for pool in self.pools.values() if pool.is_used)
+        return describe_scheduler(used, self._fleet)
+
+    def _explain(self, request_id: str) -> dict[str, Any]:
+        cores = (pool.core for pool in self.pools.values())
+        return explain_decisions(cores, request_id)
 
     def _forget(self, message: Any) -> None:
         outcome = getattr(message, 'outcome', None)
@@ -202,6 +226,7 @@
     def _find_pool(self, pool: str) -> PoolScheduler:
         if pool not in self.pools:
             self.pools[pool] = PoolScheduler(pool, self._fleet, self._clock)
+            self._process.metrics.count(TAKEOVERS, pool)
             log_event(_log, 'pool_taken', pool=pool)
         return self.pools[pool]
 
@@ -222,7 +247,7 @@
         Set when it is to shut down.
     """
     fleet = Fleet(process)
-    scheduler = Scheduler(process, fleet)
+    scheduler = Scheduler(process, fleet, drain)
     port = process.settings.ports.scheduler_peer
     async with trio.open_nursery() as nursery:
         nursery.start_soon(scheduler.tick)
--- a/hornbeampulley/wire/__init__.py
+++ b/hornbeampulley/wire/__init__.py
@@ -21,12 +21,24 @@
     open_stream,
     serve_links,
 )
+from hornbeampulley.wire._queries import Querier
 from hornbeampulley.wire._records import (
     read_news,
     read_record,
     write_news,
     write_record,
 )
+from hornbeampulley.wire._reports import (
+    MemberReport,
+    ProcessReport,
+    QueryError,
+    RequestReport,
+    TicketReport,
+    read_process_report,
+    read_request_report,
+    write_error,
+    write_report,
+)
 
 __all__ = (
     'HASH_MASK',
@@ -35,17 +47,27 @@
     'SILENCE_MS',
     'FrameDecoder',
     'Link',
+    'MemberReport',
+    'ProcessReport',
+    'Querier',
+    'QueryError',
+    'RequestReport',
+    'TicketReport',
     'decode_body',
     'encode_frame',
     'open_stream',
     'read_action',
     'read_event',
     'read_news',
+    'read_process_report',
     'read_record',
+    'read_request_report',
     'serve_links',
     'write_action',
+    'write_error',
     'write_event',
     'write_news',
     'write_record',
+    'write_report',
     'write_reserve',
 )
--- /dev/null
+++ b/hornbeampulley/wire/_queries.py
@@ -0,0 +1,126 @@
+"""Queries of operators to one process."""
+
+import functools
+from typing import Any, Final
+
+import trio
+
+from hornbeampulley.clock import to_seconds
+from hornbeampulley.wire._links import Link, open_stream
+from hornbeampulley.wire._reports import QueryError
+from hornbeampulley.wire.generated.peer import ttypes
+
+QUERY_TIMEOUT_MS: Final = 3000.0
+RETRY_MS: Final = 50.0
+# One name for all runs, so that no process remembers each of them.
+OPERATOR: Final = 'operator'
+
+
+class Querier:
+    """Asks the processes of a fleet from one host.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    address : str
+        Address of this host, which the peers check.
+    """
+
+    def __init__(self, host: str, address: str) -> None:
+        self._address = address
+        self._hello = ttypes.Hello(
+            role=OPERATOR,
+            host=host,
+            incarnation=OPERATOR,
+            address=address,
+            caller_port=0,
+            peer_port=0,
+        )
+
+    async def ask(
+        self,
+        address: str,
+        port: int,
+        command: str,
+        argument: str = '',
+    ) -> str:
+        """Ask a process.
+
+        Parameters
+        ----------
+        address, port : str, int
+            Where it listens for peers.
+        command : str
+            What to do.
+        argument : str
+            What the command is about.
+
+        Returns
+        -------
+        str
+            Its reply.
+
+        Raises
+        ------
+        OSError
+            If it cannot be reached.
+        QueryError
+            If it does not reply within `QUERY_TIMEOUT_MS`.
+        """
+        texts: list[str] = []
+        link = await self._open(address, port)
+        link.send(ttypes.Query(1, command, argument))
+        with trio.move_on_after(to_seconds(QUERY_TIMEOUT_MS)):
+            await link.run(functools.partial(_take_reply, texts))
+        if not texts:
+            raise QueryError(
+                f'{address}:{port} did not reply; check that the process runs '
+                'and that its host list names this host',
+            )
+        return texts[0]
+
+    async def wait_gone(
+        self,
+        address: str,
+        port: int,
+        incarnation: str,
+    ) -> None:
+        """Wait until a process has ended.
+
+        Parameters
+        ----------
+        address, port : str, int
+            Where it listens for peers.
+        incarnation : str
+            The process; one that starts there in its place is not waited for.
+        """
+        is_gone = False
+        while not is_gone:
+            await trio.sleep(to_seconds(RETRY_MS))
+            try:
+                link = await self._open(address, port)
+            except OSError as error:
+                is_gone = isinstance(error.__cause__, ConnectionRefusedError)
+            else:
+                await link.run(functools.partial(_close_other, incarnation))
+                is_gone = _is_other(link, incarnation)
+
+    async def _open(self, address: str, port: int) -> Link:
+        stream = await open_stream(address, port, self._address)
+        return Link(stream, self._hello)
+
+
+def _take_reply(texts: list[str], link: Link, message: Any) -> None:
+    if isinstance(message, ttypes.Reply):
+        texts.append(message.text or '')
+        link.close()
+
+
+def _close_other(incarnation: str, link: Link, _message: Any) -> None:
+    if _is_other(link, incarnation):
+        link.close()
+
+
+def _is_other(link: Link, incarnation: str) -> bool:
+    return link.peer is not None and link.peer.incarnation != incarnation
