--- /dev/null
+++ b/hornbeampulley/programs/_pages.py
@@ -0,0 +1,126 @@
+"""The lines that the command line prints."""
+
+from collections.abc import Iterable, Iterator
+
+from returns.result import Success
+
+from hornbeampulley import porcelain, wire
+from hornbeampulley.decisions import PoolState
+
+
+def form_check_lines(report: porcelain.CheckReport) -> Iterator[str]:
+    """Form the lines of checked tickets.
+
+    Parameters
+    ----------
+    report : CheckReport
+        The files that were checked.
+
+    Yields
+    ------
+    str
+        One line for each ticket, fault and warning.
+    """
+    for check in report.checks:
+        if isinstance(check.outcome, Success):
+            ticket = check.outcome.unwrap()
+            yield f'{check.path}: ticket {ticket.number} of {ticket.scope}: ok'
+            continue
+        for fault in check.outcome.failure():
+            yield f'{check.path}: fault: {fault}'
+    for warning in report.warnings:
+        yield f'warning: {warning}'
+
+
+def form_status_lines(status: porcelain.Status) -> Iterator[str]:
+    """Form the lines of a status.
+
+    Parameters
+    ----------
+    status : Status
+        Of several processes.
+
+    Yields
+    ------
+    str
+        What each process says of itself.
+    """
+    for process in status.processes:
+        condition = 'draining' if process.draining else 'running'
+        yield (
+            f'{process.host} {process.role} {process.incarnation} '
+            f'{process.availability_zone} {process.address}: '
+            f'{condition}, load {process.load}'
+        )
+        yield from _form_ticket_lines(process)
+        for pool in process.pools:
+            yield from _form_pool_lines(pool)
+    yield from _form_unreached_lines(status.unreached)
+
+
+def form_explanation_lines(
+    explanation: porcelain.Explanation,
+) -> Iterator[str]:
+    """Form the lines of an explanation.
+
+    Parameters
+    ----------
+    explanation : Explanation
+        What the fleet knows of a request.
+
+    Yields
+    ------
+    str
+        The word of the home, then those of the schedulers.
+    """
+    yield f'request {explanation.request_id}'
+    yield _form_home_line(explanation.home)
+    for scheduler in explanation.schedulers:
+        yield f'  scheduler {scheduler.host} {scheduler.incarnation}:'
+        for decision in scheduler.decisions:
+            yield f'    {decision}'
+    yield from _form_unreached_lines(explanation.unreached)
+
+
+def _form_ticket_lines(process: wire.ProcessReport) -> Iterator[str]:
+    for ticket in process.tickets:
+        yield (
+            f'  ticket {ticket.number} of {ticket.scope}, '
+            f'known to be newest {ticket.age_ms:.0f} ms ago'
+        )
+    for conflict in process.conflicts:
+        yield f'  conflict: {conflict}'
+
+
+def _form_pool_lines(pool: PoolState) -> Iterator[str]:
+    waiting = ', '.join(
+        f'{count} of {tier}' for tier, count in pool.waiting.items()
+    )
+    yield (
+        f'  pool {pool.pool}: {pool.running} running; '
+        f'waiting: {waiting or "none"}'
+    )
+    for target in pool.targets:
+        leaving = ', leaving' if target.is_leaving else ''
+        yield (
+            f'    target {target.name}: {target.health}{leaving}, '
+            f'{target.running} running, limit {target.limit}'
+        )
+
+
+def _form_home_line(home: wire.RequestReport | None) -> str:
+    if home is None:
+        return '  home: its process is gone; the outcome is unknown'
+    state = home.state or 'not held (never sent, or its answer is dropped)'
+    target = f', target {home.target}' if home.target else ''
+    return (
+        f'  home {home.host} {home.incarnation}: {state}, '
+        f'ran {home.ran}{target}'
+    )
+
+
+def _form_unreached_lines(
+    unreached: Iterable[porcelain.Unreached],
+) -> Iterator[str]:
+    for process in unreached:
+        yield f'{process.place}: no answer: {process.problem}'
--- a/hornbeampulley/wire/__init__.py
+++ b/hornbeampulley/wire/__init__.py
@@ -30,6 +30,7 @@
 )
 from hornbeampulley.wire._reports import (
     MemberReport,
+    NoReplyError,
     ProcessReport,
     QueryError,
     RequestReport,
@@ -48,6 +49,7 @@
     'FrameDecoder',
     'Link',
     'MemberReport',
+    'NoReplyError',
     'ProcessReport',
     'Querier',
     'QueryError',
--- a/hornbeampulley/wire/_queries.py
+++ b/hornbeampulley/wire/_queries.py
@@ -7,7 +7,7 @@
 
 from hornbeampulley.clock import to_seconds
 from hornbeampulley.wire._links import Link, open_stream
-from hornbeampulley.wire._reports import QueryError
+from hornbeampulley.wire._reports import NoReplyError
 from hornbeampulley.wire.generated.peer import ttypes
 
 QUERY_TIMEOUT_MS: Final = 3000.0
@@ -65,7 +65,7 @@
         ------
         OSError
             If it cannot be reached.
-        QueryError
+        NoReplyError
             If it does not reply within `QUERY_TIMEOUT_MS`.
         """
         texts: list[str] = []
@@ -74,7 +74,7 @@
         with trio.move_on_after(to_seconds(QUERY_TIMEOUT_MS)):
             await link.run(functools.partial(_take_reply, texts))
         if not texts:
-            raise QueryError(
+            raise NoReplyError(
                 f'{address}:{port} did not reply; check that the process runs '
                 'and that its host list names this host',
             )
--- a/hornbeampulley/wire/_reports.py
+++ b/hornbeampulley/wire/_reports.py
@@ -12,6 +12,10 @@
     """A process could not answer a query."""
 
 
+class NoReplyError(QueryError):
+    """A process ended or went silent before it replied."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TicketReport:
     """A change ticket in force at a process.
