--- a/hornbeampulley/programs/_queries.py
+++ b/hornbeampulley/programs/_queries.py
@@ -14,6 +14,7 @@
 from hornbeampulley.registry import Registry
 from hornbeampulley.wire.generated.peer import ttypes
 
+MAX_REPLY_CHARACTERS: Final = 1_000_000
 _log = logging.getLogger(__name__)
 
 
@@ -182,4 +183,6 @@
     except Exception:
         _log.exception('query %r failed', query.command)
         text = wire.write_error('the query failed; read the log of the process')
+    if len(text) > MAX_REPLY_CHARACTERS:
+        text = wire.write_error('the reply is too long; ask for less')
     return ttypes.Reply(number, text)
--- a/hornbeampulley/wire/_queries.py
+++ b/hornbeampulley/wire/_queries.py
@@ -101,7 +101,7 @@
             try:
                 link = await self._open(address, port)
             except OSError as error:
-                is_gone = isinstance(error.__cause__, ConnectionRefusedError)
+                is_gone = _is_refused(error)
             else:
                 await link.run(functools.partial(_close_other, incarnation))
                 is_gone = _is_other(link, incarnation)
@@ -111,6 +111,13 @@
         return Link(stream, self._hello)
 
 
+def _is_refused(error: OSError) -> bool:
+    causes = error.__cause__
+    if not isinstance(causes, ExceptionGroup):
+        return False
+    return causes.subgroup(ConnectionRefusedError) is not None
+
+
 def _take_reply(texts: list[str], link: Link, message: Any) -> None:
     if isinstance(message, ttypes.Reply):
         texts.append(message.text or '')
