--- a/hornbeampulley/programs/entry.py
+++ b/hornbeampulley/programs/entry.py
@@ -23,6 +23,7 @@
     describe_entry,
     explain_at_home,
 )
+from hornbeampulley.programs._fate_queries import FateQueries
 from hornbeampulley.programs._fleet import Fleet, follow_agent
 from hornbeampulley.programs._process import Process, run_daemon
 from hornbeampulley.programs._queries import Subject, answer_query
@@ -117,7 +118,7 @@
     fleet = links.fleet
     forwarder = Forwarder(
         fleet.find_entry_url,
-        links.ask_fate,
+        FateQueries(process, fleet).ask,
         settings.host.address,
     )
     closing = trio.Event()
@@ -167,7 +168,7 @@
         await trio.sleep(to_seconds(TICK_MS))
 
 
-def _make_heartbeat(home: Home) -> ttypes.Heartbeat:
+def _make_heartbeat(home: Home, _link: wire.Link) -> ttypes.Heartbeat:
     return ttypes.Heartbeat(home.open_count, home.is_draining)
 
 
--- a/hornbeampulley/wire/__init__.py
+++ b/hornbeampulley/wire/__init__.py
@@ -4,9 +4,11 @@
     HASH_MASK,
     read_action,
     read_event,
+    read_stamp,
     write_action,
     write_event,
     write_reserve,
+    write_stamp,
 )
 from hornbeampulley.wire._frames import (
     MAX_FRAME_BYTES,
@@ -64,6 +66,7 @@
     'read_process_report',
     'read_record',
     'read_request_report',
+    'read_stamp',
     'serve_links',
     'write_action',
     'write_error',
@@ -72,4 +75,5 @@
     'write_record',
     'write_report',
     'write_reserve',
+    'write_stamp',
 )
