--- a/hornbeampulley/programs/_pages.py
+++ b/hornbeampulley/programs/_pages.py
@@ -110,7 +110,10 @@
 
 def _form_home_line(home: wire.RequestReport | None) -> str:
     if home is None:
-        return '  home: its process is gone; the outcome is unknown'
+        return (
+            '  home: its process is gone; the outcome is unknown unless a '
+            'repeat of the id is answered with ran: no'
+        )
     state = home.state or 'not held (never sent, or its answer is dropped)'
     target = f', target {home.target}' if home.target else ''
     return (
