--- a/hornbeampulley/programs/agent.py
+++ b/hornbeampulley/programs/agent.py
@@ -19,6 +19,11 @@
     Role,
     build_configuration,
 )
+from hornbeampulley.programs._agent_reports import (
+    AgentState,
+    describe_agent,
+    measure_tickets,
+)
 from hornbeampulley.programs._locals import (
     LocalProcesses,
     LocalView,
@@ -26,6 +31,7 @@
 )
 from hornbeampulley.programs._peer_links import PeerLinks
 from hornbeampulley.programs._process import Process, run_daemon
+from hornbeampulley.programs._queries import Subject, answer_query
 from hornbeampulley.programs._ticket_spread import TicketSpread
 from hornbeampulley.wire.generated.peer import ttypes
 
@@ -43,6 +49,8 @@
         This run of the program.
     nursery : trio.Nursery
         Runs its tasks.
+    drain : trio.Event
+        Set when it is to shut down.
 
     Attributes
     ----------
@@ -52,7 +60,12 @@
         Hosts that live.
     """
 
-    def __init__(self, process: Process, nursery: trio.Nursery) -> None:
+    def __init__(
+        self,
+        process: Process,
+        nursery: trio.Nursery,
+        drain: trio.Event,
+    ) -> None:
         self.clock = Clock(trio.current_time)
         self.directory = Directory(_make_record(process), self.clock.now())
         self.spread = TicketSpread(
@@ -61,6 +74,11 @@
             self._send,
             self._apply,
         )
+        self._subject = Subject(
+            process,
+            drain,
+            lambda: describe_agent(self.describe()),
+        )
         self._process = process
         self._nursery = nursery
         self._book = HostBook()
@@ -85,6 +103,21 @@
         """
         return address in self._list_addresses()
 
+    def describe(self) -> AgentState:
+        """Describe what the agent holds.
+
+        Returns
+        -------
+        AgentState
+            As of now.
+        """
+        return AgentState(
+            self.spread.store,
+            self.spread.list_ages(),
+            len(self._locals.list_members()),
+            self.directory.list_live(self.clock.now()),
+        )
+
     async def accept(self, stream: trio.SocketStream) -> None:
         """Serve a link that a peer or a process of this host has opened.
 
@@ -112,6 +145,7 @@
             self._peers.close_idle()
             self._tell_peers()
             self._tell_locals()
+            measure_tickets(self._process.metrics, self.describe())
             await trio.sleep(to_seconds(BEAT_MS))
 
     def _handle(self, link: wire.Link, message: Any) -> None:
@@ -122,6 +156,8 @@
                 self._locals.hear(link, message)
             case ttypes.DirectoryNews():
                 self._take_news(link, message)
+            case ttypes.Query():
+                link.send(answer_query(self._subject, message))
             case _:
                 self.spread.receive(link.peer.address, message)
 
@@ -256,7 +292,7 @@
         Set when it is to shut down.
     """
     async with trio.open_nursery() as nursery:
-        agent = Agent(process, nursery)
+        agent = Agent(process, nursery, drain)
         nursery.start_soon(agent.run)
         nursery.start_soon(agent.spread.run)
         nursery.start_soon(
--- a/hornbeampulley/programs/scheduler.py
+++ b/hornbeampulley/programs/scheduler.py
@@ -11,10 +11,16 @@
 from hornbeampulley.identity import FateRecorder, Ran, RequestId, Stamp
 from hornbeampulley.logs import log_event
 from hornbeampulley.membership import Role
+from hornbeampulley.metrics import TAKEOVERS
 from hornbeampulley.pipeline import TIMING
 from hornbeampulley.programs._fleet import Fleet, follow_agent
 from hornbeampulley.programs._polling import poll_targets
 from hornbeampulley.programs._process import Process, run_daemon
+from hornbeampulley.programs._queries import Subject, answer_query
+from hornbeampulley.programs._scheduler_reports import (
+    describe_scheduler,
+    explain_decisions,
+)
 from hornbeampulley.wire.generated.peer import ttypes
 
 TICK_MS: Final = 100.0
@@ -226,14 +232,22 @@
         This run of the program.
     fleet : Fleet
         What it knows of the fleet.
+    drain : trio.Event
+        Set when it is to shut down.
     """
 
-    def __init__(self, process: Process, fleet: Fleet) -> None:
+    def __init__(
+        self,
+        process: Process,
+        fleet: Fleet,
+        drain: trio.Event,
+    ) -> None:
         self.pools: dict[str, PoolScheduler] = {}
         self._process = process
         self._fleet = fleet
         self._clock = Clock(trio.current_time)
         self._unlinked = trio.Event()
+        self._subject = Subject(process, drain, self._describe, self._explain)
 
     @property
     def pools_in_use(self) -> int:
@@ -278,9 +292,19 @@
             await trio.sleep(to_seconds(TICK_MS))
 
     def _handle(self, link: wire.Link, message: Any) -> None:
-        if link.peer.pool:
+        if isinstance(message, ttypes.Query):
+            link.send(answer_query(self._subject, message))
+        elif link.peer.pool:
             self._find_pool(link.peer.pool).receive(link, message)
 
+    def _describe(self) -> dict[str, Any]:
+        used = (pool.core for pool in self.pools.values() if pool.is_used)
+        return describe_scheduler(used, self._fleet)
+
+    def _explain(self, request_id: str) -> dict[str, Any]:
+        cores = (pool.core for pool in self.pools.values())
+        return explain_decisions(cores, request_id)
+
     def _make_heartbeat(self, link: wire.Link) -> ttypes.Heartbeat:
         if link.peer is None or not link.peer.pool:
             return ttypes.Heartbeat()
@@ -294,6 +318,7 @@
                 self._fleet,
                 self._clock,
             )
+            self._process.metrics.count(TAKEOVERS, pool)
             log_event(_log, 'pool_taken', pool=pool)
         return self.pools[pool]
 
@@ -314,7 +339,7 @@
         Set when it is to shut down.
     """
     fleet = Fleet(process)
-    scheduler = Scheduler(process, fleet)
+    scheduler = Scheduler(process, fleet, drain)
     port = process.settings.ports.scheduler_peer
     async with trio.open_nursery() as nursery:
         nursery.start_soon(scheduler.tick)
