Let a home that relinks get leases again, and end takeovers early

Cause: after a handover and back, the scheduler took what a home announced again for requests that had ended, and leased none of them; and a new scheduler's limits stayed low although all homes had announced what they run. Change: the loss of a home forgets its requests; TakeoverEnded lifts the limits 300 ms after all live entries are linked.

--- a/hornbeampulley/decisions/_completion.py
+++ b/hornbeampulley/decisions/_completion.py
@@ -63,7 +63,7 @@
                 self._state.queue.remove(request)
             else:
                 self._state.fleet.finish(request)
-            self._state.ledger.end(request)
+            self._state.ledger.forget(request)
             self._state.note(request, 'drop', 'home lost')
 
     def crash(self, target: str, cause: Request | None = None) -> None:
--- a/hornbeampulley/decisions/_core.py
+++ b/hornbeampulley/decisions/_core.py
@@ -20,6 +20,7 @@
     Reason,
     Release,
     Reserve,
+    TakeoverEnded,
     TargetDown,
     TargetsLeaving,
     Tick,
@@ -82,6 +83,7 @@
             TargetsLeaving: self._set_leaving,
             TargetDown: self._take_down,
             HomeLost: self._lose_home,
+            TakeoverEnded: self._end_takeover,
             Quarantine: self._convict,
             Tick: self._tick,
         }
@@ -217,6 +219,9 @@
     def _lose_home(self, event: HomeLost) -> None:
         self._completion.lose_home(event.home)
 
+    def _end_takeover(self, _: TakeoverEnded) -> None:
+        self._state.fleet.lift_limits()
+
     def _convict(self, event: Quarantine) -> None:
         if not self._state.quarantine.is_convicted(event.fingerprint):
             self._state.quarantine.convict(event.fingerprint)
--- a/hornbeampulley/decisions/_fleet.py
+++ b/hornbeampulley/decisions/_fleet.py
@@ -245,6 +245,13 @@
         shares = list(self._headroom.values())
         return len(shares) > 1 and state.is_headroom_used(shares[1])
 
+    def lift_limits(self) -> None:
+        """Allow each target all that its ceiling allows."""
+        self._is_takeover = False
+        for state in self:
+            state.limit.lift()
+            self.touch(state)
+
     def find_calmest(self) -> TargetState | None:
         """Return the healthy target that runs least."""
         states = [state for state in self if state.slots]
--- a/hornbeampulley/decisions/_ledger.py
+++ b/hornbeampulley/decisions/_ledger.py
@@ -78,6 +78,11 @@
         if len(self._ended) > MAX_ENDED:
             self._ended.pop(next(iter(self._ended)))
 
+    def forget(self, request: Request) -> None:
+        """Forget a request so that its home may announce it again."""
+        self.end(request)
+        self._ended.pop(request.request_id)
+
     def list_home(self, home: str) -> list[Request]:
         """List the known requests of a home."""
         return [self._requests[name] for name in self._homes.get(home, {})]
--- a/hornbeampulley/decisions/_limits.py
+++ b/hornbeampulley/decisions/_limits.py
@@ -50,6 +50,10 @@
         """Start low again."""
         self._size = self._floor()
 
+    def lift(self) -> None:
+        """Allow all that the ceiling allows."""
+        self._size = float(self._ceiling)
+
     def observe(self, sample: float, now_ms: float) -> None:
         """Adjust the limit after a first token.
 
--- a/hornbeampulley/decisions/_messages.py
+++ b/hornbeampulley/decisions/_messages.py
@@ -193,11 +193,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HomeLost:
-    """An entry process is gone; its requests will not be dispatched."""
+    """The link to a home has ended.
+
+    If the home lives on, it announces the requests that it holds again.
+    """
 
     home: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TakeoverEnded:
+    """All homes have announced what they run; limits need not be low."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Quarantine:
     """Another scheduler found that a content crashes targets."""
@@ -221,6 +229,7 @@
     | TargetsLeaving
     | TargetDown
     | HomeLost
+    | TakeoverEnded
     | Quarantine
     | Tick
 )
--- a/hornbeampulley/programs/scheduler.py
+++ b/hornbeampulley/programs/scheduler.py
@@ -25,6 +25,7 @@
 
 TICK_MS: Final = 100.0
 HAND_OVER_MS: Final = 2000.0
+ANNOUNCED_AFTER_MS: Final = 300.0
 _log = logging.getLogger(__name__)
 
 
@@ -57,6 +58,8 @@
         self._fleet = fleet
         self._clock = clock
         self._links: dict[str, wire.Link] = {}
+        self._is_takeover = True
+        self._incomplete_ms = clock.now()
         self.configure()
 
     @property
@@ -74,7 +77,11 @@
 
     def tick(self) -> None:
         """Let time pass."""
-        self._fates.sweep(self._clock.now())
+        now_ms = self._clock.now()
+        self._fates.sweep(now_ms)
+        if self._is_takeover and self._knows_all_homes(now_ms):
+            self._is_takeover = False
+            self.handle(decisions.TakeoverEnded())
         self.handle(decisions.Tick())
 
     def receive(self, link: wire.Link, message: Any) -> None:
@@ -150,6 +157,11 @@
             number=heartbeat.number,
         )
 
+    def _knows_all_homes(self, now_ms: float) -> bool:
+        if len(self._links) < max(self._fleet.count_entries(), 1):
+            self._incomplete_ms = now_ms
+        return now_ms - self._incomplete_ms >= ANNOUNCED_AFTER_MS
+
     def _hear(self, link: wire.Link, message: ttypes.Heartbeat) -> None:
         if message.stamp is None:
             return
