--- a/hornbeampulley/pipeline/_channels.py
+++ b/hornbeampulley/pipeline/_channels.py
@@ -35,6 +35,9 @@
     def list_reserves(self, pool: str) -> Iterable[decisions.Reserve]:
         """List an event for each open request of a pool."""
 
+    def was_dispatched(self, request_id: RequestId) -> bool:
+        """Tell whether an open request was ever dispatched."""
+
     def act(self, action: decisions.Action) -> None:
         """Carry out an action."""
 
@@ -222,7 +225,7 @@
                 event,
                 stamp,
                 now_ms,
-                dispatched=bool(event.target),
+                dispatched=self._requests.was_dispatched(request_id),
             ),
         )
 
--- a/hornbeampulley/pipeline/_home.py
+++ b/hornbeampulley/pipeline/_home.py
@@ -8,7 +8,13 @@
 
 from hornbeampulley import decisions
 from hornbeampulley.configuration import Configuration
-from hornbeampulley.identity import Admission, LeaseStamp, Ledger, RequestId
+from hornbeampulley.identity import (
+    Admission,
+    LeaseStamp,
+    Ledger,
+    RequestId,
+    State,
+)
 from hornbeampulley.logs import log_event
 from hornbeampulley.metrics import Metrics
 from hornbeampulley.pipeline._admissions import refuse_admission
@@ -194,6 +200,21 @@
             if request.pool == pool:
                 yield request.to_reserve(self.incarnation, now_ms)
 
+    def was_dispatched(self, request_id: RequestId) -> bool:
+        """Tell whether an open request was ever dispatched.
+
+        Parameters
+        ----------
+        request_id : RequestId
+            Its id.
+
+        Returns
+        -------
+        bool
+            True from just before its first byte was written.
+        """
+        return self.ledger.find_state(request_id) is not State.WAITING
+
     def act(
         self,
         action: decisions.Action,
