--- a/hornbeampulley/programs/_agent_reports.py
+++ b/hornbeampulley/programs/_agent_reports.py
@@ -1,13 +1,18 @@
 """What an agent tells operators and the metrics server."""
 
 import dataclasses
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
 from hornbeampulley import wire
-from hornbeampulley.membership import HostRecord, TicketStore
+from hornbeampulley.membership import (
+    SCOPE_HOSTS,
+    HostRecord,
+    Member,
+    TicketStore,
+)
 from hornbeampulley.metrics import TICKET_AGE, TICKET_NUMBER, Metrics
-from hornbeampulley.programs._queries import list_tickets
+from hornbeampulley.programs._queries import form_ticket
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -18,17 +23,17 @@
     ----------
     store : TicketStore
         Tickets in force.
-    fresh_age_ms : float
-        Age of the last word of the configuration service.
-    load : int
-        Number of processes linked.
+    ages_ms : mapping
+        Maps scopes to the time since the service confirmed the ticket.
+    members : tuple of Member
+        Processes of its host.
     hosts : tuple of HostRecord
         Hosts that live.
     """
 
     store: TicketStore
-    fresh_age_ms: float
-    load: int
+    ages_ms: Mapping[str, float]
+    members: tuple[Member, ...]
     hosts: tuple[HostRecord, ...]
 
 
@@ -47,7 +52,7 @@
     """
     members = sorted(_list_members(state.hosts), key=_get_place)
     return {
-        'load': state.load,
+        'load': len(state.members),
         'tickets': _list_tickets(state),
         'conflicts': tuple(map(str, state.store.list_conflicts())),
         'members': tuple(members),
@@ -66,13 +71,16 @@
     """
     for ticket in _list_tickets(state):
         metrics.gauge(TICKET_NUMBER, ticket.scope, level=ticket.number)
-        metrics.gauge(TICKET_AGE, ticket.scope, level=ticket.age_ms)
+        if ticket.age_ms is not None:
+            metrics.gauge(TICKET_AGE, ticket.scope, level=ticket.age_ms)
 
 
 def _list_tickets(state: AgentState) -> tuple[wire.TicketReport, ...]:
-    stamps = state.store.summary().values()
-    numbers = {stamp.scope: stamp.number for stamp in stamps}
-    return list_tickets(numbers, state.fresh_age_ms)
+    return tuple(
+        form_ticket(scope, stamp.number, state.ages_ms[scope])
+        for scope, stamp in sorted(state.store.summary().items())
+        if scope != SCOPE_HOSTS
+    )
 
 
 def _list_members(
--- a/hornbeampulley/programs/_queries.py
+++ b/hornbeampulley/programs/_queries.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import logging
+import math
 from collections.abc import Callable, Mapping
 from typing import Any, Final
 
@@ -136,6 +137,28 @@
     return report_status(subject, '')
 
 
+def form_ticket(scope: str, number: int, age_ms: float) -> wire.TicketReport:
+    """Form the report of a ticket in force.
+
+    Parameters
+    ----------
+    scope : str
+        What it replaces.
+    number : int
+        Its number.
+    age_ms : float
+        Time since it was last known to be the newest; infinite if it never
+        was, which JSON cannot hold.
+
+    Returns
+    -------
+    TicketReport
+        The report.
+    """
+    is_known = math.isfinite(age_ms)
+    return wire.TicketReport(scope, number, age_ms if is_known else None)
+
+
 def list_tickets(
     numbers: Mapping[str, int],
     age_ms: float,
@@ -155,7 +178,7 @@
         In order of their scopes.
     """
     return tuple(
-        wire.TicketReport(scope, number, age_ms)
+        form_ticket(scope, number, age_ms)
         for scope, number in sorted(numbers.items())
     )
 
--- a/hornbeampulley/wire/_reports.py
+++ b/hornbeampulley/wire/_reports.py
@@ -26,13 +26,13 @@
         What it replaces.
     number : int
         Its number.
-    age_ms : float
-        Time since it was last known to be the newest.
+    age_ms : float or None
+        Time since it was last known to be the newest; None if it never was.
     """
 
     scope: str
     number: int
-    age_ms: float
+    age_ms: float | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
