--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -32,7 +32,10 @@
     'f01',
     draining=True,
     load=1,
-    tickets=(wire.TicketReport('tiers', 3, 20.4),),
+    tickets=(
+        wire.TicketReport('tiers', 3, 20.4),
+        wire.TicketReport('rules', 1, None),
+    ),
     pools=(
         PoolState(
             'model-pool',
@@ -148,6 +151,7 @@
     assert output.splitlines() == [
         'host-1 scheduler f01 zone-a 127.0.0.1: draining, load 1',
         '  ticket 3 of tiers, known to be newest 20 ms ago',
+        '  ticket 1 of rules, not yet known to be newest',
         '  pool model-pool: 1 running; waiting: 2 of urgent',
         '    target engine-1: healthy, leaving, 1 running, limit 4',
     ]
