--- a/hornbeampulley/decisions/_tiers.py
+++ b/hornbeampulley/decisions/_tiers.py
@@ -38,17 +38,17 @@
 
     def push(self, request: Request, share: float) -> None:
         """Add a request whose serial is new."""
-        lane = self._find_lane(request.reserve.workspace, share)
-        if not lane.count:
-            lane.served = max(lane.served, self._virtual)
-        lane.add(request)
-        self._list(lane)
         self._count(request, 1)
-        deadline_ms = request.reserve.deadline_ms
-        if deadline_ms:
-            latest_ms = deadline_ms - request.price_ms
-            entry = (latest_ms, request.serial, request)
-            heapq.heappush(self._deadlines, entry)
+        lane = self._find_lane(request.reserve.workspace, share)
+        if not request.reserve.deadline_ms:
+            self._add(lane, request)
+            return
+        latest_ms = request.reserve.deadline_ms - request.price_ms
+        if latest_ms < request.arrived_ms:
+            self._late[request.request_id] = request
+            return
+        self._add(lane, request)
+        heapq.heappush(self._deadlines, (latest_ms, request.serial, request))
 
     def pop(self) -> Request:
         """Remove the request to be leased next; ``ready`` must not be 0."""
@@ -127,6 +127,12 @@
             lane.charge(difference_ms)
             self._list(lane)
 
+    def _add(self, lane: Lane, request: Request) -> None:
+        if not lane.count:
+            lane.served = max(lane.served, self._virtual)
+        lane.add(request)
+        self._list(lane)
+
     def _find_lane(self, workspace: str, share: float) -> Lane:
         lane = self._lanes.get(workspace)
         if lane is None:
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,186 @@
+"""The core as its drivers see it."""
+
+import pytest
+
+from hornbeampulley.configuration import Tier
+from hornbeampulley.decisions import (
+    Configure,
+    Core,
+    HomeLost,
+    Lease,
+    LoadReport,
+    Outcome,
+    Preempt,
+    Reason,
+    Refuse,
+    TargetDown,
+    TargetsLeaving,
+    Tick,
+    Withdraw,
+    policies,
+)
+from tests.pools import Pool, build_configuration, make_reserve
+
+
+def test_policy_is_registered():
+    assert isinstance(policies.find('hornbeam')('pool', 1), Core)
+
+
+def test_requests_wait_for_the_first_configuration():
+    core = Core('pool')
+    assert core.handle(make_reserve(), 0) == ()
+    (lease,) = core.handle(Configure(build_configuration()), 10)
+    assert isinstance(lease, Lease)
+
+
+def test_lower_tiers_leave_the_headroom_free():
+    pool = Pool(targets=1, slots=4)
+    lower = [pool.reserve('low') for _ in range(4)]
+    assert [bool(pool.find_target(one)) for one in lower] == [1, 1, 1, 0]
+    assert pool.find_target(pool.reserve('gold'))
+
+
+def test_urgent_request_preempts_and_the_victim_keeps_its_place():
+    pool = Pool(targets=1, slots=2)
+    victim = pool.reserve('low')
+    waiting = pool.reserve('low')
+    urgent = [pool.reserve('gold') for _ in range(2)]
+    assert pool.find(Preempt, victim)
+    pool.release(victim, Outcome.PREEMPTED)
+    assert pool.find_target(urgent[1])
+    for one in urgent:
+        pool.release(one)
+    lease = pool.find(Lease, victim)[-1]
+    assert lease.resume
+    assert not pool.find_target(waiting)
+
+
+def test_calls_that_may_not_be_repeated_are_not_preempted():
+    pool = Pool(targets=1, slots=1)
+    running = pool.reserve('low', repeatable=False)
+    pool.reserve('gold')
+    assert not pool.find(Preempt, running)
+
+
+def test_doubled_reservation_is_ignored():
+    pool = Pool()
+    event = make_reserve()
+    pool.send(event)
+    pool.send(event)
+    pool.release(event.request_id)
+    pool.send(event)
+    assert len(pool.find(Lease, event.request_id)) == 1
+
+
+def test_announced_request_counts_as_running():
+    pool = Pool(targets=1, slots=1)
+    announced = pool.reserve(target='t0')
+    waiting = pool.reserve()
+    assert not pool.find_target(waiting)
+    pool.release(announced)
+    assert pool.find_target(waiting)
+
+
+def test_lost_home_frees_its_slots_and_drops_what_waits():
+    pool = Pool(targets=1, slots=1)
+    pool.reserve(home='lost')
+    dropped = pool.reserve(home='lost')
+    kept = pool.reserve()
+    pool.send(HomeLost('lost'))
+    assert pool.find_target(kept)
+    assert pool.explain_last(dropped).endswith('home lost')
+
+
+def test_flood_sheds_the_lowest_tier_with_a_time_to_retry():
+    pool = Pool(targets=1, slots=2)
+    mid = [pool.reserve('mid') for _ in range(10)]
+    low = [pool.reserve('low') for _ in range(100)]
+    refused = [one for one in low if pool.find(Refuse, one)]
+    assert refused
+    assert not any(pool.find(Refuse, one) for one in mid)
+    refusal = pool.find(Refuse, refused[0])[0]
+    assert refusal.reason is Reason.SHED
+    assert not refusal.ran
+    assert refusal.retry_after_ms > 0
+
+
+def test_late_request_goes_only_after_all_of_lower_tiers():
+    pool = Pool(targets=1, slots=1)
+    pool.reserve('gold')
+    late = pool.reserve('mid', deadline_ms=9000)
+    kept, shed = (pool.reserve('low') for _ in range(2))
+    pool.send(Tick(), 9000)
+    assert pool.find_reason(shed) is Reason.SHED
+    assert pool.find_reason(late) is None
+    pool.send(Withdraw(kept))
+    assert pool.find_reason(late) is Reason.DEADLINE
+
+
+def test_hopeless_deadline_costs_no_lower_request():
+    pool = Pool(targets=1, slots=1)
+    pool.reserve('gold')
+    lower = pool.reserve('low')
+    hopeless = pool.reserve('mid', deadline_ms=1)
+    pool.send(Tick(), 5000)
+    assert pool.find_reason(lower) is None
+    assert pool.find_reason(hopeless) is None
+
+
+def test_same_key_is_leased_once():
+    pool = Pool()
+    first, second = (pool.reserve(idempotency_key='k') for _ in range(2))
+    assert pool.find_target(first)
+    assert pool.find_reason(second) is Reason.DUPLICATE_KEY
+
+
+def test_unsent_request_is_leased_again_within_its_budget():
+    pool = Pool(targets=1)
+    request_id = pool.reserve()
+    for _ in range(30):
+        pool.release(request_id, Outcome.NOT_SENT)
+    assert 2 < len(pool.find(Lease, request_id)) < 30
+    assert pool.find_reason(request_id) is Reason.NO_TARGET
+
+
+def test_leaving_and_down_targets_get_no_lease():
+    pool = Pool(targets=2)
+    pool.send(TargetsLeaving(frozenset({'t0'})))
+    assert pool.find_target(pool.reserve()) == 't1'
+    pool.send(TargetsLeaving(frozenset()))
+    pool.send(TargetDown('t1'))
+    assert pool.find_target(pool.reserve()) == 't0'
+
+
+def test_without_targets_requests_are_refused_at_once():
+    pool = Pool(targets=1)
+    pool.send(TargetsLeaving(frozenset({'t0'})))
+    assert pool.find_reason(pool.reserve()) is Reason.NO_TARGET
+
+
+@pytest.mark.parametrize(('age_ms', 'target'), [(0, 't1'), (10**5, 't0')])
+def test_load_reports_count_by_their_age(age_ms, target):
+    pool = Pool(targets=2, tiers=(Tier('mid', 0),))
+    pool.send(LoadReport('t0', 4, 9, age_ms))
+    assert pool.find_target(pool.reserve()) == target
+
+
+def test_cached_prefix_attracts_the_next_request():
+    pool = Pool(targets=8)
+    fields = {'prompt_tokens': 2000, 'block_hashes': tuple(range(30))}
+    first = pool.reserve(**fields)
+    pool.release(first)
+    for _ in range(5):
+        pool.reserve()
+    second = pool.reserve(**fields)
+    assert pool.find_target(second) == pool.find_target(first)
+
+
+def test_state_and_history_can_be_read():
+    pool = Pool(targets=1, slots=1)
+    running = pool.reserve()
+    pool.reserve('low')
+    state = pool.core.describe()
+    assert state.waiting == {'gold': 0, 'mid': 0, 'low': 1}
+    assert state.running == state.targets[0].running == 1
+    assert state.targets[0].health == 'healthy'
+    assert pool.explain_last(running).endswith('lease t0')
--- /dev/null
+++ b/tests/test_cost.py
@@ -0,0 +1,54 @@
+"""Learnt rates and lengths."""
+
+import pytest
+
+from hornbeampulley.decisions import Outcome, Release
+from hornbeampulley.decisions._cost import CostModel
+from hornbeampulley.decisions._requests import Request
+from tests.pools import make_reserve
+
+
+def complete(cost, target, prefill_ms, step_ms, tokens=100):
+    reserve = make_reserve(prompt_tokens=1000)
+    request = Request(reserve, 0, 0, 1, target=target)
+    first_ms = 1000 * prefill_ms + step_ms
+    duration_ms = first_ms + (tokens - 1) * step_ms
+    release = Release('r', Outcome.DONE, tokens, first_ms, duration_ms)
+    cost.learn(request, release)
+
+
+def test_rates_of_each_target_are_learnt():
+    cost = CostModel()
+    for _ in range(200):
+        complete(cost, 'fast', 0.05, 10)
+        complete(cost, 'slow', 0.1, 40)
+    assert cost.prefill_ms('fast') == pytest.approx(0.05, rel=0.1)
+    assert cost.prefill_ms('slow') == pytest.approx(0.1, rel=0.1)
+    assert cost.rate('slow') > 2 * cost.rate('fast')
+
+
+def test_cached_tokens_are_inferred_from_a_short_delay():
+    cost = CostModel()
+    for _ in range(200):
+        complete(cost, 'one', 0.1, 10)
+    request = Request(make_reserve(prompt_tokens=1000), 0, 0, 1, target='one')
+    assert cost.infer_cached(request, 60) == pytest.approx(500, abs=60)
+
+
+def test_expected_output_follows_what_was_seen_and_the_callers_bound():
+    cost = CostModel()
+    cost.declare_length('chat', 100)
+    assert cost.expect_output(make_reserve()) == 100
+    for _ in range(300):
+        complete(cost, 'one', 0.1, 10, tokens=20)
+    assert cost.expect_output(make_reserve()) == pytest.approx(20, rel=0.2)
+    assert cost.expect_output(make_reserve(output_tokens=5)) == 5
+
+
+def test_plain_calls_are_priced_by_their_duration():
+    cost = CostModel()
+    reserve = make_reserve(prompt_tokens=0, service='lookup')
+    request = Request(reserve, 0, 0, 1, target='one')
+    for _ in range(50):
+        cost.learn(request, Release('r', Outcome.DONE, 0, 0, 15))
+    assert cost.price(reserve) == pytest.approx(15, rel=0.2)
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,45 @@
+"""Ejection, probes and recovery of a target."""
+
+from hornbeampulley.decisions._health import Condition, Health
+
+
+def eject():
+    health = Health()
+    for _ in range(10):
+        health.observe(1, 1, 0)
+    for _ in range(10):
+        health.observe(10, 1, 0)
+    return health
+
+
+def test_slow_target_is_ejected_probed_and_restored():
+    health = eject()
+    assert health.condition is Condition.EJECTED
+    assert not health.is_probe_due(100)
+    assert health.is_probe_due(5000)
+    health.observe(10, 1, 5000)
+    assert health.condition is Condition.EJECTED
+    health.observe(1, 1, 6000)
+    health.observe(1, 1, 7000)
+    assert health.is_healthy
+
+
+def test_target_slow_like_all_others_stays():
+    health = Health()
+    for _ in range(10):
+        health.observe(1, 1, 0)
+    for _ in range(10):
+        health.observe(10, 9, 0)
+    assert health.is_healthy
+
+
+def test_probes_of_a_down_target_are_spaced_exponentially():
+    health = Health()
+    health.fail(0)
+    assert health.is_probe_due(1000)
+    health.fail(1000)
+    assert not health.is_probe_due(2500)
+    health.hear(2600)
+    assert health.is_probe_due(2600)
+    health.confirm()
+    assert health.is_healthy
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,21 @@
+"""The adaptive concurrency limit."""
+
+from hornbeampulley.decisions._limits import AdaptiveLimit
+
+
+def test_congestion_lowers_the_limit_and_calm_raises_it():
+    limit = AdaptiveLimit(8)
+    for moment in range(20):
+        limit.observe(1, moment * 2000)
+    assert limit.slots == 8
+    for moment in range(20, 30):
+        limit.observe(20, moment * 2000)
+    assert limit.slots < 8
+    for moment in range(30, 200):
+        limit.observe(1, moment * 2000)
+    assert limit.slots == 8
+
+
+def test_takeover_starts_low_and_never_below_one():
+    assert AdaptiveLimit(8, is_low=True).slots == 2
+    assert AdaptiveLimit(1, is_low=True).slots == 1
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,70 @@
+"""The prefix index."""
+
+import pytest
+
+from hornbeampulley.decisions import CacheEvent
+from hornbeampulley.decisions._placement import PrefixIndex
+
+BLOCKS = tuple(range(1, 9))
+
+
+def build_index(capacity=100):
+    index = PrefixIndex()
+    for name in ('one', 'two'):
+        index.add_target(name, capacity)
+    index.insert('one', BLOCKS, 0)
+    index.insert('two', BLOCKS[:4], 0)
+    return index
+
+
+def test_longest_prefix_comes_first():
+    index = build_index()
+    match = index.match((*BLOCKS, 99))
+    assert index.list_holders(match)[0] == 'one'
+    assert index.expect_cached('one', match) == 8
+    assert index.expect_cached('two', match) == 4
+    assert not index.list_holders(index.match((99, *BLOCKS)))
+
+
+def test_least_recent_tail_is_evicted():
+    index = build_index(capacity=8)
+    index.insert('one', (20, 21), 10)
+    assert index.expect_cached('one', index.match(BLOCKS)) == 6
+    assert index.estimate_loss('two', 2, 10) == 0
+
+
+def test_late_removal_spares_a_block_used_since():
+    index = build_index()
+    index.insert('one', BLOCKS, 9000)
+    index.apply(CacheEvent('one', 1, removed=BLOCKS), 10000)
+    assert index.expect_cached('one', index.match(BLOCKS)) == 8
+    index.apply(CacheEvent('two', 1, removed=BLOCKS[2:]), 10000)
+    assert index.expect_cached('two', index.match(BLOCKS)) == 2
+
+
+def test_gap_lowers_trust_and_confirmation_restores_it():
+    index = build_index()
+    match = index.match(BLOCKS)
+    index.apply(CacheEvent('one', 1), 0)
+    index.apply(CacheEvent('one', 5), 0)
+    index.apply(CacheEvent('one', 2, removed=BLOCKS), 90000)
+    lowered = index.expect_cached('one', match)
+    assert lowered < 8
+    index.confirm('one', 1000, 1500)
+    assert index.expect_cached('one', match) > lowered
+
+
+def test_removed_target_leaves_no_trace():
+    index = build_index()
+    index.remove_target('one')
+    index.add_target('three', 100)
+    assert index.list_holders(index.match(BLOCKS)) == ['two']
+
+
+def test_eviction_costs_as_much_as_prompts_are_reused():
+    index = build_index(capacity=8)
+    assert index.estimate_loss('one', 4, 0) == 0
+    for _ in range(200):
+        index.note_reuse(index.match(BLOCKS))
+    assert index.estimate_loss('one', 4, 0) == pytest.approx(4, rel=0.1)
+    assert index.estimate_loss('one', 4, 60000) < 0.1
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,70 @@
+"""Suspects, conviction and isolation."""
+
+import pytest
+
+from hornbeampulley.decisions import (
+    Outcome,
+    Preempt,
+    Quarantine,
+    Reason,
+    Refuse,
+    Warn,
+)
+from hornbeampulley.decisions._quarantine import QuarantineList
+from tests.pools import Pool
+
+
+def test_second_crash_convicts_only_a_sole_repeated_suspect():
+    crashes = QuarantineList()
+    assert crashes.charge([1, 2, 0]) == 0
+    assert crashes.charge([1, 2, 3]) == 0
+    assert crashes.charge([1, 4]) == 1
+    assert crashes.is_convicted(1)
+    assert crashes.is_suspect(2)
+    crashes.clear(2)
+    assert not crashes.is_suspect(2)
+
+
+def crash_beside_innocent(pool):
+    bad = pool.reserve(fingerprint=1, target='t0')
+    innocent = pool.reserve(fingerprint=2, target='t0')
+    pool.release(bad, Outcome.CRASHED)
+    pool.release(innocent, Outcome.CRASHED)
+
+
+def test_suspects_run_alone_and_the_crashing_content_is_refused():
+    pool = Pool(targets=3)
+    crash_beside_innocent(pool)
+    other = pool.reserve(fingerprint=3)
+    again = pool.reserve(fingerprint=1)
+    assert pool.find_target(again) != pool.find_target(other)
+    pool.release(again, Outcome.CRASHED)
+    refusal = pool.find(Refuse, again)[-1]
+    assert refusal.reason is Reason.QUARANTINED
+    assert refusal.ran
+    assert Warn('quarantined', '1') in pool.actions
+    pool.release(other)
+    innocent = pool.reserve(fingerprint=2)
+    assert pool.find_target(innocent)
+    pool.release(innocent)
+    assert pool.find_reason(innocent) is None
+    assert pool.find_reason(pool.reserve(fingerprint=1)) is Reason.QUARANTINED
+
+
+def test_copies_of_a_suspect_that_run_elsewhere_are_stopped():
+    pool = Pool(targets=2, slots=4)
+    copies = [pool.reserve(fingerprint=1) for _ in range(4)]
+    crashed = pool.find_target(copies[0])
+    pool.release(copies[0], Outcome.CRASHED)
+    elsewhere = [one for one in copies if pool.find_target(one) != crashed]
+    assert elsewhere
+    assert all(pool.find(Preempt, one) for one in elsewhere)
+
+
+@pytest.mark.parametrize('tier', ['gold', 'low'])
+def test_word_of_another_scheduler_refuses_what_waits(tier):
+    pool = Pool(targets=1, slots=1)
+    pool.reserve('gold')
+    waiting = pool.reserve(tier, fingerprint=7)
+    pool.send(Quarantine(7))
+    assert pool.find_reason(waiting) is Reason.QUARANTINED
--- /dev/null
+++ b/tests/test_queue.py
@@ -0,0 +1,97 @@
+"""Order of waiting requests: lanes, tiers and floors."""
+
+import collections
+
+from hornbeampulley.configuration import Tier, Workspace
+from hornbeampulley.decisions._queue import WaitingQueue
+from hornbeampulley.decisions._requests import Request
+from tests.pools import make_reserve
+
+TIERS = {'gold': Tier('gold', 0), 'low': Tier('low', 1, floor=0.25)}
+SHARES = {'small': Workspace('small', 1), 'large': Workspace('large', 3)}
+
+
+def build_queue():
+    queue = WaitingQueue()
+    queue.configure(TIERS, SHARES)
+    return queue
+
+
+def push(queue, tier='low', price_ms=10, arrived_ms=0, **fields):
+    reserve = make_reserve(tier, **fields)
+    rank = queue.find_rank(tier)
+    request = Request(reserve, rank, arrived_ms, price_ms)
+    queue.push(request)
+    return request
+
+
+def test_short_goes_before_long_until_the_long_has_aged():
+    queue = build_queue()
+    long = push(queue, price_ms=1000)
+    short = push(queue, price_ms=1, arrived_ms=100)
+    late = push(queue, price_ms=1, arrived_ms=4000)
+    assert [queue.pop(1) for _ in range(3)] == [short, long, late]
+
+
+def test_workspaces_are_served_by_their_shares():
+    queue = build_queue()
+    for _ in range(100):
+        push(queue, workspace='small')
+        push(queue, workspace='large')
+    served = collections.Counter(
+        queue.pop(1).reserve.workspace for _ in range(80)
+    )
+    assert 55 <= served['large'] <= 65
+
+
+def test_actual_cost_counts_against_a_workspace():
+    queue = build_queue()
+    greedy = push(queue, workspace='small')
+    queue.pop(1)
+    queue.correct(greedy, 1000)
+    push(queue, workspace='small')
+    other = push(queue, workspace='large')
+    assert queue.pop(1) is other
+
+
+def test_floor_serves_a_lower_tier_now_and_then():
+    queue = build_queue()
+    served = collections.Counter()
+    for _ in range(60):
+        push(queue, 'gold')
+        push(queue, 'low')
+    for _ in range(40):
+        rank = queue.choose_rank(lambda _: True)
+        queue.pop(rank)
+        queue.note_dispatch(rank)
+        served[rank] += 1
+    assert 6 <= served[1] <= 11
+
+
+def test_worst_is_the_newest_of_who_is_over_its_share_in_the_lowest_tier():
+    queue = build_queue()
+    push(queue, 'gold', workspace='large', price_ms=10**6)
+    push(queue, workspace='large')
+    push(queue, workspace='small')
+    worst = push(queue, workspace='small')
+    assert queue.pop_worst() is worst
+
+
+def test_late_requests_stand_behind_and_removed_ones_are_skipped():
+    queue = build_queue()
+    late = push(queue, deadline_ms=50)
+    gone = push(queue, price_ms=20)
+    other = push(queue, price_ms=30)
+    queue.remove(gone)
+    queue.mark_late(100)
+    assert queue.list_late() == [late]
+    assert [queue.pop(1), queue.pop(1)] == [other, late]
+    assert queue.count == 0
+
+
+def test_new_ranks_sort_what_waits_anew():
+    queue = build_queue()
+    request = push(queue, 'low')
+    turned = {'low': Tier('low', 0), 'gold': Tier('gold', 1)}
+    queue.configure(turned, SHARES)
+    assert queue.pop(0) is request
