Refuse suspects past their deadline, and purge by what is newly late

Change: requests that wait for an idle target are refused as late too; each request that runs out of time sheds one of a lower tier.

--- a/hornbeampulley/decisions/_queue.py
+++ b/hornbeampulley/decisions/_queue.py
@@ -1,5 +1,6 @@
 """The waiting requests of a pool, by tier."""
 
+import itertools
 from collections.abc import Callable, Iterator, Mapping
 from typing import Final
 
@@ -96,13 +97,6 @@
         waiting = [rank for rank in self._tiers if self._tiers[rank].count]
         return max(waiting, default=-1)
 
-    def is_lower_waiting(self) -> bool:
-        """Tell whether a tier waits below one that has late requests."""
-        lowest = self.lowest_rank()
-        return any(
-            rank < lowest and tier.late for rank, tier in self._tiers.items()
-        )
-
     def choose_rank(self, has_room: Callable[[int], bool]) -> int | None:
         """Choose the rank to be served next.
 
@@ -151,7 +145,7 @@
             if waiting <= rank
         )
 
-    def mark_late(self, now_ms: float) -> int:
+    def mark_late(self, now_ms: float) -> list[int]:
         """Move requests that cannot meet their deadline behind the others.
 
         Parameters
@@ -161,20 +155,18 @@
 
         Returns
         -------
-        int
-            How many were moved above the lowest tier that waits.
+        list of int
+            Ranks of those that were moved, one for each.
         """
-        lowest = self.lowest_rank()
-        moved = 0
+        ranks: list[int] = []
         for rank, tier in self._tiers.items():
-            late = tier.mark_late(now_ms)
-            moved += late if rank < lowest else 0
-        return moved
+            ranks.extend(itertools.repeat(rank, tier.mark_late(now_ms)))
+        return ranks
 
-    def list_late(self) -> list[Request]:
+    def list_late(self, now_ms: float) -> list[Request]:
         """List the late requests of the lowest tier that waits."""
         rank = self.lowest_rank()
-        return self._tiers[rank].late if rank >= 0 else []
+        return self._tiers[rank].list_late(now_ms) if rank >= 0 else []
 
     def correct(self, request: Request, difference_ms: float) -> None:
         """Charge the difference of a request's actual and expected cost."""
--- a/hornbeampulley/decisions/_shedding.py
+++ b/hornbeampulley/decisions/_shedding.py
@@ -33,13 +33,17 @@
     def shed_late(self) -> None:
         """Refuse what cannot meet its deadline, in the lowest tier only."""
         queue = self._state.queue
-        for _ in range(queue.mark_late(self._state.now_ms)):
+        now_ms = self._state.now_ms
+        for rank in queue.mark_late(now_ms):
             # Time has run out for a request, and a lower tier goes first.
-            if queue.is_lower_waiting():
+            if queue.lowest_rank() > rank:
                 self._refuse_worst(Reason.SHED)
-        for request in queue.list_late():
-            queue.remove(request)
-            self._state.refuse(request, Reason.DEADLINE)
+        late = queue.list_late(now_ms)
+        while late:
+            for request in late:
+                queue.remove(request)
+                self._state.refuse(request, Reason.DEADLINE)
+            late = queue.list_late(now_ms)
 
     def _is_excessive(self) -> bool:
         queue = self._state.queue
--- a/hornbeampulley/decisions/_tiers.py
+++ b/hornbeampulley/decisions/_tiers.py
@@ -31,10 +31,14 @@
         """Return how many requests can be leased to any target."""
         return self.count - len(self.aside)
 
-    @property
-    def late(self) -> list[Request]:
-        """Return the requests that cannot meet their deadline."""
-        return list(self._late.values())
+    def list_late(self, now_ms: float) -> list[Request]:
+        """List the requests that cannot meet their deadline."""
+        overdue = [
+            request
+            for request in self.aside.values()
+            if 0 < request.reserve.deadline_ms < now_ms
+        ]
+        return overdue + list(self._late.values())
 
     def push(self, request: Request, share: float) -> None:
         """Add a request whose serial is new."""
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -84,7 +84,7 @@
     other = push(queue, price_ms=30)
     queue.remove(gone)
     queue.mark_late(100)
-    assert queue.list_late() == [late]
+    assert queue.list_late(100) == [late]
     assert [queue.pop(1), queue.pop(1)] == [other, late]
     assert queue.count == 0
 
