Clear suspects once their crash is explained, and isolate on more targets

Cause: after one crash a score of innocent contents waited to run alone on one target, and some passed their deadline. Change: a conviction clears those charged only with its crashes; up to a third of the targets take suspects, and running streams move off them at once.

--- a/hornbeampulley/decisions/_core.py
+++ b/hornbeampulley/decisions/_core.py
@@ -8,6 +8,7 @@
 from hornbeampulley.decisions._cost import CostModel
 from hornbeampulley.decisions._dispatch import Dispatcher
 from hornbeampulley.decisions._fleet import Fleet
+from hornbeampulley.decisions._isolation import Isolation
 from hornbeampulley.decisions._messages import (
     Action,
     CacheEvent,
@@ -67,9 +68,10 @@
         cost = CostModel()
         fleet = Fleet(cost, is_takeover)
         self._state = State(pool, random.Random(seed), cost, fleet)
-        self._dispatcher = Dispatcher(self._state)
         self._shedder = Shedder(self._state)
         self._preemptor = Preemptor(self._state)
+        isolation = Isolation(self._state, self._preemptor)
+        self._dispatcher = Dispatcher(self._state, isolation)
         self._completion = Completion(self._state, self._preemptor)
         self._handlers: dict[type, _Handler] = {
             Reserve: self._reserve,
--- a/hornbeampulley/decisions/_dispatch.py
+++ b/hornbeampulley/decisions/_dispatch.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from hornbeampulley.decisions._isolation import Isolation
 from hornbeampulley.decisions._messages import Lease, Reason, Reserve
 from hornbeampulley.decisions._placement import Match
 from hornbeampulley.decisions._requests import Request, Stage
@@ -22,11 +23,13 @@
     ----------
     state : State
         The state of the core.
+    isolation : Isolation
+        Finds targets for requests that must run alone.
     """
 
-    def __init__(self, state: State) -> None:
+    def __init__(self, state: State, isolation: Isolation) -> None:
         self._state = state
-        self._reserved: TargetState | None = None
+        self._isolation = isolation
 
     def dispatch(self) -> None:
         """Give all leases that can be given now."""
@@ -50,39 +53,10 @@
             self._place(request)
 
     def _dispatch_alone(self) -> None:
-        """Run the first suspect on an idle target, or reserve one for it."""
-        if self._reserved is not None and not self._is_usable(self._reserved):
-            self._free_reserved()
-        request = self._state.queue.find_aside()
-        if request is None:
-            self._free_reserved()
-            return
-        self._reserve_target()
-        if self._reserved is None or self._reserved.running:
-            return
-        self._state.queue.remove(request)
-        if self._claim(request):
-            self._lease(request, self._reserved, 0)
-
-    def _reserve_target(self) -> None:
-        if self._reserved is not None:
-            return
-        self._reserved = self._state.fleet.find_calmest()
-        if self._reserved is not None:
-            self._reserved.is_reserved = True
-            self._state.fleet.refresh(self._reserved, self._state.now_ms)
-
-    def _free_reserved(self) -> None:
-        """Give the reserved target back once nothing runs alone on it."""
-        reserved = self._reserved
-        if reserved is None or (reserved.running and reserved.slots):
-            return
-        reserved.is_reserved = False
-        self._reserved = None
-        self._state.fleet.refresh(reserved, self._state.now_ms)
-
-    def _is_usable(self, state: TargetState) -> bool:
-        return state.slots > 0 and self._state.fleet.find(state.name) is state
+        """Lease idle targets to suspects."""
+        for request, target in self._isolation.take_pairs():
+            if self._claim(request):
+                self._lease(request, target, 0)
 
     def _claim(self, request: Request) -> bool:
         is_free = self._state.ledger.claim_key(
--- a/hornbeampulley/decisions/_fleet.py
+++ b/hornbeampulley/decisions/_fleet.py
@@ -246,8 +246,10 @@
         return len(shares) > 1 and state.is_headroom_used(shares[1])
 
     def find_calmest(self) -> TargetState | None:
-        """Return the healthy target that runs least."""
-        states = [state for state in self if state.slots]
+        """Return the healthy target that runs least and is not reserved."""
+        states = [
+            state for state in self if state.slots and not state.is_reserved
+        ]
         return min(states, key=lambda state: len(state.running), default=None)
 
     def _add(self, target: Target) -> None:
--- /dev/null
+++ b/hornbeampulley/decisions/_isolation.py
@@ -0,0 +1,93 @@
+"""Targets kept for suspects, each of which runs alone."""
+
+import math
+from typing import Final
+
+from hornbeampulley.decisions._preemption import Preemptor
+from hornbeampulley.decisions._requests import Request
+from hornbeampulley.decisions._state import State
+from hornbeampulley.decisions._targets import TargetState
+
+SUSPECTS_PER_TARGET: Final = 4
+MAX_RESERVED_SHARE: Final = 1 / 3
+
+
+class Isolation:
+    """Reserves targets while suspects wait.
+
+    Parameters
+    ----------
+    state : State
+        The state of the core.
+    preemptor : Preemptor
+        Moves running streams off a reserved target.
+    """
+
+    def __init__(self, state: State, preemptor: Preemptor) -> None:
+        self._state = state
+        self._preemptor = preemptor
+        self._reserved: dict[str, TargetState] = {}
+
+    def take_pairs(self) -> list[tuple[Request, TargetState]]:
+        """Take suspects off the queue that can run now.
+
+        Returns
+        -------
+        list of (Request, TargetState)
+            Each suspect with the idle target on which it is to run.
+        """
+        for target in tuple(self._reserved.values()):
+            if not self._is_usable(target):
+                self._free(target)
+        suspects = self._list_suspects()
+        if not suspects:
+            self._free_idle()
+            return []
+        self._reserve(len(suspects))
+        idle = [one for one in self._reserved.values() if not one.running]
+        pairs = list(zip(suspects, idle, strict=False))
+        for request, _ in pairs:
+            self._state.queue.remove(request)
+        return pairs
+
+    def _list_suspects(self) -> list[Request]:
+        """List what must run alone; what was cleared since waits as usual."""
+        suspects: list[Request] = []
+        for request in self._state.queue.list_aside():
+            if self._state.quarantine.is_suspect(request.reserve.fingerprint):
+                suspects.append(request)
+            else:
+                self._state.queue.remove(request)
+                self._state.queue.push(request)
+        return suspects
+
+    def _reserve(self, suspects: int) -> None:
+        allowed = int(len(self._state.fleet.names) * MAX_RESERVED_SHARE)
+        wanted = math.ceil(suspects / SUSPECTS_PER_TARGET)
+        for _ in range(len(self._reserved), min(wanted, max(allowed, 1))):
+            target = self._state.fleet.find_calmest()
+            if target is None:
+                return
+            self._reserved[target.name] = target
+            target.is_reserved = True
+            self._state.fleet.refresh(target, self._state.now_ms)
+            self._clear(target)
+
+    def _clear(self, target: TargetState) -> None:
+        for request in target.running.values():
+            if request.stoppable and not request.stopping:
+                self._preemptor.stop(request)
+
+    def _free_idle(self) -> None:
+        for target in tuple(self._reserved.values()):
+            if not target.running:
+                self._free(target)
+
+    def _free(self, target: TargetState) -> None:
+        self._reserved.pop(target.name)
+        target.is_reserved = False
+        self._state.fleet.refresh(target, self._state.now_ms)
+
+    def _is_usable(self, target: TargetState) -> bool:
+        is_known = self._state.fleet.find(target.name) is target
+        return is_known and target.slots > 0
--- a/hornbeampulley/decisions/_quarantine.py
+++ b/hornbeampulley/decisions/_quarantine.py
@@ -1,5 +1,6 @@
 """Contents that crash targets: suspects, isolation and refusal."""
 
+import itertools
 from collections.abc import Iterable
 from typing import Final
 
@@ -11,10 +12,12 @@
 
     A first crash makes suspects of all that ran on the target. A second one
     convicts a fingerprint, unless others that ran beside it are as likely.
+    A conviction explains its crashes, so that it clears the others.
     """
 
     def __init__(self) -> None:
-        self._suspects: dict[int, None] = {}
+        self._crashes = itertools.count()
+        self._suspects: dict[int, frozenset[int]] = {}
         self._convicted: dict[int, None] = {}
 
     def is_suspect(self, fingerprint: int) -> bool:
@@ -39,8 +42,14 @@
             The fingerprint convicted by this crash, or 0.
         """
         running = {print_ for print_ in fingerprints if print_}
+        running -= self._convicted.keys()
         repeated = [print_ for print_ in running if print_ in self._suspects]
-        self._remember(self._suspects, running - self._convicted.keys())
+        crash = frozenset((next(self._crashes),))
+        for print_ in sorted(running):
+            earlier = self._suspects.pop(print_, frozenset())
+            self._suspects[print_] = earlier | crash
+        while len(self._suspects) > MAX_FINGERPRINTS:
+            self._suspects.pop(next(iter(self._suspects)))
         if len(repeated) != 1:
             return 0
         self.convict(repeated[0])
@@ -48,15 +57,16 @@
 
     def convict(self, fingerprint: int) -> None:
         """Refuse a content from now on."""
-        self._suspects.pop(fingerprint, None)
-        self._remember(self._convicted, {fingerprint})
+        explained = self._suspects.pop(fingerprint, frozenset())
+        self._convicted[fingerprint] = None
+        if len(self._convicted) > MAX_FINGERPRINTS:
+            self._convicted.pop(next(iter(self._convicted)))
+        self._suspects = {
+            print_: crashes - explained
+            for print_, crashes in self._suspects.items()
+            if crashes - explained
+        }
 
     def clear(self, fingerprint: int) -> None:
         """Drop the suspicion of a content that completed."""
         self._suspects.pop(fingerprint, None)
-
-    def _remember(self, table: dict[int, None], prints: set[int]) -> None:
-        for print_ in sorted(prints):
-            table[print_] = None
-        while len(table) > MAX_FINGERPRINTS:
-            table.pop(next(iter(table)))
--- a/hornbeampulley/decisions/_queue.py
+++ b/hornbeampulley/decisions/_queue.py
@@ -76,13 +76,14 @@
         """Keep a popped request until a target is idle."""
         self._tiers[request.rank].set_aside(request)
 
-    def find_aside(self) -> Request | None:
-        """Return the most urgent request that must run alone."""
-        for tier in self._tiers.values():
-            aside = tier.aside
-            if aside:
-                return next(iter(aside.values()))
-        return None
+    def list_aside(self) -> list[Request]:
+        """List what must run alone: urgent before others, then the short."""
+        return [
+            request
+            for tier in self._tiers.values()
+            if tier.aside
+            for request in sorted(tier.aside.values(), key=_get_price)
+        ]
 
     def find_worst(self) -> Request:
         """Return the request that is to be shed next; one must wait."""
@@ -185,3 +186,7 @@
                 yield tier.pop_worst()
         self._tiers.clear()
         self._credits.clear()
+
+
+def _get_price(request: Request) -> float:
+    return request.price_ms
