--- a/hornbeampulley/decisions/_dispatch.py
+++ b/hornbeampulley/decisions/_dispatch.py
@@ -10,7 +10,7 @@
 from hornbeampulley.decisions._targets import TargetState
 
 LEASE_VALID_MS: Final = 1000.0
-WASTE_WEIGHT: Final = 10.0
+WASTE_WEIGHT: Final = 20.0
 URGENT_WEIGHT: Final = 5.0
 SPARE_SLOTS: Final = 3
 SCARCITY: Final = 1.0
