Learn the prefill rate at the first token

Change: the rate is learnt with the first token; no more cached tokens are inferred than were expected.

--- a/hornbeampulley/decisions/_completion.py
+++ b/hornbeampulley/decisions/_completion.py
@@ -147,6 +147,7 @@
             )
         state = self._state.fleet.find(request.target)
         if state is not None:
+            self._state.cost.learn_prefill(request, delay_ms)
             expected_ms = self._state.cost.expect_first_token(request)
             slots = state.slots
             state.limit.observe(delay_ms / expected_ms, self._state.now_ms)
--- a/hornbeampulley/decisions/_cost.py
+++ b/hornbeampulley/decisions/_cost.py
@@ -54,6 +54,7 @@
         self._lengths: dict[str, float] = {}
         self._calls: dict[str, float] = {}
         self._samples = 0
+        self._prefills = 0
         self.mean_price_ms = MIN_PRICE_MS
 
     def declare_length(self, service: str, output_tokens: int) -> None:
@@ -118,9 +119,10 @@
         """
         rates = self._find_rates(request.target)
         busy_ms = first_token_ms - request.ahead_ms - rates.step_ms
-        prompt_tokens = request.reserve.prompt_tokens
-        cached_tokens = prompt_tokens - busy_ms / rates.prefill_ms
-        return int(min(max(cached_tokens, 0), prompt_tokens))
+        cached_tokens = (
+            request.reserve.prompt_tokens - busy_ms / rates.prefill_ms
+        )
+        return int(min(max(cached_tokens, 0), request.expected_cached))
 
     def expect_ms(
         self,
@@ -164,15 +166,34 @@
     def learn(self, request: Request, release: Release) -> None:
         """Learn from a completed request."""
         self._samples += 1
-        rates = self._targets.get(request.target)
-        if rates is None:
-            rates = dataclasses.replace(self._pool)
-            self._targets[request.target] = rates
+        rates = self._open_rates(request.target)
         if request.reserve.prompt_tokens:
             self._learn_tokens(rates, request, release)
         elif release.duration_ms > 0:
             self._learn_call(rates, request.reserve.service, release)
 
+    def learn_prefill(self, request: Request, first_token_ms: float) -> None:
+        """Learn from the delay of a first token as soon as it is known."""
+        self._prefills += 1
+        rates = self._open_rates(request.target)
+        tokens = request.uncached_tokens
+        if not tokens:
+            return
+        busy_ms = first_token_ms - request.ahead_ms - rates.step_ms
+        sample = max(busy_ms / tokens, MIN_PREFILL_MS)
+        # The delay of a short prompt says little about the rate.
+        trust = min(tokens / FULL_WEIGHT_TOKENS, 1)
+        rates.prefill_ms = smooth(
+            rates.prefill_ms,
+            sample,
+            RATE_WEIGHT * trust,
+        )
+        self._pool.prefill_ms = smooth(
+            self._pool.prefill_ms,
+            sample,
+            max(POOL_WEIGHT, 1 / self._prefills) * trust,
+        )
+
     def forget(self, target: str) -> None:
         """Drop what was learnt about a target that is gone."""
         self._targets.pop(target, None)
@@ -183,8 +204,6 @@
         request: Request,
         release: Release,
     ) -> None:
-        if release.first_token_ms > 0 and not request.resume:
-            self._learn_prefill(rates, request, release.first_token_ms)
         streaming_ms = release.duration_ms - release.first_token_ms
         if release.output_tokens > 1 and streaming_ms > 0:
             sample = streaming_ms / (release.output_tokens - 1)
@@ -197,30 +216,6 @@
             rates.step_ms = smooth(rates.step_ms, sample, RATE_WEIGHT)
         self._learn_length(request.reserve.service, release.output_tokens)
 
-    def _learn_prefill(
-        self,
-        rates: Rates,
-        request: Request,
-        first_token_ms: float,
-    ) -> None:
-        tokens = request.uncached_tokens
-        if not tokens:
-            return
-        busy_ms = first_token_ms - request.ahead_ms - rates.step_ms
-        sample = max(busy_ms / tokens, MIN_PREFILL_MS)
-        # The delay of a short prompt says little about the rate.
-        trust = min(tokens / FULL_WEIGHT_TOKENS, 1)
-        rates.prefill_ms = smooth(
-            rates.prefill_ms,
-            sample,
-            RATE_WEIGHT * trust,
-        )
-        self._pool.prefill_ms = smooth(
-            self._pool.prefill_ms,
-            sample,
-            self._weigh_pool() * trust,
-        )
-
     def _learn_call(
         self,
         rates: Rates,
@@ -250,6 +245,11 @@
     def _weigh_pool(self) -> float:
         return max(POOL_WEIGHT, 1 / self._samples)
 
+    def _open_rates(self, target: str) -> Rates:
+        if target not in self._targets:
+            self._targets[target] = dataclasses.replace(self._pool)
+        return self._targets[target]
+
     def _find_rates(self, target: str) -> Rates:
         return self._targets.get(target, self._pool)
 
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -14,6 +14,7 @@
     first_ms = 1000 * prefill_ms + step_ms
     duration_ms = first_ms + (tokens - 1) * step_ms
     release = Release('r', Outcome.DONE, tokens, first_ms, duration_ms)
+    cost.learn_prefill(request, first_ms)
     cost.learn(request, release)
 
 
@@ -32,7 +33,9 @@
     for _ in range(200):
         complete(cost, 'one', 0.1, 10)
     request = Request(make_reserve(prompt_tokens=1000), 0, 0, 1, target='one')
+    request.expected_cached = 800
     assert cost.infer_cached(request, 60) == pytest.approx(500, abs=60)
+    assert cost.infer_cached(request, 10) == 800
 
 
 def test_expected_output_follows_what_was_seen_and_the_callers_bound():
