--- a/hornbeampulley/decisions/_completion.py
+++ b/hornbeampulley/decisions/_completion.py
@@ -159,6 +159,8 @@
     def _retry(self, request: Request) -> None:
         """Put a request back that was never sent."""
         workspace = request.reserve.workspace
+        if request.charged:
+            self._state.quarantine.forgive(request.reserve.fingerprint)
         self._state.queue.correct(request, -request.price_ms)
         if not request.resume:
             self._state.ledger.free_key(request.reserve)
--- a/hornbeampulley/decisions/_placement.py
+++ b/hornbeampulley/decisions/_placement.py
@@ -10,7 +10,7 @@
 DEFAULT_CACHE_BLOCKS: Final = 4096
 GAP_TRUST: Final = 0.95
 EVENT_LAG_MS: Final = 3000.0
-REUSE_MS: Final = 10000.0
+REUSE_MS: Final = 20000.0
 REUSE_WEIGHT: Final = 0.05
 LONG_BLOCKS: Final = 32
 MIN_SHARE: Final = 0.5
--- a/hornbeampulley/decisions/_quarantine.py
+++ b/hornbeampulley/decisions/_quarantine.py
@@ -67,6 +67,12 @@
             if crashes - explained
         }
 
+    def forgive(self, fingerprint: int) -> None:
+        """Take back the last charge, as the request was never sent."""
+        crashes = self._suspects.pop(fingerprint, frozenset())
+        if len(crashes) > 1:
+            self._suspects[fingerprint] = crashes - {max(crashes)}
+
     def clear(self, fingerprint: int) -> None:
         """Drop the suspicion of a content that completed."""
         self._suspects.pop(fingerprint, None)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -8,6 +8,7 @@
     Quarantine,
     Reason,
     Refuse,
+    TargetDown,
     Warn,
 )
 from hornbeampulley.decisions._quarantine import QuarantineList
@@ -35,6 +36,15 @@
     assert not crashes.is_suspect(3)
 
 
+def test_unsent_request_is_not_suspect():
+    pool = Pool(targets=2)
+    unsent = pool.reserve(fingerprint=1)
+    pool.send(TargetDown(pool.find_target(unsent)))
+    pool.release(unsent, Outcome.NOT_SENT)
+    beside = [pool.reserve(fingerprint=one) for one in (1, 2)]
+    assert all(pool.find_target(one) for one in beside)
+
+
 def crash_beside_innocent(pool):
     bad = pool.reserve(fingerprint=1, target='t0')
     innocent = pool.reserve(fingerprint=2, target='t0')
