--- a/hornbeampulley/decisions/_cost.py
+++ b/hornbeampulley/decisions/_cost.py
@@ -17,7 +17,7 @@
 RATE_WEIGHT: Final = 0.1
 POOL_WEIGHT: Final = 0.02
 PRICE_WEIGHT: Final = 0.02
-CROWDING: Final = 0.5
+CROWDING: Final = 0.2
 MIN_PRICE_MS: Final = 0.1
 
 
