--- a/hornbeampulley/decisions/_queue.py
+++ b/hornbeampulley/decisions/_queue.py
@@ -1,5 +1,6 @@
 """The waiting requests of a pool, by tier."""
 
+import itertools
 from collections.abc import Callable, Iterator, Mapping
 from typing import Final
 
@@ -75,13 +76,14 @@
         """Keep a popped request until a target is idle."""
         self._tiers[request.rank].set_aside(request)
 
-    def find_aside(self) -> Request | None:
-        """Return the most urgent request that must run alone."""
-        for tier in self._tiers.values():
-            aside = tier.aside
-            if aside:
-                return next(iter(aside.values()))
-        return None
+    def list_aside(self) -> list[Request]:
+        """List what must run alone: urgent before others, then the short."""
+        return [
+            request
+            for tier in self._tiers.values()
+            if tier.aside
+            for request in sorted(tier.aside.values(), key=_get_price)
+        ]
 
     def find_worst(self) -> Request:
         """Return the request that is to be shed next; one must wait."""
@@ -96,13 +98,6 @@
         waiting = [rank for rank in self._tiers if self._tiers[rank].count]
         return max(waiting, default=-1)
 
-    def is_lower_waiting(self) -> bool:
-        """Tell whether a tier waits below one that has late requests."""
-        lowest = self.lowest_rank()
-        return any(
-            rank < lowest and tier.late for rank, tier in self._tiers.items()
-        )
-
     def choose_rank(self, has_room: Callable[[int], bool]) -> int | None:
         """Choose the rank to be served next.
 
@@ -151,7 +146,7 @@
             if waiting <= rank
         )
 
-    def mark_late(self, now_ms: float) -> int:
+    def mark_late(self, now_ms: float) -> list[int]:
         """Move requests that cannot meet their deadline behind the others.
 
         Parameters
@@ -161,20 +156,18 @@
 
         Returns
         -------
-        int
-            How many were moved above the lowest tier that waits.
+        list of int
+            Ranks of those that were moved, one for each.
         """
-        lowest = self.lowest_rank()
-        moved = 0
+        ranks: list[int] = []
         for rank, tier in self._tiers.items():
-            late = tier.mark_late(now_ms)
-            moved += late if rank < lowest else 0
-        return moved
+            ranks.extend(itertools.repeat(rank, tier.mark_late(now_ms)))
+        return ranks
 
-    def list_late(self) -> list[Request]:
+    def list_late(self, now_ms: float) -> list[Request]:
         """List the late requests of the lowest tier that waits."""
         rank = self.lowest_rank()
-        return self._tiers[rank].late if rank >= 0 else []
+        return self._tiers[rank].list_late(now_ms) if rank >= 0 else []
 
     def correct(self, request: Request, difference_ms: float) -> None:
         """Charge the difference of a request's actual and expected cost."""
@@ -193,3 +186,7 @@
                 yield tier.pop_worst()
         self._tiers.clear()
         self._credits.clear()
+
+
+def _get_price(request: Request) -> float:
+    return request.price_ms
