Serve only once the tickets are known, and wait for admission in tests

Cause: after a restart an agent told its host's processes of a fleet of one host, so that entries moved to the own scheduler; a fresh entry answered 404 for want of tickets; and the drain test sent SIGTERM after a fixed time, by which a busy machine had not admitted all requests. Change: an agent says nothing until it has asked its peers; an entry refuses with 'not ready'; a newcomer is told of all hosts at once; tests wait for the new log event request_admitted instead of a time.

--- a/bench/links.py
+++ b/bench/links.py
@@ -63,6 +63,7 @@
         default_factory=make_configuration,
     )
     leaving: frozenset[str] = frozenset()
+    is_ready: bool = True
 
     def count_entries(self) -> int:
         """Count one entry."""
--- a/hornbeampulley/membership/_directory.py
+++ b/hornbeampulley/membership/_directory.py
@@ -258,6 +258,36 @@
                 pulses.append(Pulse(entry.record.key, entry.record.version))
         return DirectoryNews(tuple(records), tuple(pulses))
 
+    def compose_all(self, now_ms: float) -> DirectoryNews:
+        """Compose what to tell a peer that knows nothing yet.
+
+        Parameters
+        ----------
+        now_ms : float
+            The current time.
+
+        Returns
+        -------
+        DirectoryNews
+            All live records.
+        """
+        return DirectoryNews(self.list_live(now_ms), ())
+
+    def knows(self, host: str) -> bool:
+        """Tell whether a host was ever heard of.
+
+        Parameters
+        ----------
+        host : str
+            Its name.
+
+        Returns
+        -------
+        bool
+            True if there is a record of it.
+        """
+        return host in self._entries
+
     def list_live(self, now_ms: float) -> tuple[HostRecord, ...]:
         """List the hosts heard of lately.
 
--- a/hornbeampulley/pipeline/_filters.py
+++ b/hornbeampulley/pipeline/_filters.py
@@ -50,6 +50,7 @@
 from hornbeampulley.registry import Registry
 
 REPORT_EVERY_MS: Final = 1000.0
+READY_RETRY_MS: Final = 1000.0
 _log = logging.getLogger(__name__)
 
 Filter = Callable[[Home, Request], Awaitable[None]]
@@ -114,6 +115,29 @@
         )
 
 
+@filters.register('ready')
+async def refuse_until_ready(home: Home, request: Request) -> None:
+    """Refuse requests until the tickets in force are known.
+
+    Parameters
+    ----------
+    home : Home
+        The request's home.
+    request : Request
+        Just admitted.
+    """
+    if not home.view.is_ready:
+        raise ProblemError(
+            Problem(
+                503,
+                'not ready',
+                'this entry has just started and does not know the change '
+                'tickets yet; send the request again under a new id',
+                retry_after_ms=READY_RETRY_MS,
+            ),
+        )
+
+
 @filters.register('route')
 async def route_request(home: Home, request: Request) -> None:
     """Find workspace, service and tier.
--- a/hornbeampulley/pipeline/_home.py
+++ b/hornbeampulley/pipeline/_home.py
@@ -32,6 +32,7 @@
 
     configuration: Configuration
     leaving: frozenset[str]
+    is_ready: bool
 
     def count_entries(self) -> int:
         """Count the entries that are believed to live."""
@@ -273,6 +274,13 @@
         now_ms = self.clock.now()
         request = Request(request_id, incoming, now_ms, Answer())
         self._requests[str(request_id)] = request
+        log_event(
+            _log,
+            'request_admitted',
+            request=request_id,
+            workspace=incoming.workspace,
+            service=incoming.service,
+        )
         return request
 
     def _take_lease(
--- a/hornbeampulley/programs/_locals.py
+++ b/hornbeampulley/programs/_locals.py
@@ -88,8 +88,11 @@
         Parameters
         ----------
         view : LocalView
-            The view now.
+            The view now. While it is not ready, nothing is sent: the process
+            goes on with what an earlier agent told it.
         """
+        if not view.is_ready:
+            return
         told = self._told or LocalView(
             (), (), frozenset(), frozenset(), 0, False
         )
--- a/hornbeampulley/programs/agent.py
+++ b/hornbeampulley/programs/agent.py
@@ -192,6 +192,7 @@
     ) -> None:
         now_ms = self.clock.now()
         news = wire.read_news(message)
+        is_newcomer = not self.directory.knows(link.peer.host)
         changed = [
             record
             for record in news.records
@@ -203,6 +204,9 @@
         if message.wanted:
             asked = self.directory.compose_news(message.wanted, now_ms)
             link.send(wire.write_news(asked, frozenset()))
+        if is_newcomer:
+            whole = self.directory.compose_all(now_ms)
+            link.send(wire.write_news(whole, frozenset()))
         for record in changed:
             log_event(_log, 'host_changed', subject=record.host)
         if changed:
@@ -228,7 +232,7 @@
         )
         is_ready = self.spread.is_ready
         return LocalView(
-            tickets if is_ready else (),
+            tickets,
             self.directory.list_live(self.clock.now()),
             self._leaving,
             frozenset(self._list_addresses()),
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -68,3 +68,11 @@
     assert directory.beat((ENTRY,), 1)
     assert not directory.beat((dataclasses.replace(ENTRY, load=3),), 2)
     assert directory.beat((dataclasses.replace(ENTRY, load=30),), 3)
+
+
+def test_a_newcomer_is_told_all():
+    directory = Directory(HERE, 0)
+    assert not directory.knows(THERE.host)
+    directory.merge(THERE, 0)
+    assert directory.knows(THERE.host)
+    assert directory.compose_all(1).records == (HERE, THERE)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -164,6 +164,15 @@
     assert len(counters['calls_by_body']) == count
 
 
+async def wait_admitted(fleet, count):
+    log = fleet.folder / 'host-1-entry.log'
+    for _ in range(1000):
+        if log.read_text().count('event=request_admitted') >= count:
+            return
+        await trio.sleep(0.02)
+    pytest.fail(f'{count} requests were not admitted')
+
+
 @pytest.mark.parametrize('number', [signal.SIGKILL, signal.SIGSTOP])
 def test_requests_survive_the_loss_of_their_scheduler(run_fleet, number):
     async def scenario(fleet, addresses, service):
@@ -206,7 +215,7 @@
         replies = {}
         async with trio.open_nursery() as nursery:
             nursery.start_soon(send_many, caller, 30, replies)
-            await trio.sleep(0.3)
+            await wait_admitted(fleet, 30)
             for daemon in ('scheduler', 'entry', 'agent'):
                 fleet.send_signal(f'host-1-{daemon}', signal.SIGTERM)
         check_replies(replies, 30)
@@ -235,7 +244,7 @@
         async with trio.open_nursery() as nursery:
             for number in range(30):
                 nursery.start_soon(send, number)
-            await trio.sleep(0.5)
+            await wait_admitted(fleet, 30)
             fleet.send_signal('host-1-entry', signal.SIGKILL)
         fates = {}
         for request_id, document in lost:
