--- a/hornbeampulley/decisions/__init__.py
+++ b/hornbeampulley/decisions/__init__.py
@@ -1,5 +1,10 @@
 """The pure decision core: events in, actions out."""
 
+from hornbeampulley.decisions._baselines import (
+    FifoTiers,
+    LeastLoad,
+    RoundRobin,
+)
 from hornbeampulley.decisions._core import Core
 from hornbeampulley.decisions._messages import (
     Action,
@@ -17,6 +22,7 @@
     Refuse,
     Release,
     Reserve,
+    TakeoverEnded,
     TargetDown,
     TargetsLeaving,
     Tick,
@@ -32,8 +38,10 @@
     'Configure',
     'Core',
     'Event',
+    'FifoTiers',
     'HomeLost',
     'Lease',
+    'LeastLoad',
     'LoadReport',
     'Outcome',
     'Policy',
@@ -45,6 +53,8 @@
     'Refuse',
     'Release',
     'Reserve',
+    'RoundRobin',
+    'TakeoverEnded',
     'TargetDown',
     'TargetView',
     'TargetsLeaving',
--- a/hornbeampulley/decisions/_core.py
+++ b/hornbeampulley/decisions/_core.py
@@ -20,6 +20,7 @@
     Reason,
     Release,
     Reserve,
+    TakeoverEnded,
     TargetDown,
     TargetsLeaving,
     Tick,
@@ -34,6 +35,8 @@
 
 _Handler = Callable[[Any], None]
 
+# Events that by themselves give no room and bring no work.
+_QUIET_EVENTS: Final = (Progress, CacheEvent, LoadReport)
 POLICY_NAME: Final = 'hornbeam'
 
 
@@ -75,11 +78,12 @@
             Progress: self._completion.progress,
             Release: self._completion.release,
             LoadReport: self._report_load,
-            CacheEvent: self._state.index.apply,
+            CacheEvent: self._apply_cache_event,
             Configure: self._configure,
             TargetsLeaving: self._set_leaving,
             TargetDown: self._take_down,
             HomeLost: self._lose_home,
+            TakeoverEnded: self._end_takeover,
             Quarantine: self._convict,
             Tick: self._tick,
         }
@@ -102,11 +106,10 @@
         self._state.now_ms = max(now_ms, self._state.now_ms)
         self._state.actions = []
         self._handlers[type(event)](event)
-        if self._state.configuration is not None:
-            self._shedder.shed_late()
-            self._dispatcher.dispatch()
-            self._preemptor.preempt()
-            self._shedder.shed()
+        is_changed = self._state.fleet.settle(self._state.now_ms)
+        is_quiet = isinstance(event, _QUIET_EVENTS) and not is_changed
+        if self._state.configuration is not None and not is_quiet:
+            self._decide()
         return tuple(self._state.actions)
 
     def describe(self) -> PoolState:
@@ -134,6 +137,12 @@
         """
         return self._state.history.list_lines(request_id)
 
+    def _decide(self) -> None:
+        self._shedder.shed_late()
+        self._dispatcher.dispatch()
+        self._preemptor.preempt()
+        self._shedder.shed()
+
     def _reserve(self, event: Reserve) -> None:
         known = self._state.ledger.find(event.request_id)
         target = self._state.fleet.find(event.target)
@@ -181,7 +190,10 @@
             reported_ms = self._state.now_ms - event.age_ms
             target.report(event.running + event.queued, reported_ms)
             target.health.hear(reported_ms)
-            self._state.fleet.refresh(target, self._state.now_ms)
+            self._state.fleet.touch(target)
+
+    def _apply_cache_event(self, event: CacheEvent) -> None:
+        self._state.index.apply(event, self._state.now_ms)
 
     def _configure(self, event: Configure) -> None:
         state = self._state
@@ -207,6 +219,9 @@
     def _lose_home(self, event: HomeLost) -> None:
         self._completion.lose_home(event.home)
 
+    def _end_takeover(self, _: TakeoverEnded) -> None:
+        self._state.fleet.lift_limits()
+
     def _convict(self, event: Quarantine) -> None:
         if not self._state.quarantine.is_convicted(event.fingerprint):
             self._state.quarantine.convict(event.fingerprint)
@@ -217,7 +232,7 @@
         self._completion.check_overdue()
         for target in self._state.fleet:
             if not target.health.is_healthy:
-                self._state.fleet.refresh(target, self._state.now_ms)
+                self._state.fleet.touch(target)
 
 
 @policies.register(POLICY_NAME)
--- a/hornbeampulley/decisions/_limits.py
+++ b/hornbeampulley/decisions/_limits.py
@@ -50,13 +50,17 @@
         """Start low again."""
         self._size = self._floor()
 
+    def lift(self) -> None:
+        """Allow all that the ceiling allows."""
+        self._size = float(self._ceiling)
+
     def observe(self, sample: float, now_ms: float) -> None:
         """Adjust the limit after a first token.
 
         Parameters
         ----------
         sample : float
-            Delay to the first token per prompt token that was prefilled.
+            Delay of the first token relative to the expected one.
         now_ms : float
             The current time.
         """
--- a/hornbeampulley/decisions/_targets.py
+++ b/hornbeampulley/decisions/_targets.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+from collections.abc import Iterator, Mapping
 
 from hornbeampulley.configuration import Target
 from hornbeampulley.decisions._health import Condition, Health
@@ -9,6 +10,7 @@
 from hornbeampulley.decisions._requests import Request
 
 REPORT_LIFE_MS = 3000.0
+MAX_PREFILL_MS = 20.0
 TOP_PROBE_DELAY_MS = 30000.0
 
 
@@ -26,12 +28,14 @@
         Whether it is up and as fast as usual.
     running : dict
         Requests leased to it, by id.
-    by_rank : dict
-        Number of those by rank of tier.
     is_leaving : bool
         Whether it must get no lease.
     is_reserved : bool
         Whether it is kept for a request that must run alone.
+    prefilled_ms : float
+        Moment at which the prefill of its requests is expected to be done.
+    open_ranks : tuple of int
+        Ranks it had a slot for when it was last placed among the candidates.
     version : int
         Number of its valid entry among the candidates.
     counted_slots : int
@@ -42,9 +46,10 @@
     limit: AdaptiveLimit
     health: Health = dataclasses.field(default_factory=Health)
     running: dict[str, Request] = dataclasses.field(default_factory=dict)
-    by_rank: dict[int, int] = dataclasses.field(default_factory=dict)
     is_leaving: bool = False
     is_reserved: bool = False
+    prefilled_ms: float = 0
+    open_ranks: tuple[int, ...] = ()
     version: int = 0
     counted_slots: int = 0
     _foreign: float = 0
@@ -55,6 +60,15 @@
         """Return the target's name."""
         return self.target.name
 
+    @property
+    def gate_ms(self) -> float:
+        """Return when it may get prompts below the top tier again.
+
+        Engines prefill in order of arrival, so a long backlog there would
+        delay the first token of urgent requests.
+        """
+        return self.prefilled_ms - MAX_PREFILL_MS
+
     @property
     def slots(self) -> int:
         """Return how many requests may run; 0 while it gets no work."""
@@ -62,51 +76,65 @@
             return 0
         return self.limit.slots
 
-    def has_room(
+    def find_open_ranks(
         self,
-        rank: int,
-        headroom: float,
-        top: int,
+        headroom: Mapping[int, float],
         now_ms: float,
-    ) -> bool:
-        """Tell whether a request of a rank may be leased.
+    ) -> tuple[int, ...]:
+        """Find the ranks of which one more request may be leased.
 
         Parameters
         ----------
-        rank : int
-            Rank of its tier.
-        headroom : float
-            Share of the limit kept free of this rank.
-        top : int
-            The most urgent rank.
+        headroom : mapping
+            Share of the limit kept free of each rank, the most urgent first.
         now_ms : float
             The current time.
 
         Returns
         -------
-        bool
-            True if it may.
+        tuple of int
+            The ranks, the most urgent first.
         """
         if self.is_leaving or self.is_reserved:
-            return False
+            return ()
         if not self.health.is_healthy:
-            return self._has_probe(rank == top, now_ms)
-        slots = self.limit.slots
-        if len(self.running) >= slots:
-            return False
-        kept = min(math.ceil(headroom * slots), slots - 1)
-        return self._count_from(rank) < slots - kept
+            return self._find_probe_ranks(tuple(headroom), now_ms)
+        return tuple(self._iterate_open(headroom))
 
     def add(self, request: Request) -> None:
         """Add a request that was leased to it."""
         self.running[request.request_id] = request
-        count = self.by_rank.get(request.rank, 0)
-        self.by_rank[request.rank] = count + 1
 
     def remove(self, request: Request) -> None:
         """Remove a request that ended."""
         self.running.pop(request.request_id)
-        self.by_rank[request.rank] -= 1
+
+    def is_headroom_used(self, share: float) -> bool:
+        """Tell whether too few slots are free or about to be.
+
+        Parameters
+        ----------
+        share : float
+            Share of the limit that is to be free.
+
+        Returns
+        -------
+        bool
+            True if another request should stop.
+        """
+        staying = sum(not request.stopping for request in self.running.values())
+        slots = self.limit.slots
+        return staying > slots - _count_kept(share, slots)
+
+    def add_prefill(self, prefill_ms: float, now_ms: float) -> float:
+        """Add prefill work and return what was pending before."""
+        ahead_ms = self.estimate_pending(now_ms)
+        self.prefilled_ms = now_ms + ahead_ms + prefill_ms
+        return ahead_ms
+
+    def estimate_pending(self, now_ms: float) -> float:
+        """Return the time until its pending prefill is done."""
+        return max(self.prefilled_ms - now_ms, 0)
 
     def report(self, requests: int, reported_ms: float) -> None:
         """Take the target's own report of its load."""
@@ -120,13 +148,28 @@
         used = len(self.running) + trust * self._foreign
         return used / self.limit.slots
 
-    def _count_from(self, rank: int) -> int:
-        return sum(
-            count for other, count in self.by_rank.items() if other >= rank
-        )
+    def _iterate_open(self, headroom: Mapping[int, float]) -> Iterator[int]:
+        slots = self.limit.slots
+        used = len(self.running)
+        for rank, share in headroom.items():
+            if used >= slots - _count_kept(share, slots):
+                return
+            yield rank
 
-    def _has_probe(self, is_top: bool, now_ms: float) -> bool:
+    def _find_probe_ranks(
+        self,
+        ranks: tuple[int, ...],
+        now_ms: float,
+    ) -> tuple[int, ...]:
+        """Keep probes off the top tier, unless it alone has work for long."""
         if self.health.condition is Condition.DOWN and self.running:
-            return False
-        delay_ms = TOP_PROBE_DELAY_MS if is_top else 0
-        return self.health.is_probe_due(now_ms - delay_ms)
+            return ()
+        if self.health.is_probe_due(now_ms - TOP_PROBE_DELAY_MS):
+            return ranks
+        if self.health.is_probe_due(now_ms):
+            return ranks[1:] or ranks
+        return ()
+
+
+def _count_kept(share: float, slots: int) -> int:
+    return min(math.ceil(share * slots), slots - 1)
--- a/hornbeampulley/pipeline/_filters.py
+++ b/hornbeampulley/pipeline/_filters.py
@@ -325,4 +325,9 @@
     elif request.answer.headers.get('hornbeam-ran') == Ran.YES.value:
         home.ledger.finish(request.request_id, kept, now_ms)
     else:
-        home.ledger.fail(request.request_id, kept, now_ms)
+        home.ledger.finish(
+            request.request_id,
+            kept,
+            now_ms,
+            Ran.UNKNOWN,
+        )
--- a/hornbeampulley/programs/_agent_reports.py
+++ b/hornbeampulley/programs/_agent_reports.py
@@ -1,14 +1,14 @@
 """What an agent tells operators and the metrics server."""
 
 import dataclasses
-from collections.abc import Iterable, Iterator, Mapping
+import math
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 from hornbeampulley import wire
 from hornbeampulley.membership import (
     SCOPE_HOSTS,
     HostRecord,
-    Member,
     TicketStore,
 )
 from hornbeampulley.metrics import TICKET_AGE, TICKET_NUMBER, Metrics
@@ -23,17 +23,17 @@
     ----------
     store : TicketStore
         Tickets in force.
-    ages_ms : mapping
-        Maps scopes to the time since the service confirmed the ticket.
-    members : tuple of Member
-        Processes of its host.
+    ages_ms : dict
+        Maps scopes to the time since the service confirmed their tickets.
+    load : int
+        Number of processes linked.
     hosts : tuple of HostRecord
         Hosts that live.
     """
 
     store: TicketStore
-    ages_ms: Mapping[str, float]
-    members: tuple[Member, ...]
+    ages_ms: dict[str, float]
+    load: int
     hosts: tuple[HostRecord, ...]
 
 
@@ -52,7 +52,7 @@
     """
     members = sorted(_list_members(state.hosts), key=_get_place)
     return {
-        'load': len(state.members),
+        'load': state.load,
         'tickets': _list_tickets(state),
         'conflicts': tuple(map(str, state.store.list_conflicts())),
         'members': tuple(members),
@@ -77,7 +77,7 @@
 
 def _list_tickets(state: AgentState) -> tuple[wire.TicketReport, ...]:
     return tuple(
-        form_ticket(scope, stamp.number, state.ages_ms[scope])
+        form_ticket(scope, stamp.number, state.ages_ms.get(scope, math.inf))
         for scope, stamp in sorted(state.store.summary().items())
         if scope != SCOPE_HOSTS
     )
