--- a/hornbeampulley/wire/_links.py
+++ b/hornbeampulley/wire/_links.py
@@ -9,9 +9,9 @@
 import trio
 
 from hornbeampulley.clock import Clock, to_seconds
-from hornbeampulley.errors import WireError
+from hornbeampulley.errors import HornbeamError, WireError
 from hornbeampulley.logs import log_event
-from hornbeampulley.timeline import HybridClock, Timestamp, TimestampError
+from hornbeampulley.timeline import HybridClock, Timestamp
 from hornbeampulley.wire._frames import FrameDecoder, encode_frame
 from hornbeampulley.wire.generated.peer import ttypes
 
@@ -22,6 +22,14 @@
 _MAX_BATCH: Final = 200
 _RECEIVE_BYTES: Final = 65_536
 
+# What a handler may raise on a message whose fields are missing or wrong.
+_MALFORMED: Final = (
+    HornbeamError,
+    TypeError,
+    ValueError,
+    KeyError,
+    AttributeError,
+)
 _log = logging.getLogger(__name__)
 
 
@@ -151,12 +159,12 @@
                 self.heard_ms = self._clock.now()
                 for frame in decoder.feed(received):
                     self._accept(frame, handle)
-        except (WireError, TimestampError) as error:
+        except _MALFORMED as error:
             log_event(
                 _log,
                 'frame_refused',
                 severity=logging.WARNING,
-                error=error,
+                error=repr(error),
             )
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             log_event(_log, 'link_broken', severity=logging.DEBUG)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,7 +8,8 @@
 
 from hornbeampulley import decisions, wire
 from hornbeampulley.errors import WireError
-from hornbeampulley.identity import Stamp
+from hornbeampulley.identity import RequestId, Stamp
+from hornbeampulley.membership import Role
 from hornbeampulley.wire.generated.peer import ttypes
 
 HELLO = ttypes.Hello('entry', 'host-1', 'a' * 16, 'split-a', '127.0.0.1', 1, 2)
@@ -139,6 +140,35 @@
     assert alive == [True, True]
 
 
+@pytest.mark.parametrize(
+    'message',
+    [
+        ttypes.Hello('bogus', 'h', 'i', 'z', '127.0.0.1', 1, 2),
+        make_reserve(request_id='bad'),
+        ttypes.Reserve('r'),
+    ],
+)
+def test_a_message_that_a_handler_refuses_only_ends_its_link(
+    mock_run,
+    message,
+):
+    def handle(link, received):
+        Role(link.peer.role)
+        if isinstance(received, ttypes.Reserve):
+            RequestId.parse(received.request_id)
+
+    async def run():
+        left, right = trio.testing.memory_stream_pair()
+        link = wire.Link(left, HELLO)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(link.run, handle)
+            await right.send_all(wire.encode_frame([HELLO, message]))
+            await trio.sleep(0.1)
+        return link.is_closed
+
+    assert mock_run(run)
+
+
 def test_silent_link_is_closed(mock_run):
     async def run():
         left, _right = trio.testing.memory_stream_pair()
