Correct the pending prefill of a target at each first token

Cause: the pending prefill was an open estimate at a rate learnt only from ended requests. Change: the rate is learnt at the first token where no cache was expected, and the pending prefill is then set to that of requests without a first token.

--- a/hornbeampulley/decisions/_completion.py
+++ b/hornbeampulley/decisions/_completion.py
@@ -148,12 +148,13 @@
         state = self._state.fleet.find(request.target)
         if state is not None:
             expected_ms = self._state.cost.expect_first_token(request)
-            slots = state.slots
             state.limit.observe(delay_ms / expected_ms, self._state.now_ms)
+            self._state.cost.learn_first_token(request, delay_ms)
+            state.end_prefill(request)
+            state.correct_pending(self._state.now_ms)
             if not request.charged:
                 state.health.confirm()
-            if state.slots != slots:
-                self._state.fleet.touch(state)
+            self._state.fleet.touch(state)
 
     def _retry(self, request: Request) -> None:
         """Put a request back that was never sent."""
--- a/hornbeampulley/decisions/_cost.py
+++ b/hornbeampulley/decisions/_cost.py
@@ -164,15 +164,20 @@
     def learn(self, request: Request, release: Release) -> None:
         """Learn from a completed request."""
         self._samples += 1
-        rates = self._targets.get(request.target)
-        if rates is None:
-            rates = dataclasses.replace(self._pool)
-            self._targets[request.target] = rates
+        rates = self._open(request.target)
         if request.reserve.prompt_tokens:
             self._learn_tokens(rates, request, release)
         elif release.duration_ms > 0:
             self._learn_call(rates, request.reserve.service, release)
 
+    def learn_first_token(self, request: Request, delay_ms: float) -> None:
+        """Learn the prefill rate of a prompt without a cached prefix.
+
+        What the cache held of others is known at their end only.
+        """
+        if not request.expected_cached:
+            self._learn_prefill(self._open(request.target), request, delay_ms)
+
     def forget(self, target: str) -> None:
         """Drop what was learnt about a target that is gone."""
         self._targets.pop(target, None)
@@ -183,7 +188,9 @@
         request: Request,
         release: Release,
     ) -> None:
-        if release.first_token_ms > 0 and not request.resume:
+        has_sample = release.first_token_ms > 0 and not request.resume
+        is_new = request.expected_cached or not request.sampled
+        if has_sample and is_new:
             self._learn_prefill(rates, request, release.first_token_ms)
         streaming_ms = release.duration_ms - release.first_token_ms
         if release.output_tokens > 1 and streaming_ms > 0:
@@ -248,7 +255,14 @@
         self._lengths[service] = max(length, 1)
 
     def _weigh_pool(self) -> float:
-        return max(POOL_WEIGHT, 1 / self._samples)
+        return max(POOL_WEIGHT, 1 / max(self._samples, 1))
+
+    def _open(self, target: str) -> Rates:
+        rates = self._targets.get(target)
+        if rates is None:
+            rates = dataclasses.replace(self._pool)
+            self._targets[target] = rates
+        return rates
 
     def _find_rates(self, target: str) -> Rates:
         return self._targets.get(target, self._pool)
--- a/hornbeampulley/decisions/_fleet.py
+++ b/hornbeampulley/decisions/_fleet.py
@@ -179,10 +179,9 @@
     ) -> None:
         """Count a request as running on a target."""
         state.add(request)
-        request.ahead_ms = state.add_prefill(
-            request.uncached_tokens * self._cost.prefill_ms(state.name),
-            now_ms,
-        )
+        rate_ms = self._cost.prefill_ms(state.name)
+        request.prefill_ms = request.uncached_tokens * rate_ms
+        request.ahead_ms = state.add_prefill(request.prefill_ms, now_ms)
         request.target = state.name
         request.leased_ms = now_ms
         is_lower = request.rank > self.top
--- a/hornbeampulley/decisions/_requests.py
+++ b/hornbeampulley/decisions/_requests.py
@@ -38,6 +38,8 @@
         When its lease was given.
     ahead_ms : float
         Prefill that its target had pending when it was leased.
+    prefill_ms : float
+        Expected time of its prefill; 0 once its first token came.
     expected_cached : int
         Prompt tokens expected in the target's cache when it was leased.
     cached_tokens : int
@@ -65,6 +67,7 @@
     target: str = ''
     leased_ms: float = 0
     ahead_ms: float = 0
+    prefill_ms: float = 0
     expected_cached: int = 0
     cached_tokens: int = 0
     output_tokens: int = 0
--- a/hornbeampulley/decisions/_targets.py
+++ b/hornbeampulley/decisions/_targets.py
@@ -34,6 +34,8 @@
         Whether it is kept for a request that must run alone.
     prefilled_ms : float
         Moment at which the prefill of its requests is expected to be done.
+    unstarted_ms : float
+        Expected prefill of its requests without a first token yet.
     open_ranks : tuple of int
         Ranks it had a slot for when it was last placed among the candidates.
     version : int
@@ -49,6 +51,7 @@
     is_leaving: bool = False
     is_reserved: bool = False
     prefilled_ms: float = 0
+    unstarted_ms: float = 0
     open_ranks: tuple[int, ...] = ()
     version: int = 0
     counted_slots: int = 0
@@ -108,6 +111,16 @@
     def remove(self, request: Request) -> None:
         """Remove a request that ended."""
         self.running.pop(request.request_id)
+        self.end_prefill(request)
+
+    def end_prefill(self, request: Request) -> None:
+        """Count a request's prefill as done, or as given up."""
+        self.unstarted_ms = max(self.unstarted_ms - request.prefill_ms, 0)
+        request.prefill_ms = 0
+
+    def correct_pending(self, now_ms: float) -> None:
+        """Set the pending prefill to that of requests without first token."""
+        self.prefilled_ms = now_ms + self.unstarted_ms
 
     def is_headroom_used(self, share: float) -> bool:
         """Tell whether too few slots are free or about to be.
@@ -130,6 +143,7 @@
         """Add prefill work and return what was pending before."""
         ahead_ms = self.estimate_pending(now_ms)
         self.prefilled_ms = now_ms + ahead_ms + prefill_ms
+        self.unstarted_ms += prefill_ms
         return ahead_ms
 
     def estimate_pending(self, now_ms: float) -> float:
