Give slow targets to workspaces that are over their share

Cause: when a workspace asks for ten times its share all slots are taken, and the slot that is free for a small workspace's request is often on a target half as fast as those it runs on alone. Change: a request does not take a target slower than the average for a time in proportion to what it would lose there, if the workspace most over its share has one to run there.

--- a/hornbeampulley/decisions/_dispatch.py
+++ b/hornbeampulley/decisions/_dispatch.py
@@ -49,8 +49,28 @@
             self._state.queue.set_aside(request)
             self._state.note(request, 'wait', 'must run alone')
             self._dispatch_alone()
-        elif self._claim(request):
-            self._place(request)
+        else:
+            self._place_or_swap(request)
+
+    def _place_or_swap(self, request: Request) -> None:
+        """Give a slow target to a workspace that is over its share.
+
+        The request waits instead for a while, as a faster target will soon
+        be free and complete it earlier.
+        """
+        chosen = request
+        target, cached_tokens = self._choose(request)
+        if self._is_worth_waiting(request, target):
+            chosen = self._state.queue.swap(request)
+        if chosen is not request:
+            target, cached_tokens = self._choose(chosen)
+        if self._claim(chosen):
+            self._lease(chosen, target, cached_tokens)
+
+    def _is_worth_waiting(self, request: Request, state: TargetState) -> bool:
+        rate = self._state.cost.rate(state.name)
+        waited_ms = self._state.now_ms - request.arrived_ms
+        return waited_ms < (rate - 1) * request.price_ms
 
     def _dispatch_alone(self) -> None:
         """Lease idle targets to suspects."""
@@ -67,7 +87,8 @@
             self._state.refuse(request, Reason.DUPLICATE_KEY)
         return is_free
 
-    def _place(self, request: Request) -> None:
+    def _choose(self, request: Request) -> tuple[TargetState, int]:
+        """Choose a target and estimate the prompt tokens it has cached."""
         match = self._state.index.match(request.reserve.block_hashes)
         if request.reserve.block_hashes:
             self._state.index.note_reuse(match)
@@ -76,7 +97,7 @@
             key=lambda state: (self._score(request, state, match), state.name),
         )
         cached = self._count_cached(request, best, match)
-        self._lease(request, best, int(cached))
+        return best, int(cached)
 
     def _list_candidates(
         self,
--- a/hornbeampulley/decisions/_queue.py
+++ b/hornbeampulley/decisions/_queue.py
@@ -68,6 +68,26 @@
         """Remove the request of a rank that is to be leased next."""
         return self._tiers[rank].pop()
 
+    def swap(self, request: Request) -> Request:
+        """Put a popped request back for one of a workspace over its share.
+
+        Parameters
+        ----------
+        request : Request
+            A popped request.
+
+        Returns
+        -------
+        Request
+            The request popped instead, or the same if there is no other.
+        """
+        other = self._tiers[request.rank].pop_other(request)
+        if other is None:
+            return request
+        self.correct(request, -request.price_ms)
+        self.push(request)
+        return other
+
     def remove(self, request: Request) -> None:
         """Remove a waiting request."""
         self._tiers[request.rank].remove(request)
--- a/hornbeampulley/decisions/_tiers.py
+++ b/hornbeampulley/decisions/_tiers.py
@@ -78,6 +78,28 @@
         rest = self._late or self.aside
         return next(reversed(rest.values()))
 
+    def pop_other(self, request: Request) -> Request | None:
+        """Remove the first request of the workspace most over its share.
+
+        Parameters
+        ----------
+        request : Request
+            A popped request.
+
+        Returns
+        -------
+        Request or None
+            None if it is the workspace of the popped request.
+        """
+        lane = self._find_excess()
+        if lane is None or lane.name == request.reserve.workspace:
+            return None
+        other = lane.pop_first()
+        lane.charge(other.price_ms)
+        self._list(lane)
+        self._count(other, -1)
+        return other
+
     def pop_worst(self) -> Request:
         """Remove the request to be shed next; ``count`` must not be 0."""
         request = self.find_worst()
