Let small workspaces wait longer for a faster target

Change: a request leaves slow targets to workspaces over their share until it has waited twice what it would lose there.

--- a/hornbeampulley/decisions/_dispatch.py
+++ b/hornbeampulley/decisions/_dispatch.py
@@ -10,6 +10,7 @@
 from hornbeampulley.decisions._targets import TargetState
 
 LEASE_VALID_MS: Final = 1000.0
+WAIT_SHARE: Final = 2.0
 WASTE_WEIGHT: Final = 20.0
 URGENT_WEIGHT: Final = 5.0
 SPARE_SLOTS: Final = 3
@@ -70,7 +71,7 @@
     def _is_worth_waiting(self, request: Request, state: TargetState) -> bool:
         rate = self._state.cost.rate(state.name)
         waited_ms = self._state.now_ms - request.arrived_ms
-        return waited_ms < (rate - 1) * request.price_ms
+        return waited_ms < WAIT_SHARE * (rate - 1) * request.price_ms
 
     def _dispatch_alone(self) -> None:
         """Lease idle targets to suspects."""
