Send request ids, hashes and clocks in fewer bytes

Change: a link tells the home, so that a request is named by lease and counter; block hashes are packed in 32 bits; enumerations and durations are small numbers; the hybrid clock is one number. Ruled out for now: names of tier, service and workspace as numbers, which would need a table agreed by both ends.

--- a/hornbeampulley/pipeline/_content.py
+++ b/hornbeampulley/pipeline/_content.py
@@ -10,10 +10,11 @@
 from hornbeampulley.configuration import ServiceKind
 from hornbeampulley.pipeline._problems import Problem, ProblemError
 from hornbeampulley.registry import Registry
-from hornbeampulley.wire import HASH_MASK
+from hornbeampulley.wire import FINGERPRINT_MASK, HASH_MASK
 
 TOKEN_BYTES: Final = 4
 BLOCK_TOKENS: Final = 64
+MAX_TOKENS: Final = 1_000_000_000
 _BLOCK_BYTES: Final = TOKEN_BYTES * BLOCK_TOKENS
 
 
@@ -107,13 +108,13 @@
     max_tokens = document.get('max_tokens', 0)
     if not isinstance(prompt, str) or not prompt:
         raise _refuse('prompt must be a text that is not empty')
-    if not isinstance(max_tokens, int) or not 0 <= max_tokens < HASH_MASK:
-        raise _refuse('max_tokens must be a whole number, 0 or more')
+    if not isinstance(max_tokens, int) or not 0 <= max_tokens <= MAX_TOKENS:
+        raise _refuse('max_tokens must be a whole number up to 10^9')
     encoded = prompt.encode(errors='surrogatepass')
     return Content(
         fingerprint=_hash(body),
         prompt_tokens=-(-len(encoded) // TOKEN_BYTES),
-        output_tokens=min(max_tokens, 2**31 - 1),
+        output_tokens=max_tokens,
         block_hashes=hash_blocks(encoded),
     )
 
@@ -129,7 +130,7 @@
     Returns
     -------
     tuple of int
-        One hash a block, first block first; without their top bit.
+        One hash a block, first block first; their lowest 32 bits.
     """
     hashes = []
     previous = 0
@@ -141,7 +142,7 @@
 
 
 def _hash(body: bytes) -> int:
-    return xxhash.xxh3_64_intdigest(body) & HASH_MASK
+    return xxhash.xxh3_64_intdigest(body) & FINGERPRINT_MASK
 
 
 def _parse_object(body: bytes) -> dict[str, Any]:
--- a/hornbeampulley/programs/scheduler.py
+++ b/hornbeampulley/programs/scheduler.py
@@ -177,7 +177,7 @@
         now_ms = self._clock.now()
         is_taken = self._fates.announce(
             self._read_stamp(home, message),
-            RequestId.parse(message.request_id),
+            wire.read_request_id(message, home),
             now_ms,
             bool(message.dispatched),
         )
@@ -192,7 +192,7 @@
         if stamp is not None:
             self._fates.release(
                 self._read_stamp(home, message),
-                RequestId.parse(message.request_id),
+                wire.read_request_id(message, home),
                 self._clock.now(),
             )
 
--- a/hornbeampulley/timeline.py
+++ b/hornbeampulley/timeline.py
@@ -11,6 +11,8 @@
 MAX_COUNTER: Final = 999_999
 # A peer whose clock is further ahead is not followed.
 MAX_AHEAD_MS: Final = 3_600_000
+_COUNTER_BITS: Final = 20
+_COUNTER_MASK: Final = (1 << _COUNTER_BITS) - 1
 _TIMESTAMP: Final = re.compile('([0-9]{14})[.]([0-9]{6})')
 _PAIR: Final = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|[^\s"=]*)(?:\s+|$)')
 
@@ -55,6 +57,26 @@
             )
         return cls(int(match[1]), int(match[2]))
 
+    def pack(self) -> int:
+        """Return one number for peer messages; it sorts as timestamps do."""
+        return (self.wall_ms << _COUNTER_BITS) | self.counter
+
+    @classmethod
+    def unpack(cls, packed: int) -> 'Timestamp':
+        """Return the timestamp of a packed number.
+
+        Parameters
+        ----------
+        packed : int
+            As `pack` gave it.
+
+        Returns
+        -------
+        Timestamp
+            The timestamp.
+        """
+        return cls(packed >> _COUNTER_BITS, packed & _COUNTER_MASK)
+
     def advance(self) -> 'Timestamp':
         """Return the next timestamp."""
         if self.counter < MAX_COUNTER:
--- a/hornbeampulley/wire/__init__.py
+++ b/hornbeampulley/wire/__init__.py
@@ -1,9 +1,11 @@
 """The protocol between the system's own processes."""
 
 from hornbeampulley.wire._conversions import (
+    FINGERPRINT_MASK,
     HASH_MASK,
     read_action,
     read_event,
+    read_request_id,
     read_stamp,
     write_action,
     write_event,
@@ -51,6 +53,7 @@
 )
 
 __all__ = (
+    'FINGERPRINT_MASK',
     'HASH_MASK',
     'HEARTBEAT_MS',
     'MAX_FRAME_BYTES',
@@ -74,6 +77,7 @@
     'read_peer_message',
     'read_process_report',
     'read_record',
+    'read_request_id',
     'read_request_report',
     'read_stamp',
     'read_ticket_stamp',
--- a/hornbeampulley/wire/_conversions.py
+++ b/hornbeampulley/wire/_conversions.py
@@ -1,15 +1,26 @@
 """Between the decision core's messages and the peer protocol."""
 
+import math
+import struct
 from typing import Any, Final
 
 from hornbeampulley import decisions
 from hornbeampulley.errors import WireError
-from hornbeampulley.identity import LeaseStamp, Stamp
+from hornbeampulley.identity import LeaseStamp, RequestId, Stamp
 from hornbeampulley.registry import Registry
 from hornbeampulley.wire.generated.peer import ttypes
 
-HASH_MASK: Final = (1 << 63) - 1
-"""Hashes travel as signed 64-bit numbers; the top bit is dropped."""
+HASH_MASK: Final = (1 << 32) - 1
+"""Of a block's hash 32 bits are used; a false match only misleads a guess."""
+
+FINGERPRINT_MASK: Final = (1 << 63) - 1
+"""Fingerprints travel as signed 64-bit numbers; the top bit is dropped."""
+
+MAX_COUNT: Final = (1 << 31) - 1
+_HASH: Final = 'I'
+_MALFORMED: Final = (TypeError, ValueError, IndexError, struct.error)
+_OUTCOMES: Final = tuple(decisions.Outcome)
+_REASONS: Final = tuple(decisions.Reason)
 
 _EVENTS: Final[Registry[Any]] = Registry('event')
 _ACTIONS: Final[Registry[Any]] = Registry('action')
@@ -40,23 +51,25 @@
     ttypes.Reserve
         Its deadline is a duration.
     """
-    deadline_in_ms = 0.0
+    deadline_in_ms = 0
     if event.deadline_ms:
-        deadline_in_ms = max(event.deadline_ms - now_ms, 1)
+        deadline_in_ms = max(_round(event.deadline_ms - now_ms), 1)
+    lease, counter = _split_id(event.request_id)
     return ttypes.Reserve(
-        request_id=event.request_id,
+        id_lease=lease,
+        id_counter=counter,
         workspace=event.workspace,
         service_name=event.service,
         tier=event.tier,
         prompt_tokens=event.prompt_tokens,
         output_tokens=event.output_tokens,
-        block_hashes=list(event.block_hashes),
+        block_hashes=_pack_hashes(event.block_hashes),
         fingerprint=event.fingerprint,
         deadline_in_ms=deadline_in_ms,
         idempotency_key=event.idempotency_key,
         repeatable=event.repeatable,
         target=event.target,
-        waited_ms=event.waited_ms,
+        waited_ms=_round(event.waited_ms),
         stamp=write_stamp(stamp),
         dispatched=dispatched,
     )
@@ -82,19 +95,22 @@
     """
     match event:
         case decisions.Withdraw():
-            return ttypes.Withdraw(event.request_id, write_stamp(stamp))
+            return ttypes.Withdraw(
+                *_split_id(event.request_id),
+                write_stamp(stamp),
+            )
         case decisions.Progress():
             return ttypes.Progress(
-                event.request_id,
+                *_split_id(event.request_id),
                 event.output_tokens,
-                event.first_token_ms,
+                _round(event.first_token_ms),
             )
     return ttypes.Release(
-        event.request_id,
-        event.outcome.value,
+        *_split_id(event.request_id),
+        _OUTCOMES.index(event.outcome),
         event.output_tokens,
-        event.first_token_ms,
-        event.duration_ms,
+        _round(event.first_token_ms),
+        _round(event.duration_ms),
         event.cached_tokens,
         write_stamp(stamp),
     )
@@ -142,6 +158,32 @@
     )
 
 
+def read_request_id(message: Any, home: str) -> RequestId:
+    """Return the id of the request that a message is about.
+
+    Parameters
+    ----------
+    message : thrift struct
+        With lease and counter of the id.
+    home : str
+        Incarnation of the home.
+
+    Returns
+    -------
+    RequestId
+        The whole id.
+
+    Raises
+    ------
+    WireError
+        If a part is missing.
+    """
+    try:
+        return RequestId(home, int(message.id_lease), int(message.id_counter))
+    except TypeError as error:
+        raise _explain_malformed(message) from error
+
+
 def read_event(
     message: Any,
     home: str,
@@ -171,7 +213,7 @@
     reader = _EVENTS.find(type(message).__name__)
     try:
         return reader(message, home, now_ms)
-    except (TypeError, ValueError) as error:
+    except _MALFORMED as error:
         raise _explain_malformed(message) from error
 
 
@@ -196,21 +238,21 @@
     match action:
         case decisions.Lease():
             return ttypes.Lease(
-                action.request_id,
+                *_split_id(action.request_id),
                 action.target,
-                action.valid_ms,
+                _round(action.valid_ms),
                 action.resume,
                 stamp.session if stamp else 0,
                 stamp.heard if stamp else 0,
             )
         case decisions.Refuse():
             return ttypes.Refuse(
-                action.request_id,
-                action.reason.value,
+                *_split_id(action.request_id),
+                _REASONS.index(action.reason),
                 action.ran,
-                action.retry_after_ms,
+                _round(action.retry_after_ms),
             )
-    return ttypes.Preempt(action.request_id, action.target)
+    return ttypes.Preempt(*_split_id(action.request_id), action.target)
 
 
 def read_action(message: Any, home: str) -> decisions.Action:
@@ -236,7 +278,7 @@
     reader = _ACTIONS.find(type(message).__name__)
     try:
         return reader(message, home)
-    except (TypeError, ValueError) as error:
+    except _MALFORMED as error:
         raise _explain_malformed(message) from error
 
 
@@ -250,57 +292,57 @@
     if message.deadline_in_ms:
         deadline_ms = now_ms + message.deadline_in_ms
     return decisions.Reserve(
-        request_id=message.request_id,
+        request_id=str(read_request_id(message, home)),
         home=home,
         workspace=message.workspace,
         service=message.service_name,
         tier=message.tier,
         prompt_tokens=message.prompt_tokens,
         output_tokens=message.output_tokens,
-        block_hashes=tuple(message.block_hashes),
+        block_hashes=_unpack_hashes(message.block_hashes),
         fingerprint=message.fingerprint,
         deadline_ms=deadline_ms,
         idempotency_key=message.idempotency_key,
         repeatable=message.repeatable,
         target=message.target,
-        waited_ms=message.waited_ms,
+        waited_ms=float(message.waited_ms),
     )
 
 
 @_EVENTS.register('Withdraw')
 def _read_withdraw(
     message: ttypes.Withdraw,
-    _home: str,
+    home: str,
     _now_ms: float,
 ) -> decisions.Withdraw:
-    return decisions.Withdraw(message.request_id)
+    return decisions.Withdraw(str(read_request_id(message, home)))
 
 
 @_EVENTS.register('Progress')
 def _read_progress(
     message: ttypes.Progress,
-    _home: str,
+    home: str,
     _now_ms: float,
 ) -> decisions.Progress:
     return decisions.Progress(
-        message.request_id,
+        str(read_request_id(message, home)),
         message.output_tokens,
-        message.first_token_ms,
+        float(message.first_token_ms),
     )
 
 
 @_EVENTS.register('Release')
 def _read_release(
     message: ttypes.Release,
-    _home: str,
+    home: str,
     _now_ms: float,
 ) -> decisions.Release:
     return decisions.Release(
-        message.request_id,
-        decisions.Outcome(message.outcome),
+        str(read_request_id(message, home)),
+        _OUTCOMES[message.outcome],
         message.output_tokens,
-        message.first_token_ms,
-        message.duration_ms,
+        float(message.first_token_ms),
+        float(message.duration_ms),
         message.cached_tokens,
     )
 
@@ -308,10 +350,10 @@
 @_ACTIONS.register('Lease')
 def _read_lease(message: ttypes.Lease, home: str) -> decisions.Lease:
     return decisions.Lease(
-        message.request_id,
+        str(read_request_id(message, home)),
         home,
         message.target,
-        message.valid_ms,
+        float(message.valid_ms),
         message.resume,
     )
 
@@ -319,17 +361,39 @@
 @_ACTIONS.register('Refuse')
 def _read_refuse(message: ttypes.Refuse, home: str) -> decisions.Refuse:
     return decisions.Refuse(
-        message.request_id,
+        str(read_request_id(message, home)),
         home,
-        decisions.Reason(message.reason),
+        _REASONS[message.reason],
         message.ran,
-        message.retry_after_ms,
+        float(message.retry_after_ms),
     )
 
 
 @_ACTIONS.register('Preempt')
 def _read_preempt(message: ttypes.Preempt, home: str) -> decisions.Preempt:
-    return decisions.Preempt(message.request_id, home, message.target)
+    return decisions.Preempt(
+        str(read_request_id(message, home)),
+        home,
+        message.target,
+    )
+
+
+def _split_id(text: str) -> tuple[int, int]:
+    request_id = RequestId.parse(text)
+    return request_id.lease, request_id.counter
+
+
+def _round(duration_ms: float) -> int:
+    return min(math.ceil(duration_ms), MAX_COUNT)
+
+
+def _pack_hashes(hashes: tuple[int, ...]) -> bytes:
+    return struct.pack(f'>{len(hashes)}{_HASH}', *hashes)
+
+
+def _unpack_hashes(packed: bytes) -> tuple[int, ...]:
+    count = len(packed) // struct.calcsize(f'>{_HASH}')
+    return struct.unpack(f'>{count}{_HASH}', packed)
 
 
 def _explain_malformed(message: Any) -> WireError:
--- a/hornbeampulley/wire/_frames.py
+++ b/hornbeampulley/wire/_frames.py
@@ -23,15 +23,15 @@
 }
 
 
-def encode_frame(messages: Iterable[Any], hlc: str = '') -> bytes:
+def encode_frame(messages: Iterable[Any], hlc: int = 0) -> bytes:
     """Encode messages as one frame.
 
     Parameters
     ----------
     messages : iterable of thrift structs
         Each of a type that the union ``Message`` holds.
-    hlc : str
-        The sender's hybrid logical clock.
+    hlc : int
+        The sender's hybrid logical clock, packed; 0 if it has none.
 
     Returns
     -------
--- a/hornbeampulley/wire/_links.py
+++ b/hornbeampulley/wire/_links.py
@@ -172,7 +172,7 @@
 
     def _accept(self, frame: ttypes.Frame, handle: MessageHandler) -> None:
         if self._hybrid is not None and frame.hlc:
-            self._hybrid.observe(Timestamp.decode(frame.hlc))
+            self._hybrid.observe(Timestamp.unpack(frame.hlc))
         for message in frame.messages:
             if isinstance(message, ttypes.Hello):
                 self.peer = message
@@ -198,10 +198,10 @@
             for frame in _encode_batch(batch, self._tick()):
                 await self._stream.send_all(frame)
 
-    def _tick(self) -> str:
+    def _tick(self) -> int:
         if self._hybrid is None:
-            return ''
-        return self._hybrid.tick().encode()
+            return 0
+        return self._hybrid.tick().pack()
 
     async def _beat(self) -> None:
         self._wakeup.set()
@@ -212,7 +212,7 @@
         self.close()
 
 
-def _encode_batch(batch: list[Any], hlc: str) -> Iterator[bytes]:
+def _encode_batch(batch: list[Any], hlc: int) -> Iterator[bytes]:
     try:
         whole = encode_frame(batch, hlc)
     except WireError:
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -10,6 +10,8 @@
   3: i64 echo
 }
 
+// A request is named by lease and counter of its id, since the link tells the
+// home. Enumerations travel as places in their order of definition.
 struct Hello {
   1: string role
   2: string host
@@ -31,63 +33,70 @@
 }
 
 struct Reserve {
-  1: string request_id
-  2: string workspace
-  3: string service_name
-  4: string tier
-  5: i32 prompt_tokens
-  6: i32 output_tokens
-  7: list<i64> block_hashes
-  8: i64 fingerprint
-  9: double deadline_in_ms
-  10: string idempotency_key
-  11: bool repeatable
-  12: string target
-  13: double waited_ms
-  14: Stamp stamp
-  15: bool dispatched
+  1: i32 id_lease
+  2: i32 id_counter
+  3: string workspace
+  4: string service_name
+  5: string tier
+  6: i32 prompt_tokens
+  7: i32 output_tokens
+  8: binary block_hashes
+  9: i64 fingerprint
+  10: i32 deadline_in_ms
+  11: string idempotency_key
+  12: bool repeatable
+  13: string target
+  14: i32 waited_ms
+  15: Stamp stamp
+  16: bool dispatched
 }
 
 struct Withdraw {
-  1: string request_id
-  2: optional Stamp stamp
+  1: i32 id_lease
+  2: i32 id_counter
+  3: optional Stamp stamp
 }
 
 struct Progress {
-  1: string request_id
-  2: i32 output_tokens
-  3: double first_token_ms
+  1: i32 id_lease
+  2: i32 id_counter
+  3: i32 output_tokens
+  4: i32 first_token_ms
 }
 
 struct Release {
-  1: string request_id
-  2: string outcome
-  3: i32 output_tokens
-  4: double first_token_ms
-  5: double duration_ms
-  6: i32 cached_tokens
-  7: optional Stamp stamp
+  1: i32 id_lease
+  2: i32 id_counter
+  3: i32 outcome
+  4: i32 output_tokens
+  5: i32 first_token_ms
+  6: i32 duration_ms
+  7: i32 cached_tokens
+  8: optional Stamp stamp
 }
 
 struct Lease {
-  1: string request_id
-  2: string target
-  3: double valid_ms
-  4: bool resume
-  5: i32 session
-  6: i64 heard
+  1: i32 id_lease
+  2: i32 id_counter
+  3: string target
+  4: i32 valid_ms
+  5: bool resume
+  6: i32 session
+  7: i64 heard
 }
 
 struct Refuse {
-  1: string request_id
-  2: string reason
-  3: bool ran
-  4: double retry_after_ms
+  1: i32 id_lease
+  2: i32 id_counter
+  3: i32 reason
+  4: bool ran
+  5: i32 retry_after_ms
 }
 
 struct Preempt {
-  1: string request_id
-  2: string target
+  1: i32 id_lease
+  2: i32 id_counter
+  3: string target
 }
 
 struct Quarantine {
@@ -223,6 +232,6 @@
 }
 
 struct Frame {
-  1: string hlc
+  1: i64 hlc
   2: list<Message> messages
 }
