Test connections that go silent between real processes

Cause: silent connections were tested for engines in virtual time only. Ruled out: a relay between the processes; each advertises the address that it listens on, so that a relay could stand before callers only. Change: standins.silencer runs a daemon and lets its open connections go silent at a signal; tests of silent engine, entry, scheduler and agent connections; the started fleet moves to tests/fleets.py.

--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -61,12 +61,21 @@
     ----------
     folder : pathlib.Path
         Takes settings files and logs.
+    can_silence : bool
+        Whether the connections of daemons can go silent.
     """
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        *,
+        can_silence: bool = False,
+    ) -> None:
         self.folder = folder
+        self._wrapper = ('standins.silencer',) if can_silence else ()
         self.network = f'127.{_FIRST_NETWORK + os.getpid() % _NETWORKS}'
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._commands: dict[str, list[str]] = {}
         self._hosts: list[dict[str, str]] = []
         self._http = httpcore.AsyncConnectionPool(max_connections=200)
 
@@ -148,6 +157,7 @@
         name = f'host-{number}-{daemon}'
         self._start_module(
             name,
+            *self._wrapper,
             f'hornbeampulley.programs.{daemon}',
             '--settings',
             str(self.folder / f'{name}.ini'),
@@ -164,6 +174,16 @@
         """Send a signal to a process started here."""
         self.processes[name].send_signal(number)
 
+    def silence(self, name: str) -> None:
+        """Let the connections that a daemon has open go silent for good."""
+        self.send_signal(name, signal.SIGUSR1)
+
+    async def restart(self, name: str) -> None:
+        """Kill a process started here and start it anew."""
+        self.processes[name].kill()
+        await self.wait_exit(name)
+        self._start_command(name)
+
     def kill_host(self, number: int) -> None:
         """Kill all daemons of a host at once."""
         for daemon in DAEMONS:
@@ -295,10 +315,14 @@
             ),
         )
 
-    def _start_module(self, name: str, module: str, *options: str) -> None:
+    def _start_module(self, name: str, *arguments: str) -> None:
+        self._commands[name] = [sys.executable, '-m', *arguments]
+        self._start_command(name)
+
+    def _start_command(self, name: str) -> None:
         with (self.folder / f'{name}.err').open('ab') as errors:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, '-m', module, *options],
+                self._commands[name],
                 stdout=errors,
                 stderr=errors,
             )
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,8 @@
 import trio.testing
 from hypothesis import HealthCheck, settings
 
+from tests.fleets import start_fleet
+
 settings.register_profile(
     'ci',
     derandomize=True,
@@ -28,3 +30,17 @@
         return trio.run(function, *arguments, clock=clock)
 
     return run
+
+
+@pytest.fixture
+def run_fleet(tmp_path):
+    """Return a function that runs a scenario against a started fleet."""
+
+    def run(scenario, **options):
+        async def main():
+            async with start_fleet(tmp_path, **options) as started:
+                await scenario(*started)
+
+        trio.run(main)
+
+    return run
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -15,7 +15,7 @@
 from standins import example
 from standins._runs import compose_answer
 from standins.launcher import PLATFORM_PORT, LocalFleet
-from tests.test_processes import (
+from tests.fleets import (
     GIVE_UP_S,
     PROMPT,
     Caller,
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,104 +1,23 @@
 """Tests with real processes on loopback; no verdict depends on timing."""
 
-import contextlib
-import json
 import signal
 
 import httpcore
 import pytest
 import trio
 
-from standins import example
 from standins._runs import compose_answer
-from standins.launcher import (
-    CALLER_PORT,
-    PLATFORM_PORT,
-    TARGET_PORT,
-    LocalFleet,
+from standins.launcher import CALLER_PORT
+from tests.fleets import (
+    PROMPT,
+    Caller,
+    check_booked_once,
+    check_replies,
+    read_counters,
+    read_text,
+    send_many,
 )
 
-GIVE_UP_S = 60
-PROMPT = 'the nib scratches on the upstroke ' * 20
-
-
-class Caller:
-    """Sends requests to one entry under ids that it forms itself."""
-
-    def __init__(self, fleet, address):
-        self.fleet = fleet
-        self.url = f'http://{address}:{CALLER_PORT}'
-        self.ids = {}
-        self.counter = 0
-
-    async def lease_ids(self, workspace=example.WORKSPACE):
-        url = f'{self.url}/v1/entries?workspace={workspace}'
-        self.ids = (await self.fleet.request('GET', url)).read_json()['ids']
-
-    def form_id(self):
-        self.counter += 1
-        incarnation, number = self.ids['incarnation'], self.ids['number']
-        return f'{incarnation}.{number}.{self.counter}'
-
-    async def send(self, service, document, request_id=None, url=None):
-        request_id = request_id or self.form_id()
-        headers = {
-            'Hornbeam-Workspace': example.WORKSPACE,
-            'Hornbeam-Service': service,
-        }
-        path = f'{url or self.url}/v1/requests/{request_id}'
-        body = json.dumps(document).encode()
-        return await self.fleet.request('POST', path, body, headers)
-
-
-def read_text(reply):
-    lines = [json.loads(line) for line in reply.body.splitlines()]
-    assert lines[-1].get('done') is True, lines[-1]
-    return ''.join(line['text'] for line in lines if 'token' in line)
-
-
-async def read_counters(fleet, address):
-    url = f'http://{address}:{TARGET_PORT}/counters'
-    return (await fleet.request('GET', url)).read_json()
-
-
-@contextlib.asynccontextmanager
-async def start_fleet(folder, hosts=2, slots=4):
-    fleet = LocalFleet(folder)
-    try:
-        with trio.fail_after(GIVE_UP_S):
-            fleet.start_platform()
-            platform = f'http://{fleet.platform_address}:{PLATFORM_PORT}/hosts'
-            await fleet.wait_listening(platform)
-            engines = {
-                f'engine-{number}': fleet.start_target('engine', number)
-                for number in (1, 2)
-            }
-            services = {'service-11': fleet.start_target('service', 11)}
-            addresses = [
-                fleet.start_host(number + 1, f'zone-{"abcd"[number]}')
-                for number in range(hosts)
-            ]
-            await example.publish_example(fleet, engines, services, slots)
-            for address in addresses:
-                await fleet.wait_entries(address, example.WORKSPACE, hosts)
-            yield fleet, addresses, services['service-11']
-    finally:
-        fleet.stop()
-
-
-@pytest.fixture
-def run_fleet(tmp_path):
-    """Return a function that runs a scenario against a started fleet."""
-
-    def run(scenario, **options):
-        async def main():
-            async with start_fleet(tmp_path, **options) as started:
-                await scenario(*started)
-
-        trio.run(main)
-
-    return run
-
 
 def test_each_kind_of_request_is_served_from_end_to_end(run_fleet):
     async def scenario(fleet, addresses, service):
@@ -133,37 +52,6 @@
     run_fleet(scenario)
 
 
-async def send_many(caller, count, replies, first=0):
-    async def send(number):
-        if number % 3:
-            document = {'prompt': f'{number} {PROMPT}', 'max_tokens': 30}
-            replies[number] = await caller.send('consult', document)
-        else:
-            replies[number] = await caller.send('book', {'slot': number})
-
-    async with trio.open_nursery() as nursery:
-        for number in range(first, first + count):
-            nursery.start_soon(send, number)
-
-
-def check_replies(replies, count):
-    assert len(replies) == count
-    for number, reply in replies.items():
-        assert reply.status == 200, reply.body
-        if number % 3:
-            prompt = f'{number} {PROMPT}'
-            assert read_text(reply) == compose_answer(prompt, 30)
-        else:
-            body = json.dumps({'slot': number})
-            assert reply.read_json()['body'] == body
-
-
-async def check_booked_once(fleet, service, count):
-    counters = await read_counters(fleet, service)
-    assert set(counters['calls_by_body'].values()) == {1}
-    assert len(counters['calls_by_body']) == count
-
-
 @pytest.mark.parametrize('number', [signal.SIGKILL, signal.SIGSTOP])
 def test_requests_survive_the_loss_of_their_scheduler(run_fleet, number):
     async def scenario(fleet, addresses, service):
