--- a/standins/silencer.py
+++ b/standins/silencer.py
@@ -7,6 +7,7 @@
 """
 
 import importlib
+import os
 import signal
 import socket
 import sys
@@ -39,53 +40,44 @@
     def silence(self, _signal: int, _frame: FrameType | None) -> None:
         """Let all open connections go silent."""
         for stream in tuple(self._open):
-            if stream.socket.fileno() >= 0:
+            number = stream.socket.fileno()
+            if number >= 0:
                 # A second descriptor keeps the other end from hearing of the
                 # close.
-                self._kept.append(socket.socket(fileno=_duplicate(stream)))
+                self._kept.append(socket.socket(fileno=os.dup(number)))
                 self._silent.add(stream)
 
 
-def _duplicate(stream: trio.SocketStream) -> int:
-    return socket.dup(stream.socket.fileno())
+_silencer: Final = Silencer()
 
 
-def install(silencer: Silencer) -> None:
-    """Let all streams of this process ask whether they are silent.
+async def receive_some(
+    stream: trio.SocketStream,
+    max_bytes: int | None = None,
+) -> bytes:
+    """Receive as a stream does, or nothing once it is silent."""
+    _silencer.note(stream)
+    received = await _receive(stream, max_bytes)
+    if _silencer.is_silent(stream):
+        await trio.sleep_forever()
+    return received
 
-    Parameters
-    ----------
-    silencer : Silencer
-        Knows which ones are.
-    """
 
-    async def receive_some(
-        stream: trio.SocketStream,
-        max_bytes: int | None = None,
-    ) -> bytes:
-        silencer.note(stream)
-        received = await _receive(stream, max_bytes)
-        if silencer.is_silent(stream):
-            await trio.sleep_forever()
-        return received
-
-    async def send_all(stream: trio.SocketStream, data: bytes) -> None:
-        silencer.note(stream)
-        if silencer.is_silent(stream):
-            await trio.lowlevel.checkpoint()
-        else:
-            await _send(stream, data)
-
-    trio.SocketStream.receive_some = receive_some
-    trio.SocketStream.send_all = send_all
+async def send_all(stream: trio.SocketStream, data: bytes) -> None:
+    """Send as a stream does; what a silent one sends is lost."""
+    _silencer.note(stream)
+    if _silencer.is_silent(stream):
+        await trio.lowlevel.checkpoint()
+    else:
+        await _send(stream, data)
 
 
 def main() -> None:
     """Run the module that the command line names."""
     module = sys.argv.pop(1)
-    silencer = Silencer()
-    install(silencer)
-    signal.signal(signal.SIGUSR1, silencer.silence)
+    trio.SocketStream.receive_some = receive_some
+    trio.SocketStream.send_all = send_all
+    signal.signal(signal.SIGUSR1, _silencer.silence)
     importlib.import_module(module).main()
 
 
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -27,6 +27,8 @@
         self.url = f'http://{address}:{CALLER_PORT}'
         self.ids = {}
         self.counter = 0
+        self.workspace = example.WORKSPACE
+        self.headers = {}
 
     async def lease_ids(self, workspace=example.WORKSPACE):
         url = f'{self.url}/v1/entries?workspace={workspace}'
@@ -40,8 +42,9 @@
     async def send(self, service, document, request_id=None, url=None):
         request_id = request_id or self.form_id()
         headers = {
-            'Hornbeam-Workspace': example.WORKSPACE,
+            'Hornbeam-Workspace': self.workspace,
             'Hornbeam-Service': service,
+            **self.headers,
         }
         path = f'{url or self.url}/v1/requests/{request_id}'
         body = json.dumps(document).encode()
@@ -50,9 +53,9 @@
 
 async def poll_until(check):
     """Wait until an async function returns something true."""
-    while not (found := await check()):
-        await trio.sleep(PAUSE_S)
-    return found
+    with trio.fail_after(GIVE_UP_S):
+        while not await check():  # noqa: ASYNC110
+            await trio.sleep(PAUSE_S)
 
 
 def read_text(reply):
@@ -72,6 +75,7 @@
     hosts=2,
     slots=4,
     engine_options=(),
+    service_options=(),
     can_silence=False,
 ):
     fleet = LocalFleet(folder, can_silence=can_silence)
@@ -88,7 +92,13 @@
                 )
                 for number in (1, 2)
             }
-            services = {'service-11': fleet.start_target('service', 11)}
+            services = {
+                'service-11': fleet.start_target(
+                    'service',
+                    11,
+                    *service_options,
+                ),
+            }
             addresses = [
                 fleet.start_host(number + 1, f'zone-{"abcd"[number]}')
                 for number in range(hosts)
--- /dev/null
+++ b/tests/test_processes_floods.py
@@ -0,0 +1,117 @@
+"""Requests that crash engines, and floods, against real processes."""
+
+import itertools
+
+import trio
+
+from standins import example
+from standins._batch import CRASH_EXIT_CODE
+from standins._runs import compose_answer
+from tests.fleets import PROMPT, Caller, read_text
+
+MARKER = 'CRACKED-FEED'
+ENGINES = ('engine-1', 'engine-2')
+MAX_SENDS = 12
+MAX_CRASHES = 2
+HTTP_OK = 200
+FLOOD = 250
+BURST = 20
+BATCH_DEADLINE_MS = '2500'
+TRUE_ENDS = {'yes', 'unknown'}
+
+
+class Workshop:
+    """Restarts engines that a request has crashed, and counts the crashes."""
+
+    def __init__(self, fleet):
+        self.crashes = 0
+        self._fleet = fleet
+
+    async def run(self):
+        while True:
+            for name in ENGINES:
+                if self._fleet.processes[name].poll() == CRASH_EXIT_CODE:
+                    self.crashes += 1
+                    await self._fleet.restart(name)
+            await trio.sleep(0.1)
+
+
+def test_a_request_that_crashes_engines_is_refused_after_two(run_fleet):
+    async def scenario(fleet, addresses, service):
+        caller = Caller(fleet, addresses[0])
+        await caller.lease_ids()
+        workshop = Workshop(fleet)
+        innocents = {}
+        refusals = []
+
+        async def ask_innocents():
+            for number in itertools.count():
+                document = {'prompt': f'{number} {PROMPT}', 'max_tokens': 20}
+                reply = await caller.send('consult', document)
+                innocents[number] = reply
+                await trio.sleep(0.02)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(workshop.run)
+            for _ in range(3):
+                nursery.start_soon(ask_innocents)
+            poison = {'prompt': f'{MARKER} {PROMPT}', 'max_tokens': 20}
+            for _ in range(MAX_SENDS):
+                reply = await caller.send('consult', poison)
+                refusals.append(reply)
+                await trio.sleep(0.5)
+            nursery.cancel_scope.cancel()
+        assert 1 <= workshop.crashes <= MAX_CRASHES
+        documents = [reply.read_json() for reply in refusals]
+        assert documents[-1]['title'] == 'quarantined'
+        rans = [document['ran'] for document in documents]
+        assert 'yes' in rans
+        for number, reply in innocents.items():
+            check_innocent(number, reply)
+
+    run_fleet(scenario, engine_options=('--crash-marker', MARKER))
+
+
+def check_innocent(number, reply):
+    if reply.status == HTTP_OK:
+        read_text(reply)
+        return
+    document = reply.read_json()
+    assert document['title'] != 'quarantined'
+    assert document['ran'] in TRUE_ENDS
+
+
+def test_the_top_tier_is_served_in_a_flood_of_the_lowest(run_fleet):
+    async def scenario(fleet, addresses, service):
+        flooder = Caller(fleet, addresses[0])
+        await flooder.lease_ids()
+        urgent = Caller(fleet, addresses[1])
+        await urgent.lease_ids(example.SMALL_WORKSPACE)
+        urgent.workspace = example.SMALL_WORKSPACE
+        flooder.headers = {'Hornbeam-Deadline-Ms': BATCH_DEADLINE_MS}
+        flooded, served = [], {}
+
+        async def flood(number):
+            document = {'prompt': f'{number} {PROMPT}', 'max_tokens': 30}
+            flooded.append(await flooder.send('tag', document))
+
+        async def ask(number):
+            document = {'prompt': f'{number} {PROMPT}', 'max_tokens': 20}
+            served[number] = await urgent.send('consult', document)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(FLOOD):
+                nursery.start_soon(flood, number)
+            await trio.sleep(0.5)
+            for number in range(BURST):
+                nursery.start_soon(ask, number)
+        assert len(served) == BURST
+        for number, reply in served.items():
+            assert reply.status == HTTP_OK, reply.body
+            expected = compose_answer(f'{number} {PROMPT}', 20)
+            assert read_text(reply) == expected
+        refused = [reply for reply in flooded if reply.status != HTTP_OK]
+        assert refused, 'the flood was too small to shed anything'
+        assert {reply.read_json()['ran'] for reply in refused} == {'no'}
+
+    run_fleet(scenario)
