Give orders to targets from the scheduler that owns their pool

Cause: OrderPlanner was not wired into the scheduler, so no target was ever ordered to load a model. Change: programs/_orders.py plans every 500 ms for the pools in use and posts the orders, with the ticket number as fencing number; validity is checked just before the first byte. The load report tells model and fencing number. LocalFleet takes a network that no other fleet uses. Two fleets on one network are suspected, not shown. Conclusion: wired.

--- a/hornbeampulley/pipeline/_targets.py
+++ b/hornbeampulley/pipeline/_targets.py
@@ -3,7 +3,7 @@
 import contextlib
 import dataclasses
 import functools
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any, Final
 
 import httpcore
@@ -151,6 +151,7 @@
         method: str,
         path: str,
         body: bytes = b'',
+        check: Callable[[], None] | None = None,
     ) -> Reply:
         """Make a small request that may be repeated.
 
@@ -162,6 +163,8 @@
             HTTP method and path.
         body : bytes
             JSON text or nothing.
+        check : callable, optional
+            Called just before the first byte is written; may raise.
 
         Returns
         -------
@@ -179,7 +182,10 @@
                 form_url(target, path),
                 headers=[('content-type', 'application/json')],
                 content=body,
-                extensions={'timeout': make_timeouts(STALL_MS)},
+                extensions={
+                    'timeout': make_timeouts(STALL_MS),
+                    'trace': functools.partial(_trace_check, check),
+                },
             )
         return Reply(response.status, response.content)
 
@@ -257,3 +263,12 @@
     if event == _HEADERS_STARTED:
         call.mark_dispatched()
         call.started_ms = clock.now()
+
+
+async def _trace_check(
+    check: Callable[[], None] | None,
+    event: str,
+    _info: dict[str, Any],
+) -> None:
+    if check is not None and event == _HEADERS_STARTED:
+        check()
--- a/hornbeampulley/programs/_fleet.py
+++ b/hornbeampulley/programs/_fleet.py
@@ -126,6 +126,10 @@
         """Count the entries that are believed to live."""
         return sum(1 for _ in self._list_members(Role.ENTRY))
 
+    def count_schedulers(self) -> int:
+        """Count the schedulers that are believed to live."""
+        return sum(1 for _ in self._list_members(Role.SCHEDULER))
+
     def list_entries(self) -> tuple[EntryAddress, ...]:
         """List the entries that callers can use.
 
--- /dev/null
+++ b/hornbeampulley/programs/_orders.py
@@ -0,0 +1,158 @@
+"""A scheduler's orders to the targets of the pools that it schedules."""
+
+import functools
+import json
+import logging
+from collections.abc import Iterator, Mapping
+from typing import Final, Protocol
+
+import trio
+
+from hornbeampulley.clock import Clock, to_seconds
+from hornbeampulley.errors import TargetError
+from hornbeampulley.logs import log_event
+from hornbeampulley.membership import (
+    LoadModel,
+    OrderPlanner,
+    OrderSettings,
+    TargetReport,
+    Withheld,
+)
+from hornbeampulley.pipeline import TargetClient
+from hornbeampulley.programs._fleet import Fleet
+from hornbeampulley.programs._process import Process
+
+PLAN_EVERY_MS: Final = 500.0
+ORDERS_PATH: Final = '/orders'
+_log = logging.getLogger(__name__)
+
+
+class OrderExpiredError(TargetError):
+    """An order waited too long to be sent; nothing was sent."""
+
+
+class Pool(Protocol):
+    """What orders need of a pool."""
+
+    @property
+    def is_used(self) -> bool:
+        """Whether a home is linked."""
+
+
+class Orders:
+    """Orders targets to load the models that the tickets name.
+
+    Parameters
+    ----------
+    process : Process
+        This run of the program.
+    fleet : Fleet
+        Tickets in force and their age.
+    pools : mapping
+        Pools scheduled here by name.
+    """
+
+    def __init__(
+        self,
+        process: Process,
+        fleet: Fleet,
+        pools: Mapping[str, Pool],
+    ) -> None:
+        self._fleet = fleet
+        self._pools = pools
+        self._clock = Clock(trio.current_time)
+        self._client = TargetClient(process.settings.host.address)
+        self._planner = OrderPlanner(
+            OrderSettings(),
+            self._get_age_ms,
+            self._clock.now(),
+        )
+
+    def hear(self, report: TargetReport) -> None:
+        """Take what a target says about itself.
+
+        Parameters
+        ----------
+        report : TargetReport
+            Read from the target.
+        """
+        self._planner.hear(report)
+
+    async def run(self) -> None:
+        """Give orders for ever."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                self._start_orders(nursery)
+                await trio.sleep(to_seconds(PLAN_EVERY_MS))
+
+    def _start_orders(self, nursery: trio.Nursery) -> None:
+        now_ms = self._clock.now()
+        for planned in self._plan():
+            if isinstance(planned, LoadModel):
+                nursery.start_soon(self._give, planned, now_ms)
+            else:
+                _report_withheld(planned)
+
+    def _plan(self) -> tuple[LoadModel | Withheld, ...]:
+        now_ms = self._clock.now()
+        owned = set(self._list_owned()) - self._fleet.leaving
+        if owned:
+            self._planner.set_share(self._fleet.count_schedulers(), now_ms)
+        return self._planner.plan(self._fleet.configuration, owned, now_ms)
+
+    def _list_owned(self) -> Iterator[str]:
+        used = (name for name, pool in self._pools.items() if pool.is_used)
+        for name in used:
+            for target in self._fleet.list_targets(name):
+                yield target.name
+
+    def _get_age_ms(self, _scope: str, _now_ms: float) -> float:
+        return self._fleet.fresh_age_ms
+
+    async def _give(self, order: LoadModel, planned_ms: float) -> None:
+        target = self._fleet.configuration.targets.get(order.target)
+        if target is None:
+            return
+        document = {'fencing': order.fencing_number, 'model': order.model}
+        try:
+            reply = await self._client.fetch(
+                target,
+                'POST',
+                ORDERS_PATH,
+                json.dumps(document).encode(),
+                functools.partial(self._check_valid, order, planned_ms),
+            )
+        except TargetError as error:
+            log_event(
+                _log,
+                'order_failed',
+                severity=logging.WARNING,
+                target=order.target,
+                number=order.fencing_number,
+                error=error,
+            )
+            return
+        log_event(
+            _log,
+            'order_given',
+            target=order.target,
+            number=order.fencing_number,
+            model=order.model,
+            status=reply.status,
+        )
+
+    def _check_valid(self, order: LoadModel, planned_ms: float) -> None:
+        if self._clock.now() - planned_ms >= order.valid_ms:
+            raise OrderExpiredError(
+                f'the order to target {order.target} waited longer than '
+                f'{order.valid_ms:.0f} ms; it is planned anew',
+            )
+
+
+def _report_withheld(withheld: Withheld) -> None:
+    log_event(
+        _log,
+        'order_withheld',
+        target=withheld.target,
+        reason=withheld.reason,
+    )
--- a/hornbeampulley/programs/_polling.py
+++ b/hornbeampulley/programs/_polling.py
@@ -2,7 +2,7 @@
 
 import json
 import logging
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Final, Protocol
 
 import trio
@@ -12,6 +12,7 @@
 from hornbeampulley.configuration import ServiceKind, Target
 from hornbeampulley.errors import TargetError
 from hornbeampulley.logs import log_event
+from hornbeampulley.membership import TargetReport
 from hornbeampulley.pipeline import TargetClient
 from hornbeampulley.programs._fleet import Fleet
 from hornbeampulley.programs._process import Process
@@ -31,6 +32,7 @@
     process: Process,
     fleet: Fleet,
     pools: Mapping[str, EventSink],
+    hear: Callable[[TargetReport], None],
 ) -> None:
     """Read all targets of the pools in use, for ever.
 
@@ -42,6 +44,8 @@
         Tells the targets.
     pools : mapping
         Pools scheduled here by name.
+    hear : callable
+        Takes what a target says about its model.
     """
     client = TargetClient(process.settings.host.address)
     sequences: dict[str, int] = {}
@@ -55,6 +59,7 @@
                         target,
                         sink,
                         sequences,
+                        hear,
                     )
         await trio.sleep(to_seconds(POLL_MS))
 
@@ -64,9 +69,10 @@
     target: Target,
     sink: EventSink,
     sequences: dict[str, int],
+    hear: Callable[[TargetReport], None],
 ) -> None:
     try:
-        await _read_load(client, target, sink)
+        await _read_load(client, target, sink, hear)
         if target.kind is ServiceKind.MODEL:
             await _read_cache(client, target, sink, sequences)
     except (TargetError, ValueError, KeyError) as error:
@@ -83,9 +89,13 @@
     client: TargetClient,
     target: Target,
     sink: EventSink,
+    hear: Callable[[TargetReport], None],
 ) -> None:
     reply = await client.fetch(target, 'GET', '/load')
     load = json.loads(reply.body)
+    if 'model' in load:
+        number = int(load.get('fencing', 0))
+        hear(TargetReport(target.name, str(load['model']), number))
     sink.handle(
         decisions.LoadReport(
             target.name,
--- a/hornbeampulley/programs/scheduler.py
+++ b/hornbeampulley/programs/scheduler.py
@@ -14,6 +14,7 @@
 from hornbeampulley.metrics import TAKEOVERS
 from hornbeampulley.pipeline import TIMING
 from hornbeampulley.programs._fleet import Fleet, follow_agent
+from hornbeampulley.programs._orders import Orders
 from hornbeampulley.programs._polling import poll_targets
 from hornbeampulley.programs._process import Process, run_daemon
 from hornbeampulley.programs._queries import Subject, answer_query
@@ -352,10 +353,18 @@
     """
     fleet = Fleet(process)
     scheduler = Scheduler(process, fleet, drain)
+    orders = Orders(process, fleet, scheduler.pools)
     port = process.settings.ports.scheduler_peer
     async with trio.open_nursery() as nursery:
         nursery.start_soon(scheduler.tick)
-        nursery.start_soon(poll_targets, process, fleet, scheduler.pools)
+        nursery.start_soon(orders.run)
+        nursery.start_soon(
+            poll_targets,
+            process,
+            fleet,
+            scheduler.pools,
+            orders.hear,
+        )
         nursery.start_soon(
             follow_agent,
             process,
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -133,7 +133,14 @@
 
     async def _read_load(self, _: Request) -> Response:
         load = dataclasses.asdict(self.batch.load.get())
-        return respond_json({**load, 'age_ms': self._settings.load_lag_ms})
+        return respond_json(
+            {
+                **load,
+                'age_ms': self._settings.load_lag_ms,
+                'model': self._orders.current.get('model', ''),
+                'fencing': self._orders.current.get('fencing', 0),
+            },
+        )
 
     async def _read_events(self, request: Request) -> Response:
         events = self.batch.journal.list_after(request.read_integer('after'))
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 from collections.abc import Awaitable, Callable, Iterator
@@ -73,7 +74,7 @@
     ) -> None:
         self.folder = folder
         self._wrapper = ('standins.silencer',) if can_silence else ()
-        self.network = f'127.{_FIRST_NETWORK + os.getpid() % _NETWORKS}'
+        self.network = _find_network()
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self._commands: dict[str, list[str]] = {}
         self._hosts: list[dict[str, str]] = []
@@ -328,6 +329,20 @@
             )
 
 
+def _find_network() -> str:
+    """Find addresses that no other fleet on this machine uses."""
+    for number in range(_NETWORKS):
+        place = _FIRST_NETWORK + (os.getpid() + number) % _NETWORKS
+        network = f'127.{place}'
+        with socket.socket() as probe:
+            try:
+                probe.bind((f'{network}.0.1', PLATFORM_PORT))
+            except OSError:
+                continue
+        return network
+    raise NotReadyError('all networks for fleets are in use; end some fleets')
+
+
 async def _wait_until(
     check: Callable[[], Awaitable[bool]],
     what: str,
--- a/tests/test_standins_engine.py
+++ b/tests/test_standins_engine.py
@@ -66,7 +66,13 @@
                 nursery.start_soon(follow, name)
                 await trio.testing.wait_all_tasks_blocked(0.0001)
             load = (await call(engine, 'GET', '/load')).document
-            assert load == {'running': 1, 'queued': 2, 'age_ms': 0}
+            assert load == {
+                'running': 1,
+                'queued': 2,
+                'age_ms': 0,
+                'model': '',
+                'fencing': 0,
+            }
         assert ended == ['a', 'b', 'c']
 
     run(scenario, slots=1)
