Add the caller library

Cause: callers had only the HTTP interface, and safe repeats (same id after a broken connection, a new id only after ran: no) are easy to get wrong.

Change: hornbeampulley.client with Client.send, stream and cancel on httpcore and trio; private modules for lookups and id leases, connections retired by age, and the delivery of one request. Typed errors in errors.py.

Ruled out: re-attaching with GET, which answers 404 when the first send never arrived; repeating POST with the same id serves both cases. The first draft counted a request as sent only when its answer began, so that a deadline passing meanwhile was told as not sent; the test of deadlines found it.

--- /dev/null
+++ b/hornbeampulley/client.py
@@ -0,0 +1,303 @@
+"""Caller library: sends requests to the system and repeats them safely.
+
+Needs trio. A request is sent under an id that the library forms, repeated
+with the same id when a connection breaks or goes silent, and sent under a new
+id only when the system says that it was not run.
+"""
+
+import contextlib
+import json
+from collections.abc import AsyncIterator, Sequence
+from typing import Any, Final, Self
+
+import httpcore
+import trio
+
+from hornbeampulley._client_delivery import Delivery
+from hornbeampulley._client_entries import EntryBook
+from hornbeampulley._client_messages import Answer, Call, ClientSettings
+from hornbeampulley._client_transport import HttpRequest, Transport
+from hornbeampulley.clock import Clock
+from hornbeampulley.errors import NoEntryError
+from hornbeampulley.identity import RequestId
+
+__all__ = ('Answer', 'Client', 'ClientSettings', 'Stream')
+
+_PROBLEM_LINE: Final = b'{"problem"'
+
+
+class Stream:
+    """An answer that is read while it comes.
+
+    Parameters
+    ----------
+    delivery : Delivery
+        Has started.
+    """
+
+    def __init__(self, delivery: Delivery) -> None:
+        self._delivery = delivery
+
+    @property
+    def request_id(self) -> str:
+        """Id that the request runs under."""
+        return self._delivery.request_id
+
+    @property
+    def status(self) -> int:
+        """HTTP status code."""
+        return self._delivery.status
+
+    async def read_chunks(self) -> AsyncIterator[bytes]:
+        """Iterate over the body to its end.
+
+        Yields
+        ------
+        bytes
+            Chunks as they come, each byte once.
+
+        Raises
+        ------
+        CallerError
+            If the answer cannot become whole.
+        """
+        async for chunk in self._delivery.read():
+            yield chunk
+
+    async def read_lines(self) -> AsyncIterator[Any]:
+        """Iterate over the lines of a stream to its end.
+
+        Yields
+        ------
+        object
+            Each line as JSON.
+
+        Raises
+        ------
+        CallerError
+            If the answer cannot become whole.
+        """
+        buffer = b''
+        async for chunk in self._delivery.read():
+            *lines, buffer = (buffer + chunk).split(b'\n')
+            for line in lines:
+                if line and not line.startswith(_PROBLEM_LINE):
+                    yield json.loads(line)
+
+    def form_answer(self, body: bytes) -> Answer:
+        """Return the whole answer.
+
+        Parameters
+        ----------
+        body : bytes
+            All chunks, joined.
+
+        Returns
+        -------
+        Answer
+            With who served it.
+        """
+        headers = self._delivery.headers
+        return Answer(
+            request_id=self.request_id,
+            status=self.status,
+            content_type=headers.get('content-type', ''),
+            body=body,
+            home=self._delivery.assignment.url,
+            target=headers.get('hornbeam-target', ''),
+            attempts=self._delivery.attempts,
+        )
+
+
+class Client:
+    """Sends the requests of one workspace.
+
+    Parameters
+    ----------
+    seeds : sequence of str
+        Base URLs of entries, those of the caller's own zone first.
+    workspace : str
+        Name of the workspace.
+    settings : ClientSettings, optional
+        Timeouts and bounds.
+    backend : httpcore.AsyncNetworkBackend, optional
+        Opens connections in place of TCP.
+    """
+
+    def __init__(
+        self,
+        seeds: Sequence[str],
+        workspace: str,
+        settings: ClientSettings | None = None,
+        backend: httpcore.AsyncNetworkBackend | None = None,
+    ) -> None:
+        self.workspace = workspace
+        self.settings = settings or ClientSettings()
+        self._clock = Clock(trio.current_time)
+        self._transport = Transport(self.settings, self._clock, backend)
+        self._book = EntryBook(
+            tuple(seeds),
+            workspace,
+            self._transport,
+            self._clock,
+        )
+
+    async def __aenter__(self) -> Self:
+        """Return the client."""
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Close all connections."""
+        await self.aclose()
+
+    async def aclose(self) -> None:
+        """Close all connections; requests go on at their homes."""
+        await self._transport.aclose()
+
+    async def send(
+        self,
+        service: str,
+        body: bytes,
+        *,
+        deadline_ms: float = 0,
+        idempotency_key: str = '',
+    ) -> Answer:
+        """Send a request and read its whole answer.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        body : bytes
+            The whole body.
+        deadline_ms : float
+            After which time the answer is of no use; 0 for that of the
+            settings.
+        idempotency_key : str
+            The caller's own key; empty for none.
+
+        Returns
+        -------
+        Answer
+            Of the target, whatever its status.
+
+        Raises
+        ------
+        OutcomeUnknownError
+            If it may have run but its answer is lost.
+        RequestRefusedError
+            If it was refused.
+        """
+        call = self._form_call(service, body, deadline_ms, idempotency_key)
+        async with self._open(call) as stream:
+            chunks = [chunk async for chunk in stream.read_chunks()]
+            return stream.form_answer(b''.join(chunks))
+
+    @contextlib.asynccontextmanager
+    async def stream(
+        self,
+        service: str,
+        body: bytes,
+        *,
+        deadline_ms: float = 0,
+        idempotency_key: str = '',
+    ) -> AsyncIterator[Stream]:
+        """Send a request and read its answer while it comes.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        body : bytes
+            The whole body.
+        deadline_ms : float
+            After which time the answer is of no use; 0 for that of the
+            settings.
+        idempotency_key : str
+            The caller's own key; empty for none.
+
+        Yields
+        ------
+        Stream
+            Its answer has started.
+
+        Raises
+        ------
+        OutcomeUnknownError
+            If it may have run but its answer is lost.
+        RequestRefusedError
+            If it was refused.
+        """
+        call = self._form_call(service, body, deadline_ms, idempotency_key)
+        async with self._open(call) as stream:
+            yield stream
+
+    async def cancel(self, request_id: str) -> bool:
+        """Cancel a request.
+
+        Parameters
+        ----------
+        request_id : str
+            Its id.
+
+        Returns
+        -------
+        bool
+            False if its home has no open request of that id.
+
+        Raises
+        ------
+        NoEntryError
+            If no entry answers.
+        """
+        path = f'/v1/requests/{RequestId.parse(request_id)}'
+        for url in self._book.list_others(''):
+            request = HttpRequest('DELETE', f'{url}{path}')
+            try:
+                async with self._transport.open(request) as response:
+                    return _is_cancelled(await response.aread())
+            except (
+                httpcore.NetworkError,
+                httpcore.ProtocolError,
+                httpcore.TimeoutException,
+            ):
+                self._book.avoid(url)
+        raise NoEntryError(
+            'no entry answers, so the request was not cancelled; check the '
+            'seeds and the network, then cancel it again',
+        )
+
+    @contextlib.asynccontextmanager
+    async def _open(self, call: Call) -> AsyncIterator[Stream]:
+        delivery = Delivery(
+            call,
+            self._book,
+            self._transport,
+            self.settings,
+            self._clock,
+        )
+        try:
+            await delivery.start()
+            yield Stream(delivery)
+        finally:
+            await delivery.aclose()
+
+    def _form_call(
+        self,
+        service: str,
+        body: bytes,
+        deadline_ms: float,
+        idempotency_key: str,
+    ) -> Call:
+        return Call(
+            self.workspace,
+            service,
+            body,
+            deadline_ms,
+            idempotency_key,
+        )
+
+
+def _is_cancelled(body: bytes) -> bool:
+    document = json.loads(body)
+    return isinstance(document, dict) and document.get('cancelled') is True
--- a/hornbeampulley/errors.py
+++ b/hornbeampulley/errors.py
@@ -87,3 +87,60 @@
 
 class LedgerFullError(HornbeamError):
     """A home holds as many id leases or open requests as it may."""
+
+
+class NoEntryError(HornbeamError):
+    """No entry of the system answers."""
+
+
+class CallerError(HornbeamError):
+    """A request ended without an answer from a target.
+
+    Parameters
+    ----------
+    request_id : str
+        Id that it was last sent under; empty if it was never sent.
+    detail : str
+        What happened and the remedy.
+    """
+
+    def __init__(self, request_id: str, detail: str) -> None:
+        super().__init__(f'request {request_id or "(not sent)"}: {detail}')
+        self.request_id = request_id
+        self.detail = detail
+
+
+class RequestRefusedError(CallerError):
+    """A request was refused, and asking again does not help now.
+
+    Parameters
+    ----------
+    request_id : str
+        Id that it was last sent under; empty if it was never sent.
+    status : int
+        HTTP status code.
+    title : str
+        Kind of problem, as listed in docs/CALLERS.md.
+    detail : str
+        What happened and the remedy.
+    has_run : bool
+        Whether a target ran it; if not, it may be sent under a new id.
+    """
+
+    def __init__(
+        self,
+        request_id: str,
+        status: int,
+        title: str,
+        detail: str,
+        *,
+        has_run: bool = False,
+    ) -> None:
+        super().__init__(request_id, f'{title} ({status}): {detail}')
+        self.status = status
+        self.title = title
+        self.has_run = has_run
+
+
+class OutcomeUnknownError(CallerError):
+    """A request may have run; look its outcome up before sending it anew."""
--- /dev/null
+++ b/tests/test_client.py
@@ -0,0 +1,334 @@
+"""Tests of ``hornbeampulley.client`` against scripted entries."""
+
+import collections
+import json
+
+import pytest
+import trio
+
+from hornbeampulley.client import Client, ClientSettings
+from hornbeampulley.errors import (
+    NoEntryError,
+    OutcomeUnknownError,
+    RequestRefusedError,
+)
+from tests.networks import MemoryNetwork
+
+A, B = 'http://a', 'http://b'
+LINES = [{'token': number, 'text': f'{number} '} for number in range(5)]
+WHOLE = b''.join(
+    json.dumps(line).encode() + b'\n' for line in (*LINES, {'done': True})
+)
+NDJSON = {'content_type': 'application/x-ndjson'}
+
+
+class Entry:
+    """A scripted entry: each request takes the next step of its script."""
+
+    def __init__(self, name, listed, steps=(), keep_ms=30_000):
+        self.incarnation = name * 16
+        self.listed = listed
+        self.steps = collections.deque(steps)
+        self.keep_ms = keep_ms
+        self.lookups = 0
+        self.ids = []
+        self.requests = []
+
+    async def __call__(self, connection):
+        if connection.path.startswith('/v1/entries'):
+            await self._look_up(connection)
+            return True
+        self.ids.append(connection.request_id)
+        self.requests.append((connection.method, connection.headers))
+        step = self.steps.popleft() if self.steps else answer
+        return await step(connection)
+
+    async def _look_up(self, connection):
+        self.lookups += 1
+        ids = {
+            'incarnation': self.incarnation,
+            'number': self.lookups,
+            'lifetime_ms': 60_000,
+            'count': 100,
+        }
+        entries = [{'url': url} for url in self.listed]
+        document = {'entries': entries, 'keep_ms': self.keep_ms, 'ids': ids}
+        await connection.send_json(document)
+
+
+async def answer(connection):
+    await connection.start(hornbeam_target='engine-1', **NDJSON)
+    await connection.write(WHOLE)
+    await connection.end()
+
+
+async def break_before(_connection):
+    return False
+
+
+async def go_silent(connection):
+    await connection.stay_silent()
+
+
+def break_after(count, *, ends=False):
+    async def step(connection):
+        await connection.start(**NDJSON)
+        await connection.write(WHOLE[:count])
+        if ends:
+            await connection.end()
+        return ends
+
+    return step
+
+
+def refuse(status, title, ran, **members):
+    async def step(connection):
+        await connection.send_problem(status, title, ran, **members)
+
+    return step
+
+
+shed = refuse(503, 'shed', 'no', retry_after_ms=3000)
+lost = refuse(504, 'outcome unknown', 'unknown')
+
+
+@pytest.fixture
+def run_client(mock_run):
+    """Return a function that runs a scenario with entries a and b."""
+
+    def run(scenario, a=None, b=None, **settings):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                network = MemoryNetwork(nursery)
+                for name, entry in (('a', a), ('b', b)):
+                    if entry is not None:
+                        network.scripts[name] = entry
+                client = Client(
+                    [A, B], 'shop', ClientSettings(**settings), network
+                )
+                async with client:
+                    await scenario(client, network)
+                nursery.cancel_scope.cancel()
+
+        mock_run(main)
+
+    return run
+
+
+async def send(client, **options):
+    return await client.send('consult', b'{}', **options)
+
+
+def test_an_answer_comes_whole_and_the_lookup_is_kept(run_client):
+    first = Entry('a', [A, B])
+
+    async def scenario(client, network):
+        replies = [await send(client) for _ in range(3)]
+        assert [reply.body for reply in replies] == [WHOLE] * 3
+        assert replies[0].target == 'engine-1'
+        assert replies[0].attempts == 1
+        assert len(set(first.ids)) == 3
+        assert first.lookups == 1
+        assert network.opened == 1
+
+    run_client(scenario, first)
+
+
+@pytest.mark.parametrize('step', [break_before, go_silent])
+def test_a_lost_connection_repeats_the_same_id(run_client, step):
+    first, second = Entry('a', [A, B], [step]), Entry('b', [A, B])
+
+    async def scenario(client, _network):
+        assert (await send(client)).body == WHOLE
+        assert len({*first.ids, *second.ids}) == 1
+        assert len([*first.ids, *second.ids]) == 2
+
+    run_client(scenario, first, second)
+
+
+@pytest.mark.parametrize('cut', range(1, len(WHOLE), 7))
+def test_a_broken_stream_goes_on_without_loss_or_doubling(run_client, cut):
+    steps = [
+        break_after(cut),
+        break_after(cut // 2),
+        break_after(cut, ends=True),
+    ]
+    first = Entry('a', [A], steps)
+
+    async def scenario(client, _network):
+        async with client.stream('consult', b'{}') as stream:
+            chunks = [chunk async for chunk in stream.read_chunks()]
+        assert b''.join(chunks) == WHOLE
+        assert len(set(first.ids)) == 1
+
+    run_client(scenario, first)
+
+
+def test_lines_are_read_as_json(run_client):
+    first = Entry('a', [A], [break_after(40)])
+
+    async def scenario(client, _network):
+        async with client.stream('consult', b'{}') as stream:
+            lines = [line async for line in stream.read_lines()]
+        assert lines == [*LINES, {'done': True}]
+
+    run_client(scenario, first)
+
+
+def test_a_new_id_follows_only_a_refusal_that_was_not_run(run_client):
+    first = Entry('a', [A], [shed, shed])
+
+    async def scenario(client, _network):
+        start_s = trio.current_time()
+        assert (await send(client)).body == WHOLE
+        assert trio.current_time() - start_s >= 6
+        assert len(set(first.ids)) == 3
+
+    run_client(scenario, first)
+
+
+def test_refusals_end_at_the_bound_on_ids(run_client):
+    first = Entry('a', [A], [shed] * 9)
+
+    async def scenario(client, _network):
+        with pytest.raises(RequestRefusedError) as raised:
+            await send(client)
+        assert raised.value.title == 'shed'
+        assert not raised.value.has_run
+        assert len(first.ids) == 4
+
+    run_client(scenario, first, max_ids=4)
+
+
+def test_no_wait_goes_past_the_deadline(run_client):
+    first = Entry('a', [A], [shed])
+
+    async def scenario(client, _network):
+        with pytest.raises(RequestRefusedError):
+            await send(client, deadline_ms=2000)
+        assert first.requests[0][1]['hornbeam-deadline-ms'] == '2000'
+        first.steps.append(go_silent)
+        start_s = trio.current_time()
+        with pytest.raises(OutcomeUnknownError, match='deadline'):
+            await send(client, deadline_ms=2000)
+        assert trio.current_time() - start_s == pytest.approx(2)
+
+    run_client(scenario, first)
+
+
+def test_an_unknown_outcome_is_never_sent_under_a_new_id(run_client):
+    first = Entry('a', [A, B], [break_before])
+    second = Entry('b', [A, B], [lost] * 9)
+
+    async def scenario(client, network):
+        async def stop(_connection):
+            del network.scripts['a']
+            return False
+
+        first.steps = collections.deque([stop])
+        with pytest.raises(OutcomeUnknownError) as raised:
+            await send(client)
+        assert {*first.ids, *second.ids} == {raised.value.request_id}
+
+    run_client(scenario, first, second)
+
+
+def test_a_certified_loss_is_sent_anew_elsewhere(run_client):
+    certified = refuse(503, 'home lost', 'no', retry_after_ms=100)
+    first, second = Entry('a', [A, B]), Entry('b', [A, B], [lost, certified])
+
+    async def scenario(client, network):
+        async def stop(_connection):
+            del network.scripts['a']
+            return False
+
+        first.steps.append(stop)
+        reply = await send(client)
+        assert reply.body == WHOLE
+        assert reply.home == B
+        assert second.ids[0] == second.ids[1] == first.ids[0]
+        assert second.ids[2] == reply.request_id != first.ids[0]
+
+    run_client(scenario, first, second)
+
+
+def test_a_problem_within_a_stream_is_raised(run_client):
+    members = {'title': 'target failed', 'status': 502, 'ran': 'unknown'}
+
+    async def broken(connection):
+        await connection.start(**NDJSON)
+        await connection.write(WHOLE[:30])
+        problem = json.dumps({'problem': members}).encode()
+        await connection.write(b'\n%b\n' % problem)
+        await connection.end()
+
+    first = Entry('a', [A], [broken])
+
+    async def scenario(client, _network):
+        with pytest.raises(OutcomeUnknownError, match='target failed'):
+            await send(client)
+        assert len(first.ids) == 1
+
+    run_client(scenario, first)
+
+
+def test_a_leaving_entry_is_dropped_at_the_next_lookup(run_client):
+    first, second = Entry('a', [A, B], keep_ms=1000), Entry('b', [B])
+
+    async def scenario(client, _network):
+        await send(client)
+        first.listed = [B]
+        await trio.sleep(2)
+        await send(client)
+        assert [len(first.ids), len(second.ids)] == [1, 1]
+
+    run_client(scenario, first, second)
+
+
+def test_old_connections_take_no_new_request(run_client):
+    first = Entry('a', [A])
+
+    async def scenario(client, network):
+        for _ in range(2):
+            await send(client)
+        assert network.opened == 1
+        await trio.sleep(2)
+        await send(client)
+        assert network.opened == 2
+
+    run_client(scenario, first, connection_age_ms=1000)
+
+
+def test_an_entry_that_refuses_connections_is_passed_over(run_client):
+    second = Entry('b', [A, B])
+
+    async def scenario(client, _network):
+        reply = await send(client)
+        assert (reply.home, reply.attempts) == (B, 1)
+
+    run_client(scenario, None, second)
+
+
+def test_without_any_entry_the_error_says_so(run_client):
+    async def scenario(client, _network):
+        with pytest.raises(NoEntryError, match='seeds'):
+            await send(client)
+        with pytest.raises(NoEntryError):
+            await client.cancel('a' * 16 + '.1.1')
+
+    run_client(scenario)
+
+
+def test_cancel_asks_for_the_request_by_its_id(run_client):
+    async def cancelled(connection):
+        await connection.send_json({'cancelled': True})
+
+    first = Entry('a', [A], [answer, cancelled])
+
+    async def scenario(client, _network):
+        reply = await send(client)
+        assert await client.cancel(reply.request_id)
+        assert first.requests[1][0] == 'DELETE'
+        assert first.ids[1] == reply.request_id
+
+    run_client(scenario, first)
