Lose no token when a stream moves, and name moved streams anew

Cause: an engine's exported state counts every token that it produced, also those that the home had not read yet, so the next engine went on after a gap. And a stream that came back to the engine it was exported from was refused there, since its id had been started before; its caller was told 'target failed'.

Ruled out: asking the next engine for tokens before its state (an engine need not be able to make them again); letting engines take an id twice (that check is what holds a dispatch to once).

Change: after an export the home reads the old stream to its end; a stream that moves is named ID-MOVES at the engine.

--- a/hornbeampulley/pipeline/_calls.py
+++ b/hornbeampulley/pipeline/_calls.py
@@ -42,7 +42,7 @@
     Attributes
     ----------
     call_id : str
-        Request id; also the target's stream id or call id.
+        Request id; also the call id at a plain service.
     target : Target
         Where it goes.
     path : str
@@ -57,6 +57,8 @@
         Called with this call when it has made progress.
     kv_state : str
         State exported by the engine that ran it before; empty if none.
+    moves : int
+        How often the stream was exported before.
     output_tokens, cached_tokens : int
         As seen so far.
     started_ms, first_token_ms : float
@@ -75,6 +77,7 @@
     mark_dispatched: Callable[[], None]
     report: Callable[['TargetCall'], None]
     kv_state: str = ''
+    moves: int = 0
     output_tokens: int = 0
     cached_tokens: int = -1
     started_ms: float = 0
@@ -84,6 +87,11 @@
         default_factory=trio.CancelScope,
     )
 
+    @property
+    def stream_id(self) -> str:
+        """Id at the engine, which takes each only once."""
+        return f'{self.call_id}-{self.moves}' if self.moves else self.call_id
+
     @property
     def is_sent(self) -> bool:
         """Whether bytes may have reached the target."""
--- a/hornbeampulley/pipeline/_filters.py
+++ b/hornbeampulley/pipeline/_filters.py
@@ -213,6 +213,7 @@
         mark_dispatched=functools.partial(_mark_dispatched, home, request),
         report=functools.partial(_report_progress, home, request),
         kv_state=request.kv_state,
+        moves=request.moves,
     )
     if request.previous is not None:
         call.output_tokens = request.previous.output_tokens
@@ -259,9 +260,10 @@
         await cancel_stream(home.client, request.call)
         return dataclasses.replace(end, outcome=Outcome.CANCELLED)
     request.kv_state = await export_stream(home.client, request.call)
-    request.previous = end
     if request.kv_state:
-        return end
+        request.moves += 1
+        request.previous = request.call.end(end.outcome, home.clock.now())
+        return request.previous
     # The engine keeps the stream, so it is read on where it runs.
     request.call.scope = trio.CancelScope()
     kind = request.route.service.kind
--- a/hornbeampulley/pipeline/_requests.py
+++ b/hornbeampulley/pipeline/_requests.py
@@ -68,6 +68,8 @@
         State exported when it was preempted; empty if none.
     previous : CallEnd or None
         How its call stood when it was preempted.
+    moves : int
+        How often its stream was exported.
     is_cancelled : bool
         Whether the caller has cancelled it.
     decided : trio.Event
@@ -88,6 +90,7 @@
     call: TargetCall | None = None
     kv_state: str = ''
     previous: CallEnd | None = None
+    moves: int = 0
     is_cancelled: bool = False
     decided: trio.Event = dataclasses.field(default_factory=trio.Event)
     reported_ms: float = 0
--- a/hornbeampulley/pipeline/_runners.py
+++ b/hornbeampulley/pipeline/_runners.py
@@ -118,7 +118,7 @@
 
 
 async def export_stream(client: TargetClient, call: TargetCall) -> str:
-    """Stop a stream and take its state from the engine.
+    """Stop a stream and take its state and last tokens from the engine.
 
     Parameters
     ----------
@@ -130,15 +130,19 @@
     Returns
     -------
     str
-        The state; empty if the engine did not give it.
+        The state; empty if the engine did not give it all.
     """
-    path = f'/streams/{call.call_id}/export'
+    path = f'/streams/{call.stream_id}/export'
     try:
         reply = await client.fetch(call.target, 'POST', path)
     except (TargetUnreachableError, TargetBrokenError):
         return ''
     if reply.status != HTTP_OK:
         return ''
+    # The next engine goes on after the tokens that this one produced, also
+    # those that were still on their way here.
+    if not await _read_rest(client, call):
+        return ''
     return str(json.loads(reply.body).get('state', ''))
 
 
@@ -153,19 +157,30 @@
         A call that has been cancelled here.
     """
     try:
-        await client.fetch(call.target, 'DELETE', f'/streams/{call.call_id}')
+        await client.fetch(call.target, 'DELETE', f'/streams/{call.stream_id}')
     except (TargetUnreachableError, TargetBrokenError):
         # The engine drops a stream that nobody reads.
         return
 
 
+async def _read_rest(client: TargetClient, call: TargetCall) -> bool:
+    path = f'/streams/{call.stream_id}?from={call.output_tokens}'
+    try:
+        async with client.open_stream(call.target, path) as reply:
+            if reply.status == HTTP_OK:
+                await _copy_stream(client, call, reply)
+            return reply.status == HTTP_OK
+    except (TargetUnreachableError, TargetBrokenError):
+        return False
+
+
 async def _start_stream(
     client: TargetClient,
     call: TargetCall,
 ) -> Outcome | None:
     headers = {
         'content-type': 'application/json',
-        'stream-id': call.call_id,
+        'stream-id': call.stream_id,
     }
     if call.kv_state:
         headers['kv-state'] = call.kv_state
@@ -190,7 +205,7 @@
     client: TargetClient,
     call: TargetCall,
 ) -> Outcome | None:
-    path = f'/streams/{call.call_id}?from={call.output_tokens}'
+    path = f'/streams/{call.stream_id}?from={call.output_tokens}'
     try:
         async with client.open_stream(call.target, path) as reply:
             if reply.status == HTTP_NOT_FOUND:
