--- a/hornbeampulley/programs/_pages.py
+++ b/hornbeampulley/programs/_pages.py
@@ -84,10 +84,10 @@
 
 def _form_ticket_lines(process: wire.ProcessReport) -> Iterator[str]:
     for ticket in process.tickets:
-        yield (
-            f'  ticket {ticket.number} of {ticket.scope}, '
-            f'known to be newest {ticket.age_ms:.0f} ms ago'
-        )
+        age = 'not yet known to be newest'
+        if ticket.age_ms is not None:
+            age = f'known to be newest {ticket.age_ms:.0f} ms ago'
+        yield f'  ticket {ticket.number} of {ticket.scope}, {age}'
     for conflict in process.conflicts:
         yield f'  conflict: {conflict}'
 
--- a/hornbeampulley/programs/agent.py
+++ b/hornbeampulley/programs/agent.py
@@ -74,13 +74,9 @@
             self._send,
             self._apply,
         )
-        self._subject = Subject(
-            process,
-            drain,
-            lambda: describe_agent(self.describe()),
-        )
         self._process = process
         self._nursery = nursery
+        self._subject = Subject(process, drain, self._describe)
         self._book = HostBook()
         self._locals = LocalProcesses()
         self._peers = PeerLinks(process, nursery, self._handle)
@@ -103,21 +99,6 @@
         """
         return address in self._list_addresses()
 
-    def describe(self) -> AgentState:
-        """Describe what the agent holds.
-
-        Returns
-        -------
-        AgentState
-            As of now.
-        """
-        return AgentState(
-            self.spread.store,
-            self.spread.list_ages(),
-            len(self._locals.list_members()),
-            self.directory.list_live(self.clock.now()),
-        )
-
     async def accept(self, stream: trio.SocketStream) -> None:
         """Serve a link that a peer or a process of this host has opened.
 
@@ -145,7 +126,7 @@
             self._peers.close_idle()
             self._tell_peers()
             self._tell_locals()
-            measure_tickets(self._process.metrics, self.describe())
+            measure_tickets(self._process.metrics, self._form_state())
             await trio.sleep(to_seconds(BEAT_MS))
 
     def _handle(self, link: wire.Link, message: Any) -> None:
@@ -255,6 +236,17 @@
             is_ready,
         )
 
+    def _describe(self) -> dict[str, Any]:
+        return describe_agent(self._form_state())
+
+    def _form_state(self) -> AgentState:
+        return AgentState(
+            self.spread.store,
+            self.spread.list_ages(),
+            self._locals.list_members(),
+            self.directory.list_live(self.clock.now()),
+        )
+
     def _list_addresses(self) -> set[str]:
         addresses = {peer.name for peer in self._list_peers()}
         addresses.add(self._process.settings.host.address)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -244,11 +244,12 @@
         await fleet.wait_entries(address, example.WORKSPACE, 1)
         caller = Caller(fleet, address)
         await caller.lease_ids()
-        await caller.send('tag', TAG)
-        await receive_all(server, caller)
+        reply = await caller.send('tag', TAG)
+        assert read_text(reply) == compose_answer(PROMPT, 4)
+        await receive_all(server)
 
 
-async def receive_all(server, caller):
+async def receive_all(server):
     wanted = {
         'hornbeam.entry.goodput.batch',
         'hornbeam.entry.queue_wait.batch',
