Resume a forwarded answer after any break, and never end it short

Cause: an entry that passed an answer on from its home ended the caller's response as if it were whole when the home was lost midway, spliced a later problem into the body, and did not resume after a broken HTTP body.

Change: the relay resumes after each kind of break; if that fails, or the home now answers with another status, the entry cuts the caller's connection, so that the caller repeats the request with its id.

Conclusion: a forwarded answer is whole or visibly broken.

--- a/hornbeampulley/pipeline/_callers.py
+++ b/hornbeampulley/pipeline/_callers.py
@@ -18,7 +18,10 @@
     Send,
 )
 from hornbeampulley.pipeline._filters import run_filters
-from hornbeampulley.pipeline._forwarding import Forwarder
+from hornbeampulley.pipeline._forwarding import (
+    AnswerBrokenError,
+    Forwarder,
+)
 from hornbeampulley.pipeline._home import Home
 from hornbeampulley.pipeline._problems import Problem, ProblemError
 from hornbeampulley.pipeline._requests import Incoming, Request
@@ -133,6 +136,10 @@
             await exchange.send_problem(_explain_id_error(error))
         except CallerGoneError:
             log_event(_log, 'caller_gone', path=exchange.path)
+        except AnswerBrokenError as error:
+            # Without its last message the server cuts the connection, so
+            # that the caller cannot take the answer for whole.
+            log_event(_log, 'answer_broken', path=exchange.path, error=error)
 
 
 Endpoint = Callable[[CallerInterface, Exchange], Awaitable[None]]
--- a/hornbeampulley/pipeline/_forwarding.py
+++ b/hornbeampulley/pipeline/_forwarding.py
@@ -8,6 +8,7 @@
 import httpcore
 
 from hornbeampulley.clock import to_seconds
+from hornbeampulley.errors import HornbeamError
 from hornbeampulley.identity import Ran, RequestId
 from hornbeampulley.logs import log_event
 from hornbeampulley.pipeline._exchanges import Exchange
@@ -21,6 +22,11 @@
 FORWARDED: Final = 'hornbeam-forwarded'
 _log = logging.getLogger(__name__)
 
+_BROKEN: Final = (
+    httpcore.ReadTimeout,
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+)
 _PASSED_HEADERS: Final = (
     'hornbeam-workspace',
     'hornbeam-service',
@@ -30,6 +36,10 @@
 )
 
 
+class AnswerBrokenError(HornbeamError):
+    """An answer that has begun cannot become whole on this connection."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Forwarded:
     """A request to be passed on.
@@ -61,6 +71,8 @@
         Returns True if a request of a lost home surely never ran.
     local_address : str
         Address of this host.
+    backend : httpcore.AsyncNetworkBackend, optional
+        Opens connections in place of TCP.
     """
 
     def __init__(
@@ -68,6 +80,7 @@
         find_url: Callable[[str], str | None],
         ask_fate: Callable[[Incoming], Awaitable[bool]],
         local_address: str,
+        backend: httpcore.AsyncNetworkBackend | None = None,
     ) -> None:
         self._find_url = find_url
         self._ask_fate = ask_fate
@@ -75,6 +88,7 @@
             max_connections=1000,
             max_keepalive_connections=0,
             local_address=local_address,
+            network_backend=backend,
         )
 
     async def forward(self, exchange: Exchange, incoming: Incoming) -> None:
@@ -172,13 +186,22 @@
                     skip = max(skip - len(chunk), 0)
                     self._sent_bytes += len(fresh)
                     yield fresh
-            except (httpcore.ReadTimeout, httpcore.NetworkError):
+            except _BROKEN as error:
                 await self._response.aclose()
-                if await self.connect():
-                    continue
+                await self._reconnect(error)
+                continue
             await self._response.aclose()
             return
 
+    async def _reconnect(self, error: Exception) -> None:
+        status = self.status
+        if await self.connect() and self.status == status:
+            return
+        raise AnswerBrokenError(
+            'the home broke off before the answer was whole; the caller '
+            'repeats the request with its id',
+        ) from error
+
     async def _open(self) -> None:
         timeouts = {
             'connect': to_seconds(CONNECT_TIMEOUT_MS),
