Check the caller interface against bad input and the library against a kill

Cause: no test sent bad input to the caller interface, and none ran the caller library against processes that die.

Conclusion: each bad input gets a problem; an unknown outcome is told only of requests that were leased or dispatched.

--- a/hornbeampulley/pipeline/_callers.py
+++ b/hornbeampulley/pipeline/_callers.py
@@ -29,6 +29,7 @@
 
 KEEP_ENTRIES_MS: Final = 30_000
 RETRY_MS: Final = 1000.0
+MAX_DEADLINE_MS: Final = 86_400_000
 _REQUESTS_PATH: Final = '/v1/requests'
 _log = logging.getLogger(__name__)
 
@@ -134,12 +135,10 @@
             await exchange.send_problem(error.problem)
         except (RequestIdError, LedgerFullError) as error:
             await exchange.send_problem(_explain_id_error(error))
-        except CallerGoneError:
-            log_event(_log, 'caller_gone', path=exchange.path)
-        except AnswerBrokenError as error:
+        except (CallerGoneError, AnswerBrokenError) as error:
             # Without its last message the server cuts the connection, so
             # that the caller cannot take the answer for whole.
-            log_event(_log, 'answer_broken', path=exchange.path, error=error)
+            log_event(_log, 'exchange_cut', path=exchange.path, error=error)
 
 
 Endpoint = Callable[[CallerInterface, Exchange], Awaitable[None]]
@@ -313,12 +312,13 @@
         deadline_ms = int(text)
     except ValueError:
         deadline_ms = 0
-    if deadline_ms <= 0:
+    if not 0 < deadline_ms <= MAX_DEADLINE_MS:
         raise ProblemError(
             Problem(
                 400,
                 'bad deadline',
-                'Hornbeam-Deadline-Ms must be a whole number of ms above 0',
+                'Hornbeam-Deadline-Ms must be a whole number of ms from 1 to '
+                f'{MAX_DEADLINE_MS}',
             ),
         )
     return deadline_ms
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -8,6 +8,9 @@
 import pytest
 import trio
 
+from hornbeampulley.client import Client, ClientSettings
+from hornbeampulley.errors import OutcomeUnknownError
+from hornbeampulley.timeline import merge_logs
 from standins import example
 from standins._runs import compose_answer
 from standins.launcher import (
@@ -251,3 +254,105 @@
         assert set(fates.values()) == {'no', 'unknown'}
 
     run_fleet(scenario, slots=1)
+
+
+def test_the_caller_library_ends_every_request_through_a_killed_entry(
+    run_fleet,
+):
+    async def scenario(fleet, addresses, service):
+        answers, unknown = {}, {}
+
+        async def send(client, number):
+            kind = ('book', 'consult', 'tag')[number % 3]
+            document = {
+                'book': {'slot': number},
+                'consult': {'prompt': f'{number} {PROMPT}', 'max_tokens': 30},
+                'tag': {'prompt': f'nib {number}', 'max_tokens': 4},
+            }[kind]
+            body = json.dumps(document).encode()
+            try:
+                answer = await client.send(kind, body)
+            except OutcomeUnknownError as error:
+                unknown[number] = error.request_id
+            else:
+                answers[number] = (kind, document, answer)
+
+        seeds = [f'http://{address}:{CALLER_PORT}' for address in addresses]
+        settings = ClientSettings(silence_ms=1000)
+        async with Client(seeds, example.WORKSPACE, settings) as client:
+            async with trio.open_nursery() as nursery:
+                for number in range(36):
+                    nursery.start_soon(send, client, number)
+                await trio.sleep(0.4)
+                fleet.send_signal('host-1-entry', signal.SIGKILL)
+        assert sorted([*answers, *unknown]) == list(range(36))
+        for kind, document, answer in answers.values():
+            check_answer(kind, document, answer)
+        dispatched = await list_dispatched(fleet, service)
+        assert {
+            each.request_id for _, _, each in answers.values()
+        } <= dispatched
+        assert set(unknown.values()) <= dispatched | list_leased(fleet)
+        counters = await read_counters(fleet, service)
+        assert set(counters['calls_by_body'].values()) <= {1}
+
+    run_fleet(scenario, slots=1)
+
+
+def check_answer(kind, document, answer):
+    assert answer.status == 200
+    if kind == 'book':
+        assert answer.read_json()['body'] == json.dumps(document)
+        return
+    lines = answer.read_lines()
+    text = ''.join(line['text'] for line in lines if 'token' in line)
+    assert text == compose_answer(document['prompt'], document['max_tokens'])
+
+
+def list_leased(fleet):
+    events = merge_logs(fleet.read_logs()).events
+    return {event.request for event in events if event.name == 'lease_sent'}
+
+
+async def list_dispatched(fleet, service):
+    counters = await read_counters(fleet, service)
+    dispatched = set(counters['calls_by_id'])
+    for number in (1, 2):
+        address = f'{fleet.network}.2.{number}'
+        runs = (await read_counters(fleet, address))['runs']
+        dispatched |= {name.partition('-')[0] for name in runs}
+    return dispatched
+
+
+def test_floods_and_garbage_end_no_entry(run_fleet):
+    async def scenario(fleet, addresses, _service):
+        flood = b''.join(
+            b'x-%d: %b\r\n' % (number, b'y' * 1000) for number in range(200)
+        )
+        texts = (
+            b'GET /v1/entries HTTP/1.1\r\nhost: x\r\n%b\r\n' % flood,
+            b'GET /%b HTTP/1.1\r\n\r\n' % (b'z' * 100_000),
+            b'POST /v1/requests HTTP/1.1\r\nhost: x\r\ncontent-length: -1\r\n\r\n',
+            bytes(range(256)) * 100,
+        )
+        for text in texts:
+            assert await exchange_bytes(addresses[0], text) in {b'', b'4'}
+        caller = Caller(fleet, addresses[0])
+        await caller.lease_ids()
+        status = await caller.send('status', {'order': 'x'})
+        assert status.status == 200
+
+    run_fleet(scenario)
+
+
+async def exchange_bytes(address, text):
+    """Return the first digit of the status; empty if the server hangs up."""
+    stream = await trio.open_tcp_stream(address, CALLER_PORT)
+    received = b''
+    with contextlib.suppress(trio.BrokenResourceError):
+        await stream.send_all(text)
+        await stream.send_eof()
+    with contextlib.suppress(trio.BrokenResourceError):
+        received = await stream.receive_some()
+    await stream.aclose()
+    return received.partition(b' ')[2][:1]
