Let one silent connection retire all kept ones in the caller library

Cause: kept connections go silent together when something between the ends loses track of them; repeating on another kept one waited once more for each. A problem sent by a target was taken for one of the system, a cancellation that did not reach its home was told as 'not open', and a lookup that is no JSON object ended the request.

Change: after a silent connection, requests open new ones; the four cases have tests.

Conclusion: a repeat waits once, however many connections were lost.

--- a/hornbeampulley/_client_delivery.py
+++ b/hornbeampulley/_client_delivery.py
@@ -19,6 +19,9 @@
     parse_refusal,
 )
 from hornbeampulley._client_transport import (
+    BROKEN,
+    NEVER_SENT,
+    SILENT,
     HttpRequest,
     Transport,
     decode_headers,
@@ -37,19 +40,10 @@
 MAX_UNKNOWN: Final = 4
 MAX_LOOKUPS: Final = 10
 HTTP_TIMEOUT: Final = 504
+_TARGET: Final = 'hornbeam-target'
 _UNREACHED: Final = 'outcome unknown'
 _ELSEWHERE: Final = frozenset(('draining', 'entry full', 'home lost'))
 _LEASE_GONE: Final = frozenset(('id lease expired', 'id lease unknown'))
-_NEVER_SENT: Final = (
-    httpcore.ConnectError,
-    httpcore.ConnectTimeout,
-    httpcore.PoolTimeout,
-)
-_BROKEN: Final = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-)
 
 
 class Delivery:
@@ -175,7 +169,7 @@
             return False
         try:
             await self._open()
-        except _BROKEN as error:
+        except BROKEN as error:
             await self._handle_break(error)
             return False
         return await self._accept()
@@ -208,7 +202,7 @@
         self._is_sent = True
         try:
             self._response = await self._exits.enter_async_context(exchange)
-        except _NEVER_SENT:
+        except NEVER_SENT:
             self._is_sent = was_sent
             raise
 
@@ -218,21 +212,27 @@
         return urls[self._hops % len(urls)]
 
     async def _handle_break(self, error: Exception) -> None:
-        home = self.assignment.url
+        await self._renew_if_silent(error)
         if isinstance(error, httpcore.ReadTimeout):
             # The home may just be slow, so the next attempt goes there too.
             self._silences += 1
             self._hops = self._silences // 2
             return
         # A new process at the same address does not know the lease.
+        home = self.assignment.url
         self._book.drop_lease(home)
-        if isinstance(error, _NEVER_SENT):
+        if isinstance(error, NEVER_SENT):
             self._book.avoid(home)
         if not self._is_sent:
             self.assignment = None
         self._hops += 1
         await self._pause()
 
+    async def _renew_if_silent(self, error: Exception) -> None:
+        # Other kept connections may have gone silent with this one.
+        if isinstance(error, SILENT):
+            await self._transport.renew()
+
     async def _pause(self, min_ms: float = 0) -> None:
         self._failures += 1
         pause_ms = min(REPEAT_PAUSE_MS * self._failures, MAX_PAUSE_MS)
@@ -240,18 +240,19 @@
 
     async def _accept(self) -> bool:
         headers = decode_headers(self._response)
-        if headers.get('content-type') != PROBLEM_TYPE:
+        is_problem = headers.get('content-type') == PROBLEM_TYPE
+        if not is_problem or _TARGET in headers:
             self.status = self._response.status
             self.headers = headers
             return True
         try:
             body = await self._response.aread()
-        except _BROKEN as error:
+        except BROKEN as error:
             await self._handle_break(error)
             return False
-        status = self._response.status
         retry_after = headers.get('retry-after', '')
-        await self._resolve(parse_refusal(body, status, retry_after))
+        refusal = parse_refusal(body, self._response.status, retry_after)
+        await self._resolve(refusal)
         return False
 
     async def _resolve(self, refusal: Refusal) -> None:
@@ -295,7 +296,8 @@
         while True:
             try:
                 chunk = await self._within_deadline(anext, chunks, None)
-            except _BROKEN:
+            except BROKEN as error:
+                await self._renew_if_silent(error)
                 return
             if chunk is None and not skip:
                 self._note_end()
@@ -319,15 +321,14 @@
         if 'problem' in last:
             raise Refusal.parse(last['problem']).to_error(self.request_id)
         # A service may send lines that do not end as a model's stream does.
-        self._is_whole = last.get('done') is True or has_ended_here_before
+        self._is_whole = has_ended_here_before or last.get('done') is True
 
     async def _within_deadline(
         self,
         function: Callable[..., Awaitable[Any]],
         *arguments: object,
     ) -> Any:
-        deadline_s = to_seconds(self._deadline_ms)
-        with trio.move_on_at(deadline_s):
+        with trio.move_on_at(to_seconds(self._deadline_ms)):
             return await function(*arguments)
         raise self._explain_deadline()
 
--- a/hornbeampulley/_client_entries.py
+++ b/hornbeampulley/_client_entries.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterator
 from typing import Any, Final
 
-import httpcore
 import trio
 
 from hornbeampulley._client_messages import (
@@ -14,6 +13,7 @@
     parse_refusal,
 )
 from hornbeampulley._client_transport import (
+    BROKEN,
     HttpRequest,
     Transport,
     decode_headers,
@@ -180,11 +180,7 @@
         try:
             with trio.move_on_after(to_seconds(LOOKUP_TIMEOUT_MS)):
                 lookup = await self._ask(url)
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ):
+        except BROKEN:
             lookup = None
         if lookup is None:
             self.avoid(url)
@@ -199,7 +195,7 @@
             status = response.status
             headers = decode_headers(response)
         if status == _HTTP_OK:
-            return _parse_lookup(json.loads(body))
+            return _parse_lookup(body)
         is_problem = headers.get('content-type') == PROBLEM_TYPE
         if status == _HTTP_NOT_FOUND and is_problem:
             raise parse_refusal(body, status).to_error('')
@@ -221,10 +217,18 @@
     return Assignment(request_id, url)
 
 
-def _parse_lookup(document: dict[str, Any]) -> _Lookup:
+def _parse_lookup(body: bytes) -> _Lookup | None:
+    try:
+        return _read_lookup(json.loads(body))
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
+def _read_lookup(document: dict[str, Any]) -> _Lookup:
+    urls = tuple(entry['url'] for entry in document['entries'])
     ids = document.get('ids')
     return _Lookup(
-        tuple(entry['url'] for entry in document['entries']),
+        urls,
         document['keep_ms'],
         IdLease(**ids) if ids else None,
     )
--- a/hornbeampulley/_client_transport.py
+++ b/hornbeampulley/_client_transport.py
@@ -11,6 +11,22 @@
 from hornbeampulley.clock import Clock, to_seconds
 
 MAX_CONNECTIONS: Final = 1000
+NEVER_SENT: Final = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+)
+"""Errors before the first byte of a request was written."""
+
+SILENT: Final = (httpcore.ReadTimeout, httpcore.WriteTimeout)
+"""Errors of a connection that says nothing."""
+
+BROKEN: Final = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+"""Errors of a connection, those above included."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,6 +114,12 @@
             generation.open_count -= 1
             await self._close_if_retired(generation)
 
+    async def renew(self) -> None:
+        """Open new connections for new requests."""
+        retired = self._current
+        self._current = self._make_generation()
+        await self._close_if_retired(retired)
+
     async def aclose(self) -> None:
         """Close all connections."""
         await self._current.pool.aclose()
@@ -105,9 +127,7 @@
     async def _take_generation(self) -> _Generation:
         age_ms = self._clock.now() - self._current.made_ms
         if age_ms >= self._settings.connection_age_ms:
-            retired = self._current
-            self._current = self._make_generation()
-            await self._close_if_retired(retired)
+            await self.renew()
         return self._current
 
     async def _close_if_retired(self, generation: _Generation) -> None:
--- a/hornbeampulley/client.py
+++ b/hornbeampulley/client.py
@@ -15,14 +15,20 @@
 
 from hornbeampulley._client_delivery import Delivery
 from hornbeampulley._client_entries import EntryBook
-from hornbeampulley._client_messages import Answer, Call, ClientSettings
-from hornbeampulley._client_transport import HttpRequest, Transport
+from hornbeampulley._client_messages import (
+    Answer,
+    Call,
+    ClientSettings,
+    parse_refusal,
+)
+from hornbeampulley._client_transport import BROKEN, HttpRequest, Transport
 from hornbeampulley.clock import Clock
 from hornbeampulley.errors import NoEntryError
 from hornbeampulley.identity import RequestId
 
 __all__ = ('Answer', 'Client', 'ClientSettings', 'Stream')
 
+_HTTP_OK: Final = 200
 _PROBLEM_LINE: Final = b'{"problem"'
 
 
@@ -249,18 +255,17 @@
         ------
         NoEntryError
             If no entry answers.
+        CallerError
+            If its home cannot be reached.
         """
         path = f'/v1/requests/{RequestId.parse(request_id)}'
         for url in self._book.list_others(''):
             request = HttpRequest('DELETE', f'{url}{path}')
             try:
                 async with self._transport.open(request) as response:
-                    return _is_cancelled(await response.aread())
-            except (
-                httpcore.NetworkError,
-                httpcore.ProtocolError,
-                httpcore.TimeoutException,
-            ):
+                    body = await response.aread()
+                    return _is_cancelled(body, response.status, request_id)
+            except BROKEN:
                 self._book.avoid(url)
         raise NoEntryError(
             'no entry answers, so the request was not cancelled; check the '
@@ -298,6 +303,8 @@
         )
 
 
-def _is_cancelled(body: bytes) -> bool:
+def _is_cancelled(body: bytes, status: int, request_id: str) -> bool:
+    if status != _HTTP_OK:
+        raise parse_refusal(body, status).to_error(request_id)
     document = json.loads(body)
     return isinstance(document, dict) and document.get('cancelled') is True
--- a/tests/networks.py
+++ b/tests/networks.py
@@ -101,6 +101,8 @@
         self.nursery = nursery
         self.scripts = {}
         self.opened = 0
+        self.connections = []
+        self.silent = set()
 
     async def connect_tcp(self, host, port, *_, **__):
         await trio.lowlevel.checkpoint()
@@ -113,8 +115,11 @@
 
     async def _serve(self, host, stream):
         connection = Connection(stream)
+        self.connections.append(connection)
         try:
             while await connection.receive():
+                if connection in self.silent:
+                    await connection.stay_silent()
                 if await self.scripts[host](connection) is False:
                     break
         except (trio.BrokenResourceError, trio.ClosedResourceError):
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -332,3 +332,62 @@
         assert first.ids[1] == reply.request_id
 
     run_client(scenario, first)
+
+
+def test_a_cancellation_that_did_not_reach_the_home_is_told(run_client):
+    async def scenario(client, _network):
+        with pytest.raises(OutcomeUnknownError):
+            await client.cancel('a' * 16 + '.1.1')
+
+    run_client(scenario, Entry('a', [A], [lost]))
+
+
+def test_one_silent_connection_retires_all_kept_ones(run_client):
+    first = Entry('a', [A], [answer_slowly] * 4)
+
+    async def scenario(client, network):
+        async with trio.open_nursery() as nursery:
+            for _ in range(4):
+                nursery.start_soon(send, client)
+        old = network.opened
+        assert old >= 4
+        network.silent = set(network.connections)
+        start_s = trio.current_time()
+        assert (await send(client)).body == WHOLE
+        assert trio.current_time() - start_s < 2 * 5
+
+    run_client(scenario, first)
+
+
+async def answer_slowly(connection):
+    await trio.sleep(1)
+    await answer(connection)
+
+
+def test_a_problem_of_a_target_is_its_answer(run_client):
+    async def step(connection):
+        await connection.start(
+            409,
+            content_type='application/problem+json',
+            hornbeam_target='service-1',
+        )
+        await connection.write(b'{"title": "taken"}')
+        await connection.end()
+
+    async def scenario(client, _network):
+        reply = await send(client)
+        assert (reply.status, reply.read_json()) == (409, {'title': 'taken'})
+
+    run_client(scenario, Entry('a', [A], [step]))
+
+
+def test_an_unreadable_lookup_is_passed_over(run_client):
+    async def garble(connection):
+        await connection.send_json(['no entries'])
+
+    second = Entry('b', [B])
+
+    async def scenario(client, _network):
+        assert (await send(client)).home == B
+
+    run_client(scenario, garble, second)
