--- a/hornbeampulley/programs/_agent_reports.py
+++ b/hornbeampulley/programs/_agent_reports.py
@@ -1,6 +1,7 @@
 """What an agent tells operators and the metrics server."""
 
 import dataclasses
+import math
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
@@ -77,7 +78,7 @@
 
 def _list_tickets(state: AgentState) -> tuple[wire.TicketReport, ...]:
     return tuple(
-        form_ticket(scope, stamp.number, state.ages_ms[scope])
+        form_ticket(scope, stamp.number, state.ages_ms.get(scope, math.inf))
         for scope, stamp in sorted(state.store.summary().items())
         if scope != SCOPE_HOSTS
     )
