Let the demo check the tier that the change ticket sets

Cause: the demo showed the tier of each request but ended with 0 also if the ticket had not moved it.

Change: consultations sent after the ticket must be served in its tier.

Conclusion: the demo's exit code covers the ticket too.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -20,9 +20,11 @@
 from hornbeampulley.timeline import TimeLine, merge_logs
 from standins import example
 from standins._demo_orders import (
+    CONSULT,
     Order,
     Served,
     Tally,
+    Waves,
     compose_orders,
     send_order,
 )
@@ -188,7 +190,7 @@
     )
     print_table(served, _name_hosts(started))
     print_time_line(line, _choose_shown(served).request_id)
-    return await _judge(started, served, len(waves.first + waves.second))
+    return await _judge(started, served, waves)
 
 
 @contextlib.asynccontextmanager
@@ -271,8 +273,9 @@
 async def _judge(
     started: Started,
     served: tuple[Served, ...],
-    order_count: int,
+    waves: Waves,
 ) -> bool:
+    order_count = len(waves.first + waves.second)
     counters = await started.read_counters()
     faults = [
         f'request {each.order.number} is not whole and right: {each.note}'
@@ -280,6 +283,7 @@
         if not each.is_right
     ]
     faults += _find_doubled(counters)
+    faults += _find_unmoved(served, waves)
     if len(served) != order_count:
         faults.append(f'{len(served)} of {order_count} requests ended')
     for fault in faults:
@@ -291,6 +295,17 @@
     return not faults
 
 
+def _find_unmoved(served: tuple[Served, ...], waves: Waves) -> list[str]:
+    return [
+        f'request {each.order.number} ran in tier {each.tier} after ticket 2'
+        for each in served
+        if each.order in waves.second
+        and each.order.workspace == example.WORKSPACE
+        and each.order.service == CONSULT
+        and each.tier != MOVED_TIER
+    ]
+
+
 def _find_doubled(counters: dict[str, Any]) -> list[str]:
     return [
         f'{name} {text} ran {count} times'
