Name the prefill rate by its unit

Cause: prefill_ms was ms for one token in the cost model and ms for a whole prompt everywhere else. Change: prefill_ms_per_token, find_prefill_rate; docstrings say what a price is. The test of the rates calls the new name.

--- a/hornbeampulley/decisions/_cost.py
+++ b/hornbeampulley/decisions/_cost.py
@@ -6,12 +6,12 @@
 from hornbeampulley.decisions._messages import Release, Reserve
 from hornbeampulley.decisions._requests import Request
 
-DEFAULT_PREFILL_MS: Final = 0.05
+DEFAULT_PREFILL_MS_PER_TOKEN: Final = 0.05
 DEFAULT_STEP_MS: Final = 20.0
 DEFAULT_CALL_MS: Final = 50.0
 DEFAULT_OUTPUT_TOKENS: Final = 200
 FULL_WEIGHT_TOKENS: Final = 512
-MIN_PREFILL_MS: Final = 0.001
+MIN_PREFILL_MS_PER_TOKEN: Final = 0.001
 OUTPUT_QUANTILE: Final = 0.6
 QUANTILE_STEP: Final = 0.05
 RATE_WEIGHT: Final = 0.1
@@ -27,7 +27,7 @@
 
     Attributes
     ----------
-    prefill_ms : float
+    prefill_ms_per_token : float
         Time to prefill one prompt token.
     step_ms : float
         Time to produce one output token.
@@ -35,7 +35,7 @@
         Duration of plain calls relative to the pool's average.
     """
 
-    prefill_ms: float = DEFAULT_PREFILL_MS
+    prefill_ms_per_token: float = DEFAULT_PREFILL_MS_PER_TOKEN
     step_ms: float = DEFAULT_STEP_MS
     pace: float = 1
 
@@ -46,7 +46,16 @@
 
 
 class CostModel:
-    """Predicts what requests cost, from what homes saw complete."""
+    """Predicts what requests cost, from what homes saw complete.
+
+    A price is the cost in ms at the pool's average rates, so that work on
+    unlike targets can be compared.
+
+    Attributes
+    ----------
+    mean_price_ms : float
+        Mean price of the requests leased lately.
+    """
 
     def __init__(self) -> None:
         self._pool = Rates()
@@ -90,16 +99,16 @@
 
     def price_prefill(self, tokens: float) -> float:
         """Return the price of prompt tokens at the pool's average rate."""
-        return tokens * self._pool.prefill_ms
+        return tokens * self._pool.prefill_ms_per_token
 
-    def prefill_ms(self, target: str) -> float:
-        """Return the time in which a target prefills one prompt token."""
-        return self._find_rates(target).prefill_ms
+    def find_prefill_rate(self, target: str) -> float:
+        """Return a target's ms per prompt token."""
+        return self._find_rates(target).prefill_ms_per_token
 
     def expect_first_token(self, request: Request) -> float:
         """Return the expected delay of a running request's first token."""
         rates = self._find_rates(request.target)
-        prefill_ms = request.uncached_tokens * rates.prefill_ms
+        prefill_ms = request.uncached_tokens * rates.prefill_ms_per_token
         return request.ahead_ms + prefill_ms + rates.step_ms
 
     def infer_cached(self, request: Request, first_token_ms: float) -> int:
@@ -120,7 +129,7 @@
         rates = self._find_rates(request.target)
         busy_ms = first_token_ms - request.ahead_ms - rates.step_ms
         cached_tokens = (
-            request.reserve.prompt_tokens - busy_ms / rates.prefill_ms
+            request.reserve.prompt_tokens - busy_ms / rates.prefill_ms_per_token
         )
         return int(min(max(cached_tokens, 0), request.expected_cached))
 
@@ -153,14 +162,16 @@
         crowding = 1 + CROWDING * load
         if not reserve.prompt_tokens:
             return self._call_ms(reserve.service) * rates.pace * crowding
-        prefill = (reserve.prompt_tokens - cached_tokens) * rates.prefill_ms
+        prefill = (
+            reserve.prompt_tokens - cached_tokens
+        ) * rates.prefill_ms_per_token
         steps = self.expect_output(reserve) * rates.step_ms
         return prefill + steps * crowding
 
     def rate(self, target: str) -> float:
-        """Return a target's slowness; 1 is the pool's average."""
+        """Return a target's time for the same work; 1 is the pool's average."""
         rates = self._find_rates(target)
-        prefill = rates.prefill_ms / self._pool.prefill_ms
+        prefill = rates.prefill_ms_per_token / self._pool.prefill_ms_per_token
         return rates.pace * (prefill + rates.step_ms / self._pool.step_ms) / 2
 
     def learn(self, request: Request, release: Release) -> None:
@@ -180,16 +191,16 @@
         if not tokens:
             return
         busy_ms = first_token_ms - request.ahead_ms - rates.step_ms
-        sample = max(busy_ms / tokens, MIN_PREFILL_MS)
+        sample = max(busy_ms / tokens, MIN_PREFILL_MS_PER_TOKEN)
         # The delay of a short prompt says little about the rate.
         trust = min(tokens / FULL_WEIGHT_TOKENS, 1)
-        rates.prefill_ms = smooth(
-            rates.prefill_ms,
+        rates.prefill_ms_per_token = smooth(
+            rates.prefill_ms_per_token,
             sample,
             RATE_WEIGHT * trust,
         )
-        self._pool.prefill_ms = smooth(
-            self._pool.prefill_ms,
+        self._pool.prefill_ms_per_token = smooth(
+            self._pool.prefill_ms_per_token,
             sample,
             max(POOL_WEIGHT, 1 / self._prefills) * trust,
         )
@@ -257,5 +268,5 @@
         return self._calls.get(service, DEFAULT_CALL_MS)
 
     def _price_tokens(self, prefilled: float, produced: float) -> float:
-        prefill_ms = prefilled * self._pool.prefill_ms
+        prefill_ms = prefilled * self._pool.prefill_ms_per_token
         return prefill_ms + max(produced, 1) * self._pool.step_ms
--- a/hornbeampulley/decisions/_fleet.py
+++ b/hornbeampulley/decisions/_fleet.py
@@ -179,8 +179,8 @@
     ) -> None:
         """Count a request as running on a target."""
         state.add(request)
-        rate_ms = self._cost.prefill_ms(state.name)
-        request.prefill_ms = request.uncached_tokens * rate_ms
+        ms_per_token = self._cost.find_prefill_rate(state.name)
+        request.prefill_ms = request.uncached_tokens * ms_per_token
         request.ahead_ms = state.add_prefill(request.prefill_ms, now_ms)
         request.target = state.name
         request.leased_ms = now_ms
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -23,8 +23,8 @@
     for _ in range(200):
         complete(cost, 'fast', 0.05, 10)
         complete(cost, 'slow', 0.1, 40)
-    assert cost.prefill_ms('fast') == pytest.approx(0.05, rel=0.1)
-    assert cost.prefill_ms('slow') == pytest.approx(0.1, rel=0.1)
+    assert cost.find_prefill_rate('fast') == pytest.approx(0.05, rel=0.1)
+    assert cost.find_prefill_rate('slow') == pytest.approx(0.1, rel=0.1)
     assert cost.rate('slow') > 2 * cost.rate('fast')
 
 
