Ask a request whether it can be stopped

Cause: preemption and isolation held the same condition. Change: Request.can_stop. No decision changes.

--- a/hornbeampulley/decisions/_isolation.py
+++ b/hornbeampulley/decisions/_isolation.py
@@ -75,7 +75,7 @@
 
     def _clear(self, target: TargetState) -> None:
         for request in target.running.values():
-            if request.stoppable and not request.stopping:
+            if request.can_stop:
                 self._preemptor.stop(request)
 
     def _free_idle(self) -> None:
--- a/hornbeampulley/decisions/_preemption.py
+++ b/hornbeampulley/decisions/_preemption.py
@@ -74,11 +74,7 @@
     def _list_victims(self, state: TargetState | None) -> list[Request]:
         if state is None or state.is_reserved or not state.slots:
             return []
-        return [
-            request
-            for request in state.running.values()
-            if request.stoppable and not request.stopping
-        ]
+        return [one for one in state.running.values() if one.can_stop]
 
     def _weigh(self, request: Request) -> tuple[int, float]:
         """Weigh the work lost and the prefill that is in the way."""
--- a/hornbeampulley/decisions/_requests.py
+++ b/hornbeampulley/decisions/_requests.py
@@ -87,6 +87,11 @@
         """Return the prompt tokens that the target is expected to prefill."""
         return max(self.reserve.prompt_tokens - self.cached_tokens, 0)
 
+    @property
+    def can_stop(self) -> bool:
+        """Tell whether a preemption of it can be ordered now."""
+        return self.stoppable and not self.stopping
+
     @property
     def is_waiting(self) -> bool:
         """Tell whether it waits for a lease."""
