Say what the attributes of the core's state mean, with units

Cause: shared attributes had no documentation; a name was spelled print_. Change: docstrings of State, Lane, TierQueue and Health; Final on constants; fingerprints of running requests are called contents.

--- a/hornbeampulley/decisions/_health.py
+++ b/hornbeampulley/decisions/_health.py
@@ -26,7 +26,15 @@
 
 
 class Health:
-    """Tracks how fast a target completes work and whether it is up."""
+    """Tracks how fast a target completes work and whether it is up.
+
+    Attributes
+    ----------
+    condition : Condition
+        Whether it gets leases.
+    recent : float
+        Mean duration of its last requests relative to their price.
+    """
 
     def __init__(self) -> None:
         self.condition = Condition.HEALTHY
--- a/hornbeampulley/decisions/_lanes.py
+++ b/hornbeampulley/decisions/_lanes.py
@@ -22,6 +22,15 @@
         Name of the workspace.
     share : float
         Weight of the workspace.
+
+    Attributes
+    ----------
+    served : float
+        Virtual time: price served in ms, divided by the share.
+    backlog : float
+        Price of the waiting requests in ms.
+    count : int
+        How many wait.
     """
 
     def __init__(self, name: str, share: float) -> None:
--- a/hornbeampulley/decisions/_quarantine.py
+++ b/hornbeampulley/decisions/_quarantine.py
@@ -41,13 +41,13 @@
         int
             The fingerprint convicted by this crash, or 0.
         """
-        running = {print_ for print_ in fingerprints if print_}
+        running = {content for content in fingerprints if content}
         running -= self._convicted.keys()
-        repeated = [print_ for print_ in running if print_ in self._suspects]
+        repeated = [content for content in running if content in self._suspects]
         crash = frozenset((next(self._crashes),))
-        for print_ in sorted(running):
-            earlier = self._suspects.pop(print_, frozenset())
-            self._suspects[print_] = earlier | crash
+        for content in sorted(running):
+            earlier = self._suspects.pop(content, frozenset())
+            self._suspects[content] = earlier | crash
         while len(self._suspects) > MAX_FINGERPRINTS:
             self._suspects.pop(next(iter(self._suspects)))
         if len(repeated) != 1:
@@ -62,8 +62,8 @@
         if len(self._convicted) > MAX_FINGERPRINTS:
             self._convicted.pop(next(iter(self._convicted)))
         self._suspects = {
-            print_: crashes - explained
-            for print_, crashes in self._suspects.items()
+            content: crashes - explained
+            for content, crashes in self._suspects.items()
             if crashes - explained
         }
 
--- a/hornbeampulley/decisions/_state.py
+++ b/hornbeampulley/decisions/_state.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from typing import Final
 
 from hornbeampulley.configuration import Configuration
 from hornbeampulley.decisions._cost import CostModel
@@ -15,13 +16,47 @@
 from hornbeampulley.decisions._queue import WaitingQueue
 from hornbeampulley.decisions._requests import Request
 
-MIN_RETRY_MS = 100.0
-RETRY_JITTER = 0.2
+MIN_RETRY_MS: Final = 100.0
+RETRY_JITTER: Final = 0.2
 
 
 @dataclasses.dataclass(slots=True)
 class State:
-    """The state of a core and the actions of the event in hand."""
+    """The state of a core and the actions of the event in hand.
+
+    Attributes
+    ----------
+    pool : str
+        Name of the pool.
+    random : random.Random
+        The only source of random numbers.
+    cost : CostModel
+        Learnt rates and lengths.
+    fleet : Fleet
+        The targets and what runs on them.
+    now_ms : float
+        Time of the event in hand.
+    configuration : Configuration or None
+        What the tickets say; nothing is decided before it is known.
+    index : PrefixIndex
+        Prompt blocks that the targets hold.
+    queue : WaitingQueue
+        The requests that wait.
+    ledger : Ledger
+        All known requests.
+    retries : RetryBudget
+        Retries that each workspace has left.
+    quarantine : QuarantineList
+        Suspect and convicted contents.
+    drain : DrainRate
+        How fast the pool completes work.
+    history : History
+        The last decisions, to be explained.
+    urgent_targets : list of str
+        Targets leased to the top tier since the last preemption.
+    actions : list of Action
+        Actions of the event in hand.
+    """
 
     pool: str
     random: random.Random
--- a/hornbeampulley/decisions/_targets.py
+++ b/hornbeampulley/decisions/_targets.py
@@ -3,15 +3,16 @@
 import dataclasses
 import math
 from collections.abc import Iterator, Mapping
+from typing import Final
 
 from hornbeampulley.configuration import Target
 from hornbeampulley.decisions._health import Condition, Health
 from hornbeampulley.decisions._limits import AdaptiveLimit
 from hornbeampulley.decisions._requests import Request
 
-REPORT_LIFE_MS = 3000.0
-MAX_PREFILL_MS = 20.0
-TOP_PROBE_DELAY_MS = 30000.0
+REPORT_LIFE_MS: Final = 3000.0
+MAX_PREFILL_MS: Final = 20.0
+TOP_PROBE_DELAY_MS: Final = 30000.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/hornbeampulley/decisions/_tiers.py
+++ b/hornbeampulley/decisions/_tiers.py
@@ -13,6 +13,15 @@
     Most stand in the lane of their workspace. Those that can no longer meet
     their deadline stand behind all lanes, and those that must run alone stand
     aside until a target is idle.
+
+    Attributes
+    ----------
+    count : int
+        How many wait, late and aside ones with them.
+    work_ms : float
+        Their price.
+    aside : dict
+        Those that must run alone, by id.
     """
 
     def __init__(self) -> None:
