Give the candidates of the fleet a type and the fleet shorter steps

Cause: heap entries were bare tuples, and refresh did four things at once; the map from ranks to heaps was called alike. Change: _Candidate, _weigh and _heap_ranks; the public attributes of Fleet are documented. No decision changes.

--- a/hornbeampulley/decisions/_fleet.py
+++ b/hornbeampulley/decisions/_fleet.py
@@ -3,7 +3,7 @@
 import heapq
 import math
 from collections.abc import Iterable, Iterator
-from typing import Final
+from typing import Final, NamedTuple
 
 from hornbeampulley.configuration import Target, Tier
 from hornbeampulley.decisions._cost import CostModel
@@ -17,6 +17,14 @@
 STALE_ENTRIES: Final = 64
 
 
+class _Candidate(NamedTuple):
+    """A target with room, as it stood at one version; the least goes first."""
+
+    weight: float
+    version: int
+    name: str
+
+
 class Fleet:
     """Finds targets with room without looking at all of them.
 
@@ -30,6 +38,17 @@
         Gives the speed of targets.
     is_takeover : bool
         Whether limits start low.
+
+    Attributes
+    ----------
+    capacity : int
+        Requests that all targets may run together.
+    stopping : int
+        Running requests whose preemption is under way.
+    stoppable : int
+        Other running requests that may be preempted.
+    top : int
+        Rank of the most urgent tier.
     """
 
     def __init__(self, cost: CostModel, is_takeover: bool = False) -> None:
@@ -41,8 +60,8 @@
         self._is_takeover = is_takeover
         self._states: dict[str, TargetState] = {}
         self._headroom: dict[int, float] = {0: 0.0}
-        self._alike: dict[int, int] = {0: 0}
-        self._heaps: dict[int, list[tuple[float, int, str]]] = {0: []}
+        self._heap_ranks: dict[int, int] = {0: 0}
+        self._heaps: dict[int, list[_Candidate]] = {0: []}
         self._leaving: frozenset[str] = frozenset()
         self._touched: dict[str, None] = {}
         self._gates: list[tuple[float, str]] = []
@@ -111,15 +130,16 @@
         state.version += 1
         self.capacity += state.slots - state.counted_slots
         state.counted_slots = state.slots
-        is_gated = now_ms < state.gate_ms
-        key = self._cost.rate(state.name) * (1 + state.estimate_load(now_ms))
-        key += PENDING_WEIGHT * state.estimate_pending(now_ms)
-        if is_gated:
-            heapq.heappush(self._gates, (state.gate_ms, state.name))
         state.open_ranks = state.find_open_ranks(self._headroom, now_ms)
-        for rank in state.open_ranks[:1] if is_gated else state.open_ranks:
-            heap = self._heaps[self._alike[rank]]
-            heapq.heappush(heap, (key, state.version, state.name))
+        ranks = state.open_ranks
+        if now_ms < state.gate_ms:
+            heapq.heappush(self._gates, (state.gate_ms, state.name))
+            ranks = ranks[:1]
+        weight = self._weigh(state, now_ms)
+        candidate = _Candidate(weight, state.version, state.name)
+        for rank in ranks:
+            heap = self._heaps[self._heap_ranks[rank]]
+            heapq.heappush(heap, candidate)
             self._compact(heap)
 
     def touch(self, state: TargetState) -> None:
@@ -150,26 +170,26 @@
 
     def has_room(self, rank: int) -> bool:
         """Tell whether any target has room for a rank."""
-        heap = self._heaps[self._alike[rank]]
+        heap = self._heaps[self._heap_ranks[rank]]
         while heap and not self._is_valid(heap[0]):
             heapq.heappop(heap)
         return bool(heap)
 
     def has_slot(self, state: TargetState, rank: int) -> bool:
         """Tell whether a target has a slot for a rank."""
-        return self._alike[rank] in state.open_ranks
+        return self._heap_ranks[rank] in state.open_ranks
 
     def list_candidates(self, rank: int) -> list[TargetState]:
         """List a few targets with room, the least loaded first."""
-        heap = self._heaps[self._alike[rank]]
-        entries: list[tuple[float, int, str]] = []
-        while heap and len(entries) < CANDIDATES:
-            entry = heapq.heappop(heap)
-            if self._is_valid(entry):
-                entries.append(entry)
-        for valid in entries:
+        heap = self._heaps[self._heap_ranks[rank]]
+        found: list[_Candidate] = []
+        while heap and len(found) < CANDIDATES:
+            candidate = heapq.heappop(heap)
+            if self._is_valid(candidate):
+                found.append(candidate)
+        for valid in found:
             heapq.heappush(heap, valid)
-        return [self._states[name] for _, _, name in entries]
+        return [self._states[one.name] for one in found]
 
     def start(
         self,
@@ -278,14 +298,18 @@
         return gone
 
     def _set_headroom(self, tiers: list[Tier]) -> None:
+        """Add up the headroom of the tiers above each rank.
+
+        Ranks below the top with the same sum share the heap of the most urgent of them.
+        """
         self._headroom = {}
-        self._alike = {}
+        self._heap_ranks = {}
         kept = 0.0
         previous = -1.0
         for tier in tiers or [Tier('', 0)]:
-            if len(self._alike) < 2 or kept != previous:
+            if len(self._heap_ranks) < 2 or kept != previous:
                 self._headroom.setdefault(tier.rank, kept)
-            self._alike[tier.rank] = max(self._headroom)
+            self._heap_ranks[tier.rank] = max(self._headroom)
             previous = kept
             kept += tier.headroom
         self.top = min(self._headroom)
@@ -294,13 +318,19 @@
     def _is_leaving(self, name: str, known: dict[str, Target]) -> bool:
         return name in self._leaving or name not in known
 
-    def _is_valid(self, entry: tuple[float, int, str]) -> bool:
-        state = self._states.get(entry[2])
-        return state is not None and state.version == entry[1]
+    def _weigh(self, state: TargetState, now_ms: float) -> float:
+        slowness = self._cost.rate(state.name)
+        pending_ms = state.estimate_pending(now_ms)
+        load = state.estimate_load(now_ms)
+        return slowness * (1 + load) + PENDING_WEIGHT * pending_ms
+
+    def _is_valid(self, candidate: _Candidate) -> bool:
+        state = self._states.get(candidate.name)
+        return state is not None and state.version == candidate.version
 
-    def _compact(self, heap: list[tuple[float, int, str]]) -> None:
+    def _compact(self, heap: list[_Candidate]) -> None:
         if len(heap) > 4 * len(self._states) + STALE_ENTRIES:
-            valid = [entry for entry in heap if self._is_valid(entry)]
+            valid = [one for one in heap if self._is_valid(one)]
             heap.clear()
             heap.extend(sorted(valid))
 
