--- a/hornbeampulley/programs/scheduler.py
+++ b/hornbeampulley/programs/scheduler.py
@@ -14,6 +14,7 @@
 from hornbeampulley.metrics import TAKEOVERS
 from hornbeampulley.pipeline import TIMING
 from hornbeampulley.programs._fleet import Fleet, follow_agent
+from hornbeampulley.programs._orders import Orders
 from hornbeampulley.programs._polling import poll_targets
 from hornbeampulley.programs._process import Process, run_daemon
 from hornbeampulley.programs._queries import Subject, answer_query
@@ -177,7 +178,7 @@
         now_ms = self._clock.now()
         is_taken = self._fates.announce(
             self._read_stamp(home, message),
-            RequestId.parse(message.request_id),
+            wire.read_request_id(message, home),
             now_ms,
             bool(message.dispatched),
         )
@@ -192,7 +193,7 @@
         if stamp is not None:
             self._fates.release(
                 self._read_stamp(home, message),
-                RequestId.parse(message.request_id),
+                wire.read_request_id(message, home),
                 self._clock.now(),
             )
 
@@ -352,10 +353,18 @@
     """
     fleet = Fleet(process)
     scheduler = Scheduler(process, fleet, drain)
+    orders = Orders(process, fleet, scheduler.pools)
     port = process.settings.ports.scheduler_peer
     async with trio.open_nursery() as nursery:
         nursery.start_soon(scheduler.tick)
-        nursery.start_soon(poll_targets, process, fleet, scheduler.pools)
+        nursery.start_soon(orders.run)
+        nursery.start_soon(
+            poll_targets,
+            process,
+            fleet,
+            scheduler.pools,
+            orders.hear,
+        )
         nursery.start_soon(
             follow_agent,
             process,
