Keep no headroom on targets of short calls

Ruled out: rounding down, which would leave model engines of few slots none. Change: a plain target whose calls cost 200 ms or less on average keeps none, since one of its slots is soon free.

--- a/hornbeampulley/decisions/_fleet.py
+++ b/hornbeampulley/decisions/_fleet.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Iterator
 from typing import Final, NamedTuple
 
-from hornbeampulley.configuration import Target, Tier
+from hornbeampulley.configuration import ServiceKind, Target, Tier
 from hornbeampulley.decisions._cost import CostModel
 from hornbeampulley.decisions._limits import AdaptiveLimit
 from hornbeampulley.decisions._requests import Request
@@ -15,6 +15,7 @@
 PENDING_WEIGHT: Final = 0.002
 MAX_EJECTED_SHARE: Final = 0.5
 STALE_ENTRIES: Final = 64
+SHORT_CALL_MS: Final = 200.0
 
 
 class _Candidate(NamedTuple):
@@ -130,7 +131,10 @@
         state.version += 1
         self.capacity += state.slots - state.counted_slots
         state.counted_slots = state.slots
-        state.open_ranks = state.find_open_ranks(self._headroom, now_ms)
+        state.open_ranks = state.find_open_ranks(
+            self._find_shares(state),
+            now_ms,
+        )
         ranks = state.open_ranks
         if now_ms < state.gate_ms:
             heapq.heappush(self._gates, (state.gate_ms, state.name))
@@ -261,7 +265,7 @@
 
     def is_headroom_used(self, state: TargetState) -> bool:
         """Tell whether a target lacks free slots for the top tier."""
-        shares = list(self._headroom.values())
+        shares = list(self._find_shares(state).values())
         return len(shares) > 1 and state.is_headroom_used(shares[1])
 
     def lift_limits(self) -> None:
@@ -300,7 +304,8 @@
     def _set_headroom(self, tiers: list[Tier]) -> None:
         """Add up the headroom of the tiers above each rank.
 
-        Ranks below the top with the same sum share the heap of the most urgent of them.
+        Ranks below the top with the same sum share the heap of the most
+        urgent of them.
         """
         self._headroom = {}
         self._heap_ranks = {}
@@ -315,6 +320,13 @@
         self.top = min(self._headroom)
         self._heaps = {rank: [] for rank in self._headroom}
 
+    def _find_shares(self, state: TargetState) -> dict[int, float]:
+        # A slot of short calls is soon free, so that none needs to be kept.
+        is_plain = state.target.kind is ServiceKind.PLAIN
+        if is_plain and self._cost.mean_price_ms <= SHORT_CALL_MS:
+            return dict.fromkeys(self._headroom, 0.0)
+        return self._headroom
+
     def _is_leaving(self, name: str, known: dict[str, Target]) -> bool:
         return name in self._leaving or name not in known
 
