--- a/hornbeampulley/_client_delivery.py
+++ b/hornbeampulley/_client_delivery.py
@@ -42,8 +42,8 @@
 HTTP_TIMEOUT: Final = 504
 _TARGET: Final = 'hornbeam-target'
 _UNREACHED: Final = 'outcome unknown'
-_ELSEWHERE: Final = frozenset(('draining', 'entry full', 'home lost'))
-_LEASE_GONE: Final = frozenset(('id lease expired', 'id lease unknown'))
+_ELSEWHERE: Final = ('draining', 'entry full', 'home lost', 'not ready')
+_LEASE_GONE: Final = ('id lease expired', 'id lease unknown')
 
 
 class Delivery:
@@ -240,8 +240,7 @@
 
     async def _accept(self) -> bool:
         headers = decode_headers(self._response)
-        is_problem = headers.get('content-type') == PROBLEM_TYPE
-        if not is_problem or _TARGET in headers:
+        if headers.get('content-type') != PROBLEM_TYPE or _TARGET in headers:
             self.status = self._response.status
             self.headers = headers
             return True
@@ -299,9 +298,8 @@
             except BROKEN as error:
                 await self._renew_if_silent(error)
                 return
-            if chunk is None and not skip:
-                self._note_end()
             if chunk is None:
+                self._note_end(skip)
                 return
             fresh = chunk[skip:]
             skip = max(skip - len(chunk), 0)
@@ -310,9 +308,11 @@
                 self._tail.feed(fresh)
                 yield fresh
 
-    def _note_end(self) -> None:
+    def _note_end(self, missing: int) -> None:
         """Judge an answer whose body ended as HTTP has it."""
         has_ended_here_before = self._ended_at == self._received
+        if missing:
+            return
         self._ended_at = self._received
         if not self.headers.get('content-type', '').startswith(NDJSON):
             self._is_whole = True
--- a/hornbeampulley/pipeline/_callers.py
+++ b/hornbeampulley/pipeline/_callers.py
@@ -23,7 +23,11 @@
     Forwarder,
 )
 from hornbeampulley.pipeline._home import Home
-from hornbeampulley.pipeline._problems import Problem, ProblemError
+from hornbeampulley.pipeline._problems import (
+    NOT_READY,
+    Problem,
+    ProblemError,
+)
 from hornbeampulley.pipeline._requests import Incoming, Request
 from hornbeampulley.registry import Registry
 
@@ -160,6 +164,8 @@
     """
     workspace = exchange.query.get('workspace', '')
     home = caller.home
+    if not home.view.is_ready:
+        raise ProblemError(NOT_READY)
     if workspace not in home.view.configuration.workspaces:
         raise ProblemError(
             Problem(
--- a/hornbeampulley/pipeline/_filters.py
+++ b/hornbeampulley/pipeline/_filters.py
@@ -36,6 +36,7 @@
     count_waste,
 )
 from hornbeampulley.pipeline._problems import (
+    NOT_READY,
     Problem,
     ProblemError,
     explain_refusal,
@@ -50,7 +51,6 @@
 from hornbeampulley.registry import Registry
 
 REPORT_EVERY_MS: Final = 1000.0
-READY_RETRY_MS: Final = 1000.0
 _log = logging.getLogger(__name__)
 
 Filter = Callable[[Home, Request], Awaitable[None]]
@@ -127,15 +127,7 @@
         Just admitted.
     """
     if not home.view.is_ready:
-        raise ProblemError(
-            Problem(
-                503,
-                'not ready',
-                'this entry has just started and does not know the change '
-                'tickets yet; send the request again under a new id',
-                retry_after_ms=READY_RETRY_MS,
-            ),
-        )
+        raise ProblemError(NOT_READY)
 
 
 @filters.register('route')
--- a/hornbeampulley/pipeline/_problems.py
+++ b/hornbeampulley/pipeline/_problems.py
@@ -11,6 +11,7 @@
 from hornbeampulley.identity import Ran
 
 PROBLEM_TYPE: Final = 'application/problem+json'
+READY_RETRY_MS: Final = 1000.0
 _STATUS_OF_REASON: Final = {
     Reason.SHED: 503,
     Reason.DEADLINE: 504,
@@ -98,6 +99,16 @@
         return json.dumps(self.to_json()).encode()
 
 
+NOT_READY: Final = Problem(
+    503,
+    'not ready',
+    'this entry has just started and does not know the change tickets yet; '
+    'send the request again under a new id',
+    retry_after_ms=READY_RETRY_MS,
+)
+"""Told by an entry until it knows the tickets in force."""
+
+
 class ProblemError(HornbeamError):
     """Ends a request with a problem.
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -56,6 +56,7 @@
     ]
     view = types.SimpleNamespace(
         configuration=build_configuration(tickets),
+        is_ready=True,
         leaving=frozenset(),
         count_entries=lambda: 1,
     )
@@ -202,3 +203,13 @@
         check_problem(again, 400, 'invalid body')
 
     run_callers(scenario)
+
+
+def test_an_entry_that_knows_no_tickets_yet_says_so(run_callers):
+    async def scenario(interface):
+        interface.home.view.is_ready = False
+        lookup = await call(interface, 'GET', '/v1/entries?workspace=workshop')
+        check_problem(lookup, 503, 'not ready')
+        check_problem(await post(interface), 503, 'not ready')
+
+    run_callers(scenario)
