--- a/hornbeampulley/pipeline/_runners.py
+++ b/hornbeampulley/pipeline/_runners.py
@@ -258,6 +258,11 @@
     if 'token' in document:
         if document['token'] < call.output_tokens:
             return
+        if document['token'] > call.output_tokens:
+            raise TargetBrokenError(
+                f'target {call.target.name} left out a token; the stream is '
+                'read again from there',
+            )
         call.output_tokens = document['token'] + 1
     elif 'cached_tokens' in document:
         if call.cached_tokens >= 0:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -56,8 +56,8 @@
     ]
     view = types.SimpleNamespace(
         configuration=build_configuration(tickets),
-        is_ready=True,
         leaving=frozenset(),
+        is_ready=True,
         count_entries=lambda: 1,
     )
 
