--- a/standins/engine.py
+++ b/standins/engine.py
@@ -71,6 +71,7 @@
         self.batch = Batch(settings, self._faults, crash)
         self._runs: dict[str, Run] = {}
         self._starts: collections.Counter[str] = collections.Counter()
+        self._resumed: collections.Counter[str] = collections.Counter()
         self._imported: set[str] = set()
         self._next_sweep_ms = 0.0
         self._orders = OrderBook(checks_fencing=settings.checks_fencing)
@@ -100,6 +101,7 @@
         run = _parse_run(request.read_json())
         if 'kv-state' in request.headers:
             run.restore(self._find_state(request.headers['kv-state'], run))
+            self._resumed[stream_id] += 1
         self._starts[stream_id] += 1
         self._drop_old_runs()
         self._runs[stream_id] = run
@@ -158,6 +160,7 @@
         return respond_json(
             {
                 'runs': dict(self._starts),
+                'resumed': dict(self._resumed),
                 'orders': self._orders.log,
                 'crashes': self.batch.crashes,
             }
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -69,6 +69,17 @@
     return (await fleet.request('GET', url)).read_json()
 
 
+async def count_runs(fleet):
+    """Count over both engines how often each stream began anew."""
+    runs = {}
+    for number in (1, 2):
+        counters = await read_counters(fleet, f'{fleet.network}.2.{number}')
+        for name, starts in counters['runs'].items():
+            starts -= counters['resumed'].get(name, 0)
+            runs[name] = runs.get(name, 0) + starts
+    return runs
+
+
 @contextlib.asynccontextmanager
 async def start_fleet(
     folder,
--- a/tests/test_processes_floods.py
+++ b/tests/test_processes_floods.py
@@ -8,7 +8,7 @@
 from standins import example
 from standins._batch import CRASH_EXIT_CODE
 from standins._runs import compose_answer
-from tests.fleets import PROMPT, Caller, read_text
+from tests.fleets import PROMPT, Caller, count_runs, read_text
 
 MARKER = 'CRACKED-FEED'
 ENGINES = ('engine-1', 'engine-2')
@@ -101,11 +101,12 @@
         await urgent.lease_ids(example.SMALL_WORKSPACE)
         urgent.workspace = example.SMALL_WORKSPACE
         flooder.headers = {'Hornbeam-Deadline-Ms': BATCH_DEADLINE_MS}
-        flooded, served = [], {}
+        flooded, served = {}, {}
 
         async def flood(number):
             document = {'prompt': f'{number} {PROMPT}', 'max_tokens': 30}
-            flooded.append(await flooder.send('tag', document))
+            name = flooder.form_id()
+            flooded[name] = await flooder.send('tag', document, name)
 
         async def ask(number):
             document = {'prompt': f'{number} {PROMPT}', 'max_tokens': 20}
@@ -122,8 +123,15 @@
             assert reply.status == HTTP_OK, reply.body
             expected = compose_answer(f'{number} {PROMPT}', 20)
             assert read_text(reply) == expected
-        refused = [reply for reply in flooded if reply.status != HTTP_OK]
+        refused = {
+            name: reply.read_json()['ran']
+            for name, reply in flooded.items()
+            if reply.status != HTTP_OK
+        }
         assert refused, 'the flood was too small to shed anything'
-        assert {reply.read_json()['ran'] for reply in refused} == {'no'}
+        assert set(refused.values()) == {'no'}
+        runs = await count_runs(fleet)
+        assert not refused.keys() & runs.keys()
+        assert set(runs.values()) == {1}
 
     run_fleet(scenario)
--- a/tests/test_processes_silence.py
+++ b/tests/test_processes_silence.py
@@ -10,6 +10,7 @@
     PROMPT,
     Caller,
     check_replies,
+    count_runs,
     poll_until,
     read_counters,
     read_text,
@@ -24,16 +25,6 @@
     return {'prompt': f'{number} {PROMPT}', 'max_tokens': TOKENS}
 
 
-async def count_runs(fleet):
-    """Count the starts of each stream over both engines."""
-    runs = {}
-    for number in (1, 2):
-        counters = await read_counters(fleet, f'{fleet.network}.2.{number}')
-        for name, starts in counters['runs'].items():
-            runs[name] = runs.get(name, 0) + starts
-    return runs
-
-
 async def wait_running(fleet, request_ids):
     async def check():
         return set(request_ids) <= set(await count_runs(fleet))
