--- a/hornbeampulley/decisions/_dispatch.py
+++ b/hornbeampulley/decisions/_dispatch.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from hornbeampulley.decisions._isolation import Isolation
 from hornbeampulley.decisions._messages import Lease, Reason, Reserve
 from hornbeampulley.decisions._placement import Match
 from hornbeampulley.decisions._requests import Request, Stage
@@ -9,7 +10,8 @@
 from hornbeampulley.decisions._targets import TargetState
 
 LEASE_VALID_MS: Final = 1000.0
-WASTE_WEIGHT: Final = 10.0
+WAIT_SHARE: Final = 2.0
+WASTE_WEIGHT: Final = 20.0
 URGENT_WEIGHT: Final = 5.0
 SPARE_SLOTS: Final = 3
 SCARCITY: Final = 1.0
@@ -22,11 +24,13 @@
     ----------
     state : State
         The state of the core.
+    isolation : Isolation
+        Finds targets for requests that must run alone.
     """
 
-    def __init__(self, state: State) -> None:
+    def __init__(self, state: State, isolation: Isolation) -> None:
         self._state = state
-        self._reserved: TargetState | None = None
+        self._isolation = isolation
 
     def dispatch(self) -> None:
         """Give all leases that can be given now."""
@@ -46,43 +50,34 @@
             self._state.queue.set_aside(request)
             self._state.note(request, 'wait', 'must run alone')
             self._dispatch_alone()
-        elif self._claim(request):
-            self._place(request)
+        else:
+            self._place_or_swap(request)
+
+    def _place_or_swap(self, request: Request) -> None:
+        """Give a slow target to a workspace that is over its share.
+
+        The request waits instead for a while, as a faster target will soon
+        be free and complete it earlier.
+        """
+        chosen = request
+        target, cached_tokens = self._choose(request)
+        if self._is_worth_waiting(request, target):
+            chosen = self._state.queue.swap(request)
+        if chosen is not request:
+            target, cached_tokens = self._choose(chosen)
+        if self._claim(chosen):
+            self._lease(chosen, target, cached_tokens)
+
+    def _is_worth_waiting(self, request: Request, state: TargetState) -> bool:
+        rate = self._state.cost.rate(state.name)
+        waited_ms = self._state.now_ms - request.arrived_ms
+        return waited_ms < WAIT_SHARE * (rate - 1) * request.price_ms
 
     def _dispatch_alone(self) -> None:
-        """Run the first suspect on an idle target, or reserve one for it."""
-        if self._reserved is not None and not self._is_usable(self._reserved):
-            self._free_reserved()
-        request = self._state.queue.find_aside()
-        if request is None:
-            self._free_reserved()
-            return
-        self._reserve_target()
-        if self._reserved is None or self._reserved.running:
-            return
-        self._state.queue.remove(request)
-        if self._claim(request):
-            self._lease(request, self._reserved, 0)
-
-    def _reserve_target(self) -> None:
-        if self._reserved is not None:
-            return
-        self._reserved = self._state.fleet.find_calmest()
-        if self._reserved is not None:
-            self._reserved.is_reserved = True
-            self._state.fleet.refresh(self._reserved, self._state.now_ms)
-
-    def _free_reserved(self) -> None:
-        """Give the reserved target back once nothing runs alone on it."""
-        reserved = self._reserved
-        if reserved is None or (reserved.running and reserved.slots):
-            return
-        reserved.is_reserved = False
-        self._reserved = None
-        self._state.fleet.refresh(reserved, self._state.now_ms)
-
-    def _is_usable(self, state: TargetState) -> bool:
-        return state.slots > 0 and self._state.fleet.find(state.name) is state
+        """Lease idle targets to suspects."""
+        for request, target in self._isolation.take_pairs():
+            if self._claim(request):
+                self._lease(request, target, 0)
 
     def _claim(self, request: Request) -> bool:
         is_free = self._state.ledger.claim_key(
@@ -93,7 +88,8 @@
             self._state.refuse(request, Reason.DUPLICATE_KEY)
         return is_free
 
-    def _place(self, request: Request) -> None:
+    def _choose(self, request: Request) -> tuple[TargetState, int]:
+        """Choose a target and estimate the prompt tokens it has cached."""
         match = self._state.index.match(request.reserve.block_hashes)
         if request.reserve.block_hashes:
             self._state.index.note_reuse(match)
@@ -102,7 +98,7 @@
             key=lambda state: (self._score(request, state, match), state.name),
         )
         cached = self._count_cached(request, best, match)
-        self._lease(request, best, int(cached))
+        return best, int(cached)
 
     def _list_candidates(
         self,
--- a/hornbeampulley/programs/_agent_reports.py
+++ b/hornbeampulley/programs/_agent_reports.py
@@ -1,13 +1,19 @@
 """What an agent tells operators and the metrics server."""
 
 import dataclasses
-from collections.abc import Iterable, Iterator
+import math
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
 from hornbeampulley import wire
-from hornbeampulley.membership import HostRecord, TicketStore
+from hornbeampulley.membership import (
+    SCOPE_HOSTS,
+    HostRecord,
+    Member,
+    TicketStore,
+)
 from hornbeampulley.metrics import TICKET_AGE, TICKET_NUMBER, Metrics
-from hornbeampulley.programs._queries import list_tickets
+from hornbeampulley.programs._queries import form_ticket
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -18,17 +24,17 @@
     ----------
     store : TicketStore
         Tickets in force.
-    ages_ms : dict
-        Maps scopes to the time since the service confirmed their tickets.
-    load : int
-        Number of processes linked.
+    ages_ms : mapping
+        Maps scopes to the time since the service confirmed the ticket.
+    members : tuple of Member
+        Processes of its host.
     hosts : tuple of HostRecord
         Hosts that live.
     """
 
     store: TicketStore
-    ages_ms: dict[str, float]
-    load: int
+    ages_ms: Mapping[str, float]
+    members: tuple[Member, ...]
     hosts: tuple[HostRecord, ...]
 
 
@@ -47,7 +53,7 @@
     """
     members = sorted(_list_members(state.hosts), key=_get_place)
     return {
-        'load': state.load,
+        'load': len(state.members),
         'tickets': _list_tickets(state),
         'conflicts': tuple(map(str, state.store.list_conflicts())),
         'members': tuple(members),
@@ -66,18 +72,15 @@
     """
     for ticket in _list_tickets(state):
         metrics.gauge(TICKET_NUMBER, ticket.scope, level=ticket.number)
-        metrics.gauge(TICKET_AGE, ticket.scope, level=ticket.age_ms)
+        if ticket.age_ms is not None:
+            metrics.gauge(TICKET_AGE, ticket.scope, level=ticket.age_ms)
 
 
 def _list_tickets(state: AgentState) -> tuple[wire.TicketReport, ...]:
-    stamps = state.store.summary().values()
     return tuple(
-        report
-        for stamp in stamps
-        for report in list_tickets(
-            {stamp.scope: stamp.number},
-            state.ages_ms.get(stamp.scope, 0),
-        )
+        form_ticket(scope, stamp.number, state.ages_ms.get(scope, math.inf))
+        for scope, stamp in sorted(state.store.summary().items())
+        if scope != SCOPE_HOSTS
     )
 
 
--- a/hornbeampulley/programs/agent.py
+++ b/hornbeampulley/programs/agent.py
@@ -74,13 +74,9 @@
             self._send,
             self._apply,
         )
-        self._subject = Subject(
-            process,
-            drain,
-            lambda: describe_agent(self.describe()),
-        )
         self._process = process
         self._nursery = nursery
+        self._subject = Subject(process, drain, self._describe)
         self._book = HostBook()
         self._locals = LocalProcesses()
         self._peers = PeerLinks(process, nursery, self._handle)
@@ -103,21 +99,6 @@
         """
         return address in self._list_addresses()
 
-    def describe(self) -> AgentState:
-        """Describe what the agent holds.
-
-        Returns
-        -------
-        AgentState
-            As of now.
-        """
-        return AgentState(
-            self.spread.store,
-            self.spread.list_ages(),
-            len(self._locals.list_members()),
-            self.directory.list_live(self.clock.now()),
-        )
-
     async def accept(self, stream: trio.SocketStream) -> None:
         """Serve a link that a peer or a process of this host has opened.
 
@@ -145,7 +126,7 @@
             self._peers.close_idle()
             self._tell_peers()
             self._tell_locals()
-            measure_tickets(self._process.metrics, self.describe())
+            measure_tickets(self._process.metrics, self._form_state())
             await trio.sleep(to_seconds(BEAT_MS))
 
     def _handle(self, link: wire.Link, message: Any) -> None:
@@ -211,6 +192,7 @@
     ) -> None:
         now_ms = self.clock.now()
         news = wire.read_news(message)
+        is_newcomer = not self.directory.knows(link.peer.host)
         changed = [
             record
             for record in news.records
@@ -222,6 +204,9 @@
         if message.wanted:
             asked = self.directory.compose_news(message.wanted, now_ms)
             link.send(wire.write_news(asked, frozenset()))
+        if is_newcomer:
+            whole = self.directory.compose_all(now_ms)
+            link.send(wire.write_news(whole, frozenset()))
         for record in changed:
             log_event(_log, 'host_changed', subject=record.host)
         if changed:
@@ -247,7 +232,7 @@
         )
         is_ready = self.spread.is_ready
         return LocalView(
-            tickets if is_ready else (),
+            tickets,
             self.directory.list_live(self.clock.now()),
             self._leaving,
             frozenset(self._list_addresses()),
@@ -255,6 +240,17 @@
             is_ready,
         )
 
+    def _describe(self) -> dict[str, Any]:
+        return describe_agent(self._form_state())
+
+    def _form_state(self) -> AgentState:
+        return AgentState(
+            self.spread.store,
+            self.spread.list_ages(),
+            self._locals.list_members(),
+            self.directory.list_live(self.clock.now()),
+        )
+
     def _list_addresses(self) -> set[str]:
         addresses = {peer.name for peer in self._list_peers()}
         addresses.add(self._process.settings.host.address)
--- a/hornbeampulley/wire/_links.py
+++ b/hornbeampulley/wire/_links.py
@@ -9,9 +9,9 @@
 import trio
 
 from hornbeampulley.clock import Clock, to_seconds
-from hornbeampulley.errors import WireError
+from hornbeampulley.errors import HornbeamError, WireError
 from hornbeampulley.logs import log_event
-from hornbeampulley.timeline import HybridClock, Timestamp, TimestampError
+from hornbeampulley.timeline import HybridClock, Timestamp
 from hornbeampulley.wire._frames import FrameDecoder, encode_frame
 from hornbeampulley.wire.generated.peer import ttypes
 
@@ -22,6 +22,14 @@
 _MAX_BATCH: Final = 200
 _RECEIVE_BYTES: Final = 65_536
 
+# What a handler may raise on a message whose fields are missing or wrong.
+_MALFORMED: Final = (
+    HornbeamError,
+    TypeError,
+    ValueError,
+    KeyError,
+    AttributeError,
+)
 _log = logging.getLogger(__name__)
 
 
@@ -151,12 +159,12 @@
                 self.heard_ms = self._clock.now()
                 for frame in decoder.feed(received):
                     self._accept(frame, handle)
-        except (WireError, TimestampError) as error:
+        except _MALFORMED as error:
             log_event(
                 _log,
                 'frame_refused',
                 severity=logging.WARNING,
-                error=error,
+                error=repr(error),
             )
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             log_event(_log, 'link_broken', severity=logging.DEBUG)
@@ -164,7 +172,7 @@
 
     def _accept(self, frame: ttypes.Frame, handle: MessageHandler) -> None:
         if self._hybrid is not None and frame.hlc:
-            self._hybrid.observe(Timestamp.decode(frame.hlc))
+            self._hybrid.observe(Timestamp.unpack(frame.hlc))
         for message in frame.messages:
             if isinstance(message, ttypes.Hello):
                 self.peer = message
@@ -190,10 +198,10 @@
             for frame in _encode_batch(batch, self._tick()):
                 await self._stream.send_all(frame)
 
-    def _tick(self) -> str:
+    def _tick(self) -> int:
         if self._hybrid is None:
-            return ''
-        return self._hybrid.tick().encode()
+            return 0
+        return self._hybrid.tick().pack()
 
     async def _beat(self) -> None:
         self._wakeup.set()
@@ -204,7 +212,7 @@
         self.close()
 
 
-def _encode_batch(batch: list[Any], hlc: str) -> Iterator[bytes]:
+def _encode_batch(batch: list[Any], hlc: int) -> Iterator[bytes]:
     try:
         whole = encode_frame(batch, hlc)
     except WireError:
--- a/hornbeampulley/wire/_queries.py
+++ b/hornbeampulley/wire/_queries.py
@@ -6,7 +6,13 @@
 import trio
 
 from hornbeampulley.clock import to_seconds
-from hornbeampulley.wire._links import Link, open_stream
+from hornbeampulley.wire._links import (
+    FAST,
+    SLOW,
+    Link,
+    LinkTiming,
+    open_stream,
+)
 from hornbeampulley.wire._reports import NoReplyError
 from hornbeampulley.wire.generated.peer import ttypes
 
@@ -14,6 +20,8 @@
 RETRY_MS: Final = 50.0
 # One name for all runs, so that no process remembers each of them.
 OPERATOR: Final = 'operator'
+# Speaks as often as any process expects and hears as long as any may pause.
+_TIMING: Final = LinkTiming(FAST.heartbeat_ms, SLOW.silence_ms)
 
 
 class Querier:
@@ -108,7 +116,7 @@
 
     async def _open(self, address: str, port: int) -> Link:
         stream = await open_stream(address, port, self._address)
-        return Link(stream, self._hello)
+        return Link(stream, self._hello, timing=_TIMING)
 
 
 def _is_refused(error: OSError) -> bool:
