Move the endings of requests out of the filters

Change: what the caller is told and what is kept at the end stands in _endings.py. No behaviour changes.

--- /dev/null
+++ b/hornbeampulley/pipeline/_endings.py
@@ -0,0 +1,111 @@
+"""How a request ends at its home: what the caller is told and what is kept."""
+
+from hornbeampulley.decisions import Outcome
+from hornbeampulley.identity import Ran, State
+from hornbeampulley.pipeline._calls import CallEnd
+from hornbeampulley.pipeline._home import Home
+from hornbeampulley.pipeline._measures import count_answer
+from hornbeampulley.pipeline._problems import Problem, explain_refusal
+from hornbeampulley.pipeline._requests import Request
+
+
+def conclude(home: Home, request: Request, end: CallEnd) -> None:
+    """End the answer of a request whose call has ended.
+
+    Parameters
+    ----------
+    home : Home
+        The request's home.
+    request : Request
+        Its call was the last.
+    end : CallEnd
+        What happened to the call.
+    """
+    if end.outcome is Outcome.DONE:
+        request.answer.end()
+        count_answer(home.metrics, request, home.clock.now())
+    elif end.outcome is Outcome.CANCELLED:
+        request.answer.end_with(explain_cancellation(home, request))
+    elif request.refusal is not None and request.refusal.ran:
+        request.answer.end_with(explain_refusal(request.refusal))
+    else:
+        request.answer.end_with(explain_failure(home, request))
+
+
+def _find_ran(home: Home, request: Request) -> Ran:
+    state = home.ledger.find_state(request.request_id)
+    return Ran.NO if state is State.WAITING else Ran.UNKNOWN
+
+
+def explain_cancellation(home: Home, request: Request) -> Problem:
+    """Explain to a caller that it cancelled its request.
+
+    Parameters
+    ----------
+    home : Home
+        The request's home.
+    request : Request
+        Cancelled.
+
+    Returns
+    -------
+    Problem
+        Tells whether the request ran.
+    """
+    return Problem(
+        499,
+        'cancelled',
+        'the caller cancelled the request; send it again under a new id if '
+        'it is wanted after all',
+        _find_ran(home, request),
+    )
+
+
+def explain_failure(home: Home, request: Request) -> Problem:
+    """Explain to a caller that a target broke off.
+
+    Parameters
+    ----------
+    home : Home
+        The request's home.
+    request : Request
+        Its answer is not whole.
+
+    Returns
+    -------
+    Problem
+        Tells whether the request ran.
+    """
+    return Problem(
+        502,
+        'target failed',
+        'the target broke off before the answer was whole; look the outcome '
+        'up before sending the request again',
+        _find_ran(home, request),
+    )
+
+
+def keep_answer(home: Home, request: Request) -> None:
+    """Keep a whole answer for a caller who asks again.
+
+    Parameters
+    ----------
+    home : Home
+        The request's home.
+    request : Request
+        Its answer is whole.
+    """
+    now_ms = home.clock.now()
+    kept = request.answer.encode()
+    state = home.ledger.find_state(request.request_id)
+    if state is State.WAITING:
+        home.ledger.refuse(request.request_id, kept, now_ms)
+    elif request.answer.headers.get('hornbeam-ran') == Ran.YES.value:
+        home.ledger.finish(request.request_id, kept, now_ms)
+    else:
+        home.ledger.finish(
+            request.request_id,
+            kept,
+            now_ms,
+            Ran.UNKNOWN,
+        )
--- a/hornbeampulley/pipeline/_filters.py
+++ b/hornbeampulley/pipeline/_filters.py
@@ -25,13 +25,17 @@
     UnknownServiceError,
     UnknownWorkspaceError,
 )
-from hornbeampulley.identity import Ran, State
 from hornbeampulley.logs import log_event
 from hornbeampulley.pipeline._calls import CallEnd, TargetCall
 from hornbeampulley.pipeline._content import inspect_content
+from hornbeampulley.pipeline._endings import (
+    conclude,
+    explain_cancellation,
+    explain_failure,
+    keep_answer,
+)
 from hornbeampulley.pipeline._home import Home
 from hornbeampulley.pipeline._measures import (
-    count_answer,
     count_dispatch,
     count_refusal,
     count_waste,
@@ -78,8 +82,8 @@
         request.answer.end_with(error.problem)
     except Exception:
         _log.exception('request %s failed', request.request_id)
-        request.answer.end_with(_explain_failure(home, request))
-    _keep_answer(home, request)
+        request.answer.end_with(explain_failure(home, request))
+    keep_answer(home, request)
     home.close(request)
     log_event(
         _log,
@@ -201,7 +205,7 @@
         # The scheduler may have found that the request caused it.
         with trio.move_on_after(to_seconds(FINDING_MS)):
             await request.decided.wait()
-    _conclude(home, request, end)
+    conclude(home, request, end)
 
 
 async def _wait_for_lease(home: Home, request: Request) -> None:
@@ -211,7 +215,7 @@
         request_id = str(request.request_id)
         channel = home.find_channel(request.pool)
         channel.send(Withdraw(request_id))
-        raise ProblemError(_explain_cancellation(home, request))
+        raise ProblemError(explain_cancellation(home, request))
     if request.refusal is not None:
         count_refusal(home.metrics, request)
         raise ProblemError(explain_refusal(request.refusal))
@@ -309,57 +313,3 @@
             end.cached_tokens,
         ),
     )
-
-
-def _conclude(home: Home, request: Request, end: CallEnd) -> None:
-    if end.outcome is Outcome.DONE:
-        request.answer.end()
-        count_answer(home.metrics, request, home.clock.now())
-    elif end.outcome is Outcome.CANCELLED:
-        request.answer.end_with(_explain_cancellation(home, request))
-    elif request.refusal is not None and request.refusal.ran:
-        request.answer.end_with(explain_refusal(request.refusal))
-    else:
-        request.answer.end_with(_explain_failure(home, request))
-
-
-def _find_ran(home: Home, request: Request) -> Ran:
-    state = home.ledger.find_state(request.request_id)
-    return Ran.NO if state is State.WAITING else Ran.UNKNOWN
-
-
-def _explain_cancellation(home: Home, request: Request) -> Problem:
-    return Problem(
-        499,
-        'cancelled',
-        'the caller cancelled the request; send it again under a new id if '
-        'it is wanted after all',
-        _find_ran(home, request),
-    )
-
-
-def _explain_failure(home: Home, request: Request) -> Problem:
-    return Problem(
-        502,
-        'target failed',
-        'the target broke off before the answer was whole; look the outcome '
-        'up before sending the request again',
-        _find_ran(home, request),
-    )
-
-
-def _keep_answer(home: Home, request: Request) -> None:
-    now_ms = home.clock.now()
-    kept = request.answer.encode()
-    state = home.ledger.find_state(request.request_id)
-    if state is State.WAITING:
-        home.ledger.refuse(request.request_id, kept, now_ms)
-    elif request.answer.headers.get('hornbeam-ran') == Ran.YES.value:
-        home.ledger.finish(request.request_id, kept, now_ms)
-    else:
-        home.ledger.finish(
-            request.request_id,
-            kept,
-            now_ms,
-            Ran.UNKNOWN,
-        )
