--- a/hornbeampulley/pipeline/_filters.py
+++ b/hornbeampulley/pipeline/_filters.py
@@ -55,8 +55,8 @@
 from hornbeampulley.registry import Registry
 
 REPORT_EVERY_MS: Final = 1000.0
-FINDING_MS: Final = 300.0
 READY_RETRY_MS: Final = 1000.0
+FINDING_MS: Final = 300.0
 _log = logging.getLogger(__name__)
 
 Filter = Callable[[Home, Request], Awaitable[None]]
@@ -247,6 +247,7 @@
         mark_dispatched=functools.partial(_mark_dispatched, home, request),
         report=functools.partial(_report_progress, home, request),
         kv_state=request.kv_state,
+        moves=request.moves,
     )
     if request.previous is not None:
         call.output_tokens = request.previous.output_tokens
@@ -293,9 +294,10 @@
         await cancel_stream(home.client, request.call)
         return dataclasses.replace(end, outcome=Outcome.CANCELLED)
     request.kv_state = await export_stream(home.client, request.call)
-    request.previous = end
     if request.kv_state:
-        return end
+        request.moves += 1
+        request.previous = request.call.end(end.outcome, home.clock.now())
+        return request.previous
     # The engine keeps the stream, so it is read on where it runs.
     request.call.scope = trio.CancelScope()
     kind = request.route.service.kind
