Take the messages of homes and schedulers apart from the rest of the wire

Change: wire.scheduling shows the messages between homes and schedulers, over _events, _actions and _parts; PoolScheduler has a module of its own.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -23,6 +23,14 @@
 )
 from hornbeampulley.pipeline import Incoming
 from hornbeampulley.wire.generated.peer import ttypes
+from hornbeampulley.wire.scheduling import (
+    FINGERPRINT_MASK,
+    HASH_MASK,
+    write_action,
+    write_event,
+    write_reserve,
+    write_stamp,
+)
 
 REQUESTS: Final = 2000
 US_PER_S: Final = 1_000_000
@@ -89,9 +97,9 @@
         prompt_tokens=hashes * 64,
         output_tokens=200,
         block_hashes=tuple(
-            hash((index, block)) & wire.HASH_MASK for block in range(hashes)
+            hash((index, block)) & HASH_MASK for block in range(hashes)
         ),
-        fingerprint=hash((index, 'body')) & wire.FINGERPRINT_MASK,
+        fingerprint=hash((index, 'body')) & FINGERPRINT_MASK,
     )
 
 
@@ -99,7 +107,7 @@
     """Yield the bytes of each message of a request's life."""
     stamp = Stamp(INCARNATION, 3, 123_456, 123_400, INCARNATION)
     messages = {
-        f'reserve with {count} block hashes': wire.write_reserve(
+        f'reserve with {count} block hashes': write_reserve(
             make_reserve(1, count),
             stamp,
             0,
@@ -107,9 +115,9 @@
         for count in HASH_COUNTS
     }
     lease = decisions.Lease(REQUEST_ID, INCARNATION, 'engine-17', 1000)
-    messages['lease'] = wire.write_action(lease)
+    messages['lease'] = write_action(lease)
     progress = decisions.Progress(REQUEST_ID, 100, 250)
-    messages['progress'] = wire.write_event(progress)
+    messages['progress'] = write_event(progress)
     release = decisions.Release(
         REQUEST_ID,
         decisions.Outcome.DONE,
@@ -118,8 +126,8 @@
         6000,
         512,
     )
-    messages['release'] = wire.write_event(release, stamp)
-    messages['heartbeat'] = ttypes.Heartbeat(1, False, wire.write_stamp(stamp))
+    messages['release'] = write_event(release, stamp)
+    messages['heartbeat'] = ttypes.Heartbeat(1, False, write_stamp(stamp))
     for name, message in messages.items():
         size = len(wire.encode_frame([message], HLC))
         yield Slope(f'frame: {name}', size, 'bytes')
--- a/bench/links.py
+++ b/bench/links.py
@@ -22,8 +22,14 @@
     Stamp,
 )
 from hornbeampulley.pipeline import Home, PoolChannel, Request
-from hornbeampulley.programs.scheduler import PoolScheduler
+from hornbeampulley.programs._pool_scheduler import PoolScheduler
 from hornbeampulley.wire.generated.peer import ttypes
+from hornbeampulley.wire.scheduling import (
+    read_action,
+    write_event,
+    write_reserve,
+    write_stamp,
+)
 
 TARGETS: Final = 32
 SLOTS: Final = 64
@@ -147,7 +153,7 @@
             1,
             heard,
         )
-        action = wire.read_action(lease, HOME)
+        action = read_action(lease, HOME)
         home.act(action, LeaseStamp(SCHEDULER, 1, heard))
         self._channel.permits(request_id, request.lease_stamp, 1000)
         home.ledger.mark_dispatched(request_id)
@@ -170,7 +176,8 @@
     def greet(self, pool: PoolScheduler) -> None:
         """Open a session."""
         pool.receive(
-            self, ttypes.Heartbeat(stamp=wire.write_stamp(self.make_stamp()))
+            self,
+            ttypes.Heartbeat(stamp=write_stamp(self.make_stamp())),
         )
         self._echo = self.sent[-1].number
         self.sent.clear()
@@ -182,7 +189,7 @@
 
     def reserve(self, pool: PoolScheduler, event: decisions.Reserve) -> None:
         """Ask for a lease."""
-        message = wire.write_reserve(event, self.make_stamp(), 0)
+        message = write_reserve(event, self.make_stamp(), 0)
         pool.receive(self, _recode(message))
         self.pass_on()
 
@@ -196,7 +203,7 @@
             6000,
             512,
         )
-        message = wire.write_event(event, self.make_stamp())
+        message = write_event(event, self.make_stamp())
         pool.receive(self, _recode(message))
         self.sent.clear()
 
--- a/hornbeampulley/pipeline/_channels.py
+++ b/hornbeampulley/pipeline/_channels.py
@@ -15,6 +15,10 @@
     Timing,
 )
 from hornbeampulley.pipeline._shares import take_share
+from hornbeampulley.wire.scheduling import (
+    write_event,
+    write_reserve,
+)
 
 ALONE_AFTER_MS: Final = 3000.0
 TIMING: Final = Timing(
@@ -221,7 +225,7 @@
             return
         self._unannounced.discard(event.request_id)
         self.link.send(
-            wire.write_reserve(
+            write_reserve(
                 event,
                 stamp,
                 now_ms,
@@ -244,7 +248,7 @@
             stamp = self._permit.release(request_id, self._read_now())
             self._unannounced.discard(event.request_id)
         if self.link is not None:
-            self.link.send(wire.write_event(event, stamp))
+            self.link.send(write_event(event, stamp))
 
     def _start_core(
         self,
--- a/hornbeampulley/pipeline/_content.py
+++ b/hornbeampulley/pipeline/_content.py
@@ -10,7 +10,7 @@
 from hornbeampulley.configuration import ServiceKind
 from hornbeampulley.pipeline._problems import Problem, ProblemError
 from hornbeampulley.registry import Registry
-from hornbeampulley.wire import FINGERPRINT_MASK, HASH_MASK
+from hornbeampulley.wire.scheduling import FINGERPRINT_MASK, HASH_MASK
 
 TOKEN_BYTES: Final = 4
 BLOCK_TOKENS: Final = 64
--- a/hornbeampulley/programs/_polling.py
+++ b/hornbeampulley/programs/_polling.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from hornbeampulley import decisions, wire
+from hornbeampulley import decisions
 from hornbeampulley.clock import to_seconds
 from hornbeampulley.configuration import ServiceKind, Target
 from hornbeampulley.errors import TargetError
@@ -16,6 +16,9 @@
 from hornbeampulley.pipeline import TargetClient
 from hornbeampulley.programs._fleet import Fleet
 from hornbeampulley.programs._process import Process
+from hornbeampulley.wire.scheduling import (
+    HASH_MASK,
+)
 
 POLL_MS: Final = 1000.0
 _log = logging.getLogger(__name__)
@@ -128,4 +131,4 @@
 
 
 def _read_hashes(hashes: list[int]) -> tuple[int, ...]:
-    return tuple(number & wire.HASH_MASK for number in hashes)
+    return tuple(number & HASH_MASK for number in hashes)
--- a/hornbeampulley/programs/_scheduler_links.py
+++ b/hornbeampulley/programs/_scheduler_links.py
@@ -14,6 +14,10 @@
 from hornbeampulley.programs._fleet import Fleet, Place
 from hornbeampulley.programs._process import Process
 from hornbeampulley.wire.generated.peer import ttypes
+from hornbeampulley.wire.scheduling import (
+    read_action,
+    write_stamp,
+)
 
 RETRY_MS: Final = 100.0
 AVOID_MS: Final = 2000.0
@@ -141,13 +145,13 @@
                 link.close()
             case ttypes.Lease():
                 stamp = LeaseStamp(scheduler, message.session, message.heard)
-                self._home.act(wire.read_action(message, self._own), stamp)
+                self._home.act(read_action(message, self._own), stamp)
             case ttypes.Refuse() | ttypes.Preempt():
-                self._home.act(wire.read_action(message, self._own))
+                self._home.act(read_action(message, self._own))
 
 
 def _make_heartbeat(
     channel: PoolChannel,
     _link: wire.Link,
 ) -> ttypes.Heartbeat:
-    return ttypes.Heartbeat(stamp=wire.write_stamp(channel.make_stamp()))
+    return ttypes.Heartbeat(stamp=write_stamp(channel.make_stamp()))
--- a/hornbeampulley/wire/__init__.py
+++ b/hornbeampulley/wire/__init__.py
@@ -1,17 +1,5 @@
 """The protocol between the system's own processes."""
 
-from hornbeampulley.wire._conversions import (
-    FINGERPRINT_MASK,
-    HASH_MASK,
-    read_action,
-    read_event,
-    read_request_id,
-    read_stamp,
-    write_action,
-    write_event,
-    write_reserve,
-    write_stamp,
-)
 from hornbeampulley.wire._frames import (
     MAX_FRAME_BYTES,
     FrameDecoder,
@@ -53,8 +41,6 @@
 )
 
 __all__ = (
-    'FINGERPRINT_MASK',
-    'HASH_MASK',
     'HEARTBEAT_MS',
     'MAX_FRAME_BYTES',
     'SILENCE_MS',
@@ -71,25 +57,17 @@
     'decode_body',
     'encode_frame',
     'open_stream',
-    'read_action',
-    'read_event',
     'read_news',
     'read_peer_message',
     'read_process_report',
     'read_record',
-    'read_request_id',
     'read_request_report',
-    'read_stamp',
     'read_ticket_stamp',
     'serve_links',
-    'write_action',
     'write_error',
-    'write_event',
     'write_news',
     'write_peer_message',
     'write_record',
     'write_report',
-    'write_reserve',
-    'write_stamp',
     'write_ticket_stamp',
 )
--- /dev/null
+++ b/hornbeampulley/wire/_actions.py
@@ -0,0 +1,114 @@
+"""Actions of schedulers, as they travel to homes."""
+
+from typing import Any, Final
+
+from hornbeampulley import decisions
+from hornbeampulley.identity import LeaseStamp
+from hornbeampulley.registry import Registry
+from hornbeampulley.wire._parts import (
+    MALFORMED,
+    explain_malformed,
+    read_request_id,
+    round_ms,
+    split_id,
+)
+from hornbeampulley.wire.generated.peer import ttypes
+
+_REASONS: Final = tuple(decisions.Reason)
+_ACTIONS: Final[Registry[Any]] = Registry('action')
+
+
+def write_action(
+    action: decisions.Action,
+    stamp: LeaseStamp | None = None,
+) -> Any:
+    """Convert an action for the home that it is meant for.
+
+    Parameters
+    ----------
+    action : Lease, Refuse or Preempt
+        From the core.
+    stamp : LeaseStamp, optional
+        Stamp of a lease.
+
+    Returns
+    -------
+    thrift struct
+        To send.
+    """
+    match action:
+        case decisions.Lease():
+            return ttypes.Lease(
+                *split_id(action.request_id),
+                action.target,
+                round_ms(action.valid_ms),
+                action.resume,
+                stamp.session if stamp else 0,
+                stamp.heard if stamp else 0,
+            )
+        case decisions.Refuse():
+            return ttypes.Refuse(
+                *split_id(action.request_id),
+                _REASONS.index(action.reason),
+                action.ran,
+                round_ms(action.retry_after_ms),
+            )
+    return ttypes.Preempt(*split_id(action.request_id), action.target)
+
+
+def read_action(message: Any, home: str) -> decisions.Action:
+    """Convert a message of a scheduler for a home.
+
+    Parameters
+    ----------
+    message : thrift struct
+        A lease, refuse or preempt.
+    home : str
+        Incarnation of this home.
+
+    Returns
+    -------
+    Action
+        As the core returned it.
+
+    Raises
+    ------
+    WireError
+        If a field is missing or not one of the values allowed.
+    """
+    reader = _ACTIONS.find(type(message).__name__)
+    try:
+        return reader(message, home)
+    except MALFORMED as error:
+        raise explain_malformed(message) from error
+
+
+@_ACTIONS.register('Lease')
+def _read_lease(message: ttypes.Lease, home: str) -> decisions.Lease:
+    return decisions.Lease(
+        str(read_request_id(message, home)),
+        home,
+        message.target,
+        float(message.valid_ms),
+        message.resume,
+    )
+
+
+@_ACTIONS.register('Refuse')
+def _read_refuse(message: ttypes.Refuse, home: str) -> decisions.Refuse:
+    return decisions.Refuse(
+        str(read_request_id(message, home)),
+        home,
+        _REASONS[message.reason],
+        message.ran,
+        float(message.retry_after_ms),
+    )
+
+
+@_ACTIONS.register('Preempt')
+def _read_preempt(message: ttypes.Preempt, home: str) -> decisions.Preempt:
+    return decisions.Preempt(
+        str(read_request_id(message, home)),
+        home,
+        message.target,
+    )
--- /dev/null
+++ b/hornbeampulley/wire/_events.py
@@ -0,0 +1,209 @@
+"""Events of homes, as they travel to schedulers."""
+
+from typing import Any, Final
+
+from hornbeampulley import decisions
+from hornbeampulley.identity import Stamp
+from hornbeampulley.registry import Registry
+from hornbeampulley.wire._parts import (
+    MALFORMED,
+    explain_malformed,
+    pack_hashes,
+    read_request_id,
+    round_ms,
+    split_id,
+    unpack_hashes,
+    write_stamp,
+)
+from hornbeampulley.wire.generated.peer import ttypes
+
+_OUTCOMES: Final = tuple(decisions.Outcome)
+_EVENTS: Final[Registry[Any]] = Registry('event')
+
+
+def write_reserve(
+    event: decisions.Reserve,
+    stamp: Stamp,
+    now_ms: float,
+    *,
+    dispatched: bool = False,
+) -> ttypes.Reserve:
+    """Convert a reserve for the scheduler of a pool.
+
+    Parameters
+    ----------
+    event : decisions.Reserve
+        Its deadline is a moment of the sender's clock.
+    stamp : Stamp
+        Number of the message.
+    now_ms : float
+        The sender's time.
+    dispatched : bool
+        Whether the request was ever dispatched.
+
+    Returns
+    -------
+    ttypes.Reserve
+        Its deadline is a duration.
+    """
+    deadline_in_ms = 0
+    if event.deadline_ms:
+        deadline_in_ms = max(round_ms(event.deadline_ms - now_ms), 1)
+    lease, counter = split_id(event.request_id)
+    return ttypes.Reserve(
+        id_lease=lease,
+        id_counter=counter,
+        workspace=event.workspace,
+        service_name=event.service,
+        tier=event.tier,
+        prompt_tokens=event.prompt_tokens,
+        output_tokens=event.output_tokens,
+        block_hashes=pack_hashes(event.block_hashes),
+        fingerprint=event.fingerprint,
+        deadline_in_ms=deadline_in_ms,
+        idempotency_key=event.idempotency_key,
+        repeatable=event.repeatable,
+        target=event.target,
+        waited_ms=round_ms(event.waited_ms),
+        stamp=write_stamp(stamp),
+        dispatched=dispatched,
+    )
+
+
+def write_event(
+    event: decisions.Withdraw | decisions.Progress | decisions.Release,
+    stamp: Stamp | None = None,
+) -> Any:
+    """Convert an event, other than a reserve, for a scheduler.
+
+    Parameters
+    ----------
+    event : Withdraw, Progress or Release
+        From a home.
+    stamp : Stamp, optional
+        Number of the message.
+
+    Returns
+    -------
+    thrift struct
+        To send.
+    """
+    match event:
+        case decisions.Withdraw():
+            return ttypes.Withdraw(
+                *split_id(event.request_id),
+                write_stamp(stamp),
+            )
+        case decisions.Progress():
+            return ttypes.Progress(
+                *split_id(event.request_id),
+                event.output_tokens,
+                round_ms(event.first_token_ms),
+            )
+    return ttypes.Release(
+        *split_id(event.request_id),
+        _OUTCOMES.index(event.outcome),
+        event.output_tokens,
+        round_ms(event.first_token_ms),
+        round_ms(event.duration_ms),
+        event.cached_tokens,
+        write_stamp(stamp),
+    )
+
+
+def read_event(
+    message: Any,
+    home: str,
+    now_ms: float,
+) -> decisions.Event:
+    """Convert a message of a home for the core.
+
+    Parameters
+    ----------
+    message : thrift struct
+        A reserve, withdraw, progress or release.
+    home : str
+        Incarnation of the sender.
+    now_ms : float
+        The receiver's time.
+
+    Returns
+    -------
+    Event
+        Its moments are of the receiver's clock.
+
+    Raises
+    ------
+    WireError
+        If a field is missing or not one of the values allowed.
+    """
+    reader = _EVENTS.find(type(message).__name__)
+    try:
+        return reader(message, home, now_ms)
+    except MALFORMED as error:
+        raise explain_malformed(message) from error
+
+
+@_EVENTS.register('Reserve')
+def _read_reserve(
+    message: ttypes.Reserve,
+    home: str,
+    now_ms: float,
+) -> decisions.Reserve:
+    deadline_ms = 0.0
+    if message.deadline_in_ms:
+        deadline_ms = now_ms + message.deadline_in_ms
+    return decisions.Reserve(
+        request_id=str(read_request_id(message, home)),
+        home=home,
+        workspace=message.workspace,
+        service=message.service_name,
+        tier=message.tier,
+        prompt_tokens=message.prompt_tokens,
+        output_tokens=message.output_tokens,
+        block_hashes=unpack_hashes(message.block_hashes),
+        fingerprint=message.fingerprint,
+        deadline_ms=deadline_ms,
+        idempotency_key=message.idempotency_key,
+        repeatable=message.repeatable,
+        target=message.target,
+        waited_ms=float(message.waited_ms),
+    )
+
+
+@_EVENTS.register('Withdraw')
+def _read_withdraw(
+    message: ttypes.Withdraw,
+    home: str,
+    _now_ms: float,
+) -> decisions.Withdraw:
+    return decisions.Withdraw(str(read_request_id(message, home)))
+
+
+@_EVENTS.register('Progress')
+def _read_progress(
+    message: ttypes.Progress,
+    home: str,
+    _now_ms: float,
+) -> decisions.Progress:
+    return decisions.Progress(
+        str(read_request_id(message, home)),
+        message.output_tokens,
+        float(message.first_token_ms),
+    )
+
+
+@_EVENTS.register('Release')
+def _read_release(
+    message: ttypes.Release,
+    home: str,
+    _now_ms: float,
+) -> decisions.Release:
+    return decisions.Release(
+        str(read_request_id(message, home)),
+        _OUTCOMES[message.outcome],
+        message.output_tokens,
+        float(message.first_token_ms),
+        float(message.duration_ms),
+        message.cached_tokens,
+    )
--- /dev/null
+++ b/hornbeampulley/wire/scheduling.py
@@ -0,0 +1,28 @@
+"""Messages between homes and schedulers.
+
+Apart from the rest of ``wire``, since the agent needs neither the decisions
+nor the identities that they are made of.
+"""
+
+from hornbeampulley.wire._actions import read_action, write_action
+from hornbeampulley.wire._events import read_event, write_event, write_reserve
+from hornbeampulley.wire._parts import (
+    FINGERPRINT_MASK,
+    HASH_MASK,
+    read_request_id,
+    read_stamp,
+    write_stamp,
+)
+
+__all__ = (
+    'FINGERPRINT_MASK',
+    'HASH_MASK',
+    'read_action',
+    'read_event',
+    'read_request_id',
+    'read_stamp',
+    'write_action',
+    'write_event',
+    'write_reserve',
+    'write_stamp',
+)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,6 +11,16 @@
 from hornbeampulley.identity import Stamp
 from hornbeampulley.membership import Role
 from hornbeampulley.wire.generated.peer import ttypes
+from hornbeampulley.wire.scheduling import (
+    read_action,
+    read_event,
+    read_request_id,
+    read_stamp,
+    write_action,
+    write_event,
+    write_reserve,
+    write_stamp,
+)
 
 HELLO = ttypes.Hello('entry', 'host-1', 'a' * 16, 'split-a', '127.0.0.1', 1, 2)
 
@@ -93,30 +103,30 @@
 @pytest.mark.parametrize('event', EVENTS)
 def test_events_come_back_as_they_were(event):
     if isinstance(event, decisions.Reserve):
-        message = wire.write_reserve(event, STAMP, now_ms=10)
+        message = write_reserve(event, STAMP, now_ms=10)
     else:
-        message = wire.write_event(event, STAMP)
+        message = write_event(event, STAMP)
     sent = wire.decode_body(wire.encode_frame([message])[4:]).messages[0]
-    assert wire.read_event(sent, HOME, now_ms=10) == event
+    assert read_event(sent, HOME, now_ms=10) == event
 
 
 @pytest.mark.parametrize('action', ACTIONS)
 def test_actions_come_back_as_they_were(action):
-    message = wire.write_action(action)
+    message = write_action(action)
     sent = wire.decode_body(wire.encode_frame([message])[4:]).messages[0]
-    assert wire.read_action(sent, HOME) == action
+    assert read_action(sent, HOME) == action
 
 
 def test_stamps_come_back_as_they_were():
-    message = wire.write_stamp(STAMP)
-    assert wire.read_stamp(message, 'home', 'scheduler') == STAMP
+    message = write_stamp(STAMP)
+    assert read_stamp(message, 'home', 'scheduler') == STAMP
 
 
 def test_malformed_messages_are_wire_errors():
     with pytest.raises(WireError, match='malformed Release'):
-        wire.read_event(ttypes.Release(17, 4, 99), 'home', 0)
+        read_event(ttypes.Release(17, 4, 99), 'home', 0)
     with pytest.raises(WireError, match='malformed Reserve'):
-        wire.read_event(ttypes.Reserve(17, 4), 'home', 0)
+        read_event(ttypes.Reserve(17, 4), 'home', 0)
 
 
 async def run_pair(handle):
@@ -158,7 +168,7 @@
     def handle(link, received):
         Role(link.peer.role)
         if isinstance(received, ttypes.Reserve):
-            wire.read_request_id(received, link.peer.incarnation)
+            read_request_id(received, link.peer.incarnation)
 
     async def run():
         left, right = trio.testing.memory_stream_pair()
