Let the agent do without the decision core

Cause: the wire's reports imported the core for two data classes, so the agent held all of it. Change: views.py holds them.

--- a/hornbeampulley/decisions/__init__.py
+++ b/hornbeampulley/decisions/__init__.py
@@ -30,7 +30,7 @@
     Withdraw,
 )
 from hornbeampulley.decisions._policies import Policy, policies
-from hornbeampulley.decisions._views import PoolState, TargetView
+from hornbeampulley.views import PoolState, TargetView
 
 __all__ = (
     'Action',
--- a/hornbeampulley/decisions/_core.py
+++ b/hornbeampulley/decisions/_core.py
@@ -32,7 +32,8 @@
 from hornbeampulley.decisions._requests import Request
 from hornbeampulley.decisions._shedding import Shedder
 from hornbeampulley.decisions._state import State
-from hornbeampulley.decisions._views import PoolState, describe_state
+from hornbeampulley.decisions._views import describe_state
+from hornbeampulley.views import PoolState
 
 _Handler = Callable[[Any], None]
 
--- a/hornbeampulley/decisions/_views.py
+++ b/hornbeampulley/decisions/_views.py
@@ -1,55 +1,7 @@
 """Read-only views of a core for status pages."""
 
-import dataclasses
-
 from hornbeampulley.decisions._state import State
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TargetView:
-    """State of one target.
-
-    Attributes
-    ----------
-    name : str
-        Name of the target.
-    limit : int
-        How many requests may run on it.
-    running : int
-        How many do.
-    health : str
-        ``healthy``, ``ejected`` or ``down``.
-    is_leaving : bool
-        Whether it gets no lease as it leaves.
-    """
-
-    name: str
-    limit: int
-    running: int
-    health: str
-    is_leaving: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PoolState:
-    """State of a pool.
-
-    Attributes
-    ----------
-    pool : str
-        Name of the pool.
-    waiting : dict
-        Number of waiting requests by tier.
-    running : int
-        Number of leases outstanding.
-    targets : tuple of TargetView
-        In order of their names.
-    """
-
-    pool: str
-    waiting: dict[str, int]
-    running: int
-    targets: tuple[TargetView, ...]
+from hornbeampulley.views import PoolState, TargetView
 
 
 def describe_state(state: State) -> PoolState:
--- a/hornbeampulley/programs/_pages.py
+++ b/hornbeampulley/programs/_pages.py
@@ -5,7 +5,7 @@
 from returns.result import Success
 
 from hornbeampulley import porcelain, wire
-from hornbeampulley.decisions import PoolState
+from hornbeampulley.views import PoolState
 
 
 def form_check_lines(report: porcelain.CheckReport) -> Iterator[str]:
--- a/hornbeampulley/wire/_reports.py
+++ b/hornbeampulley/wire/_reports.py
@@ -4,8 +4,8 @@
 import json
 from typing import Any
 
-from hornbeampulley.decisions import PoolState, TargetView
 from hornbeampulley.errors import HornbeamError, WireError
+from hornbeampulley.views import PoolState, TargetView
 
 
 class QueryError(HornbeamError):
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -6,8 +6,8 @@
 from cleo.testers.command_tester import CommandTester
 
 from hornbeampulley import porcelain, wire
-from hornbeampulley.decisions import PoolState, TargetView
 from hornbeampulley.programs import operator
+from hornbeampulley.views import PoolState, TargetView
 
 COMMANDS = ('ticket check', 'status', 'explain', 'timeline', 'drain')
 REQUEST_ID = '0123456789abcdef.1.2'
--- a/tests/test_porcelain.py
+++ b/tests/test_porcelain.py
@@ -6,8 +6,8 @@
 from returns.result import Success
 
 from hornbeampulley import porcelain, wire
-from hornbeampulley.decisions import PoolState, TargetView
 from hornbeampulley.errors import WireError
+from hornbeampulley.views import PoolState, TargetView
 
 TIERS = {'ticket': 4, 'scope': 'tiers', 'state': [{'name': 'a', 'rank': 0}]}
 RULE = {'workspace': '*', 'service': '*', 'tier': 'b'}
