Carry the finding of a crashing content to the next scheduler

Cause: a new scheduler knew nothing of contents that had crashed targets and could lose two more to each. Change: a scheduler tells its homes; each remembers up to 256 findings a pool and tells the next scheduler, or its own core when alone. Ruled out: gossip between schedulers, which keep no links to each other.

--- a/hornbeampulley/pipeline/_channels.py
+++ b/hornbeampulley/pipeline/_channels.py
@@ -15,6 +15,7 @@
     Timing,
 )
 from hornbeampulley.pipeline._shares import take_share
+from hornbeampulley.wire.generated.peer import ttypes
 from hornbeampulley.wire.scheduling import (
     write_event,
     write_reserve,
@@ -25,6 +26,7 @@
     binding_ms=wire.SILENCE_MS,
     alone_ms=ALONE_AFTER_MS,
 )
+MAX_QUARANTINED: Final = 256
 _SEED: Final = 1
 _WAITS_AGAIN: Final = frozenset(
     (decisions.Outcome.NOT_SENT, decisions.Outcome.PREEMPTED),
@@ -79,6 +81,7 @@
             TIMING,
         )
         self._unannounced: set[str] = set()
+        self._quarantined: dict[int, None] = {}
         self._core: decisions.Policy | None = None
         self._lost_ms = read_now()
 
@@ -117,6 +120,21 @@
             event.request_id
             for event in self._requests.list_reserves(self._pool)
         }
+        for fingerprint in self._quarantined:
+            link.send(ttypes.Quarantine(fingerprint))
+
+    def quarantine(self, fingerprint: int) -> None:
+        """Remember a content that crashes targets, for the next scheduler.
+
+        Parameters
+        ----------
+        fingerprint : int
+            Hash of the content; the oldest of too many are forgotten.
+        """
+        self._quarantined.pop(fingerprint, None)
+        self._quarantined[fingerprint] = None
+        if len(self._quarantined) > MAX_QUARANTINED:
+            self._quarantined.pop(next(iter(self._quarantined)))
 
     def detach(self, link: wire.Link) -> None:
         """Stop using a link that has closed.
@@ -258,6 +276,8 @@
         self._core = decisions.policies.find('hornbeam')(self._pool, _SEED)
         self._handle(decisions.Configure(configuration))
         self._handle(decisions.TargetsLeaving(leaving))
+        for fingerprint in self._quarantined:
+            self._handle(decisions.Quarantine(fingerprint))
         for event in tuple(self._requests.list_reserves(self._pool)):
             self._handle(event)
 
--- a/hornbeampulley/programs/_pool_scheduler.py
+++ b/hornbeampulley/programs/_pool_scheduler.py
@@ -18,6 +18,7 @@
 )
 
 ANNOUNCED_AFTER_MS: Final = 300.0
+QUARANTINED: Final = 'quarantined'
 _log = logging.getLogger(__name__)
 
 
@@ -97,6 +98,8 @@
                 self._answer_fate(link, message.request_id)
             case ttypes.Reserve():
                 self._announce(link, message)
+            case ttypes.Quarantine():
+                self.handle(decisions.Quarantine(int(message.fingerprint)))
             case ttypes.Withdraw() | ttypes.Progress() | ttypes.Release():
                 self._record_end(home, message)
                 self.handle(read_event(message, home, now_ms))
@@ -202,6 +205,11 @@
         log_event(_log, 'fate_judged', request=id_text, ran=ran.value)
         link.send(ttypes.FateAnswer(id_text, ran is Ran.NO))
 
+    def _spread_finding(self, fingerprint: int) -> None:
+        # The homes carry it to whichever scheduler comes next.
+        for link in self._links.values():
+            link.send(ttypes.Quarantine(fingerprint))
+
     def _carry_out(self, action: decisions.Action) -> None:
         if isinstance(action, decisions.Warn):
             log_event(
@@ -211,6 +219,8 @@
                 pool=self.pool,
                 subject=action.subject,
             )
+            if action.event == QUARANTINED:
+                self._spread_finding(int(action.subject))
             return
         link = self._links.get(action.home)
         if link is None:
--- a/hornbeampulley/programs/_scheduler_links.py
+++ b/hornbeampulley/programs/_scheduler_links.py
@@ -143,6 +143,8 @@
             case ttypes.Handover():
                 channel.accept_handover(Handover(scheduler, message.session))
                 link.close()
+            case ttypes.Quarantine():
+                channel.quarantine(int(message.fingerprint))
             case ttypes.Lease():
                 stamp = LeaseStamp(scheduler, message.session, message.heard)
                 self._home.act(read_action(message, self._own), stamp)
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -99,10 +99,7 @@
   3: string target
 }
 
-struct Quarantine {
-  1: string pool
-  2: i64 fingerprint
-}
+struct Quarantine { 1: i64 fingerprint }
 
 struct FateQuery {
   1: string request_id
--- /dev/null
+++ b/tests/test_channels.py
@@ -0,0 +1,143 @@
+"""Tests of ``hornbeampulley.pipeline`` on channels to schedulers."""
+
+import types
+
+import pytest
+
+from hornbeampulley import decisions
+from hornbeampulley.clock import ManualClock
+from hornbeampulley.configuration import (
+    Configuration,
+    Service,
+    Target,
+    Tier,
+    Workspace,
+)
+from hornbeampulley.identity import SchedulerHeartbeat
+from hornbeampulley.pipeline._channels import (
+    ALONE_AFTER_MS,
+    MAX_QUARANTINED,
+    PoolChannel,
+)
+from hornbeampulley.wire.generated.peer import ttypes
+
+HOME = 'a' * 16
+CONFIGURATION = Configuration(
+    tiers={'standard': Tier('standard', 0)},
+    workspaces={'shop': Workspace('shop')},
+    services={'tag': Service('tag', 'pool')},
+    targets={'m1': Target('m1', 'pool', '127.0.0.1', 1, 'zone', slots=4)},
+)
+
+
+class FakeLink:
+    def __init__(self, scheduler):
+        self.peer = types.SimpleNamespace(incarnation=scheduler)
+        self.sent = []
+
+    def send(self, *messages):
+        self.sent.extend(messages)
+
+    def find(self, kind):
+        return [one for one in self.sent if isinstance(one, kind)]
+
+
+class FakeHome:
+    """Holds open requests and notes what it is told to do."""
+
+    incarnation = HOME
+
+    def __init__(self, count=0):
+        self.actions = []
+        self.events = [
+            decisions.Reserve(
+                f'{HOME}.1.{number}',
+                HOME,
+                'shop',
+                'tag',
+                'standard',
+                prompt_tokens=10,
+                fingerprint=number,
+            )
+            for number in range(count)
+        ]
+
+    def list_reserves(self, _pool):
+        return iter(self.events)
+
+    def was_dispatched(self, _request_id):
+        return False
+
+    def act(self, action, stamp=None):
+        self.actions.append(action)
+
+    def list_leased(self):
+        kind = decisions.Lease
+        return [one for one in self.actions if isinstance(one, kind)]
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(start_ms=1000)
+
+
+def make_channel(clock, count=0):
+    home = FakeHome(count)
+    return PoolChannel('pool', home, clock.now), home
+
+
+def test_open_requests_are_announced_once_the_scheduler_was_heard(clock):
+    channel, _home = make_channel(clock, count=2)
+    link = FakeLink('s1')
+    channel.attach(link)
+    assert not link.find(ttypes.Reserve)
+    channel.hear(SchedulerHeartbeat('s1', 1, 1))
+    assert [one.id_counter for one in link.find(ttypes.Reserve)] == [0, 1]
+
+
+def test_announced_requests_wait_for_the_end_of_the_binding(clock):
+    channel, _home = make_channel(clock, count=1)
+    first, second = FakeLink('s1'), FakeLink('s2')
+    channel.attach(first)
+    channel.hear(SchedulerHeartbeat('s1', 1, 1))
+    channel.detach(first)
+    channel.attach(second)
+    channel.hear(SchedulerHeartbeat('s2', 2, 1))
+    assert not second.find(ttypes.Reserve)
+    clock.advance(600)
+    channel.hear(SchedulerHeartbeat('s2', 2, 2))
+    clock.advance(200)
+    channel.tick(CONFIGURATION, frozenset(), 1)
+    assert len(second.find(ttypes.Reserve)) == 1
+
+
+def test_alone_it_leases_within_its_share(clock):
+    channel, home = make_channel(clock, count=5)
+    channel.tick(CONFIGURATION, frozenset(), 2)
+    assert not channel.is_alone
+    clock.advance(ALONE_AFTER_MS)
+    channel.tick(CONFIGURATION, frozenset(), 2)
+    assert channel.is_alone
+    assert len(home.list_leased()) == 2
+
+
+def test_findings_go_to_the_next_scheduler_and_to_the_own_core(clock):
+    channel, home = make_channel(clock, count=2)
+    channel.quarantine(1)
+    link = FakeLink('s2')
+    channel.attach(link)
+    assert link.find(ttypes.Quarantine) == [ttypes.Quarantine(1)]
+    channel.detach(link)
+    clock.advance(ALONE_AFTER_MS)
+    channel.tick(CONFIGURATION, frozenset(), 1)
+    refused = [one for one in home.actions if isinstance(one, decisions.Refuse)]
+    assert [one.reason for one in refused] == [decisions.Reason.QUARANTINED]
+
+
+def test_findings_are_bounded(clock):
+    channel, _home = make_channel(clock)
+    for number in range(MAX_QUARANTINED + 10):
+        channel.quarantine(number)
+    link = FakeLink('s1')
+    channel.attach(link)
+    assert len(link.find(ttypes.Quarantine)) == MAX_QUARANTINED
