--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -10,6 +10,7 @@
 
 from hornbeampulley.client import Client, ClientSettings
 from hornbeampulley.errors import OutcomeUnknownError
+from hornbeampulley.programs._process import EXIT_CUT_OFF
 from hornbeampulley.timeline import merge_logs
 from standins import example
 from standins._runs import compose_answer
@@ -19,12 +20,15 @@
     Caller,
     check_booked_once,
     check_replies,
+    poll_until,
     read_counters,
     read_text,
     send_many,
     wait_admitted,
 )
 
+BROKEN = (httpcore.RemoteProtocolError, httpcore.NetworkError)
+
 
 def test_each_kind_of_request_is_served_from_end_to_end(run_fleet):
     async def scenario(fleet, addresses, service):
@@ -124,7 +128,7 @@
             document = {'prompt': f'{number} {PROMPT}', 'max_tokens': 60}
             try:
                 await caller.send('consult', document, request_id)
-            except (httpcore.NetworkError, httpcore.RemoteProtocolError):
+            except BROKEN:
                 lost.append((request_id, document))
 
         async with trio.open_nursery() as nursery:
@@ -248,3 +252,28 @@
         received = await stream.receive_some()
     await stream.aclose()
     return received.partition(b' ')[2][:1]
+
+
+def test_a_second_sigterm_ends_at_once(run_fleet):
+    async def scenario(fleet, addresses, _service):
+        caller = Caller(fleet, addresses[0])
+        await caller.lease_ids()
+        log = fleet.folder / 'host-1-entry.log'
+
+        async def drains():
+            return 'event=drain_started' in log.read_text()
+
+        async def send():
+            document = {'prompt': PROMPT, 'max_tokens': 100_000}
+            with pytest.raises(BROKEN):
+                await caller.send('consult', document)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            await wait_admitted(fleet, 1)
+            fleet.send_signal('host-1-entry', signal.SIGTERM)
+            await poll_until(drains)
+            fleet.send_signal('host-1-entry', signal.SIGTERM)
+            assert await fleet.wait_exit('host-1-entry') == EXIT_CUT_OFF
+
+    run_fleet(scenario)
