--- a/hornbeampulley/programs/operator.py
+++ b/hornbeampulley/programs/operator.py
@@ -1,5 +1,6 @@
 """The operators' command line."""
 
+import abc
 import dataclasses
 import json
 import sys
@@ -68,15 +69,15 @@
             is_usage = isinstance(error, _USAGE_ERRORS)
             return EXIT_USAGE if is_usage else EXIT_PROBLEM
 
+    @abc.abstractmethod
     def operate(self) -> int:
-        """Do what the command is for; overridden by each.
+        """Do what the command is for.
 
         Returns
         -------
         int
             The exit code.
         """
-        raise NotImplementedError
 
     def load_settings(self) -> Settings:
         """Read the file of the option ``--settings``.
