Configure a pool's core only when the tickets have changed

Cause: each word of the agent, two a second, rebuilt every core's view of the fleet although nothing had changed. Change: the scheduler compares the configuration and the leaving targets with those that it passed on last.

--- a/hornbeampulley/programs/_pool_scheduler.py
+++ b/hornbeampulley/programs/_pool_scheduler.py
@@ -5,6 +5,7 @@
 
 from hornbeampulley import decisions, wire
 from hornbeampulley.clock import Clock
+from hornbeampulley.configuration import Configuration
 from hornbeampulley.identity import FateRecorder, Ran, RequestId, Stamp
 from hornbeampulley.logs import log_event
 from hornbeampulley.pipeline import TIMING
@@ -51,6 +52,8 @@
         self._fleet = fleet
         self._clock = clock
         self._links: dict[str, wire.Link] = {}
+        self._configuration: Configuration | None = None
+        self._leaving: frozenset[str] = frozenset()
         self._is_takeover = True
         self._incomplete_ms = clock.now()
         self.configure()
@@ -65,8 +68,12 @@
         now_ms = self._clock.now()
         for incarnation in self._fleet.list_ended():
             self._fates.confirm_death(incarnation, now_ms)
-        self.handle(decisions.Configure(self._fleet.configuration))
-        self.handle(decisions.TargetsLeaving(self._fleet.leaving))
+        if self._configuration is not self._fleet.configuration:
+            self._configuration = self._fleet.configuration
+            self.handle(decisions.Configure(self._configuration))
+        if self._leaving != self._fleet.leaving:
+            self._leaving = self._fleet.leaving
+            self.handle(decisions.TargetsLeaving(self._leaving))
 
     def tick(self) -> None:
         """Let time pass."""
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,5 +1,7 @@
 """Tests of ``hornbeampulley.wire``."""
 
+import socket
+
 import pytest
 import trio
 import trio.testing
@@ -191,3 +193,45 @@
         return trio.current_time() - started
 
     assert mock_run(run) <= (wire.SILENCE_MS + wire.HEARTBEAT_MS) / 1000
+
+
+def find_free_port():
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+@pytest.mark.parametrize(
+    ('address', 'answer'),
+    [('127.0.0.1', b'welcome'), ('127.0.0.2', b'')],
+)
+def test_only_listed_addresses_are_served(address, answer):
+    port = find_free_port()
+
+    async def accept(stream):
+        await stream.send_all(b'welcome')
+        await stream.aclose()
+
+    async def connect():
+        for _ in range(100):
+            try:
+                return await wire.open_stream('127.0.0.1', port, address)
+            except OSError:
+                await trio.sleep(0.05)
+        raise TimeoutError
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                wire.serve_links,
+                '127.0.0.1',
+                port,
+                accept,
+                lambda remote: remote == '127.0.0.1',
+            )
+            stream = await connect()
+            received = await stream.receive_some()
+            nursery.cancel_scope.cancel()
+        return received
+
+    assert trio.run(run) == answer
