Give answers and cancellations only to the workspace of the id

Cause: GET and DELETE of a request looked at its id alone, so that one workspace could read or cancel what another had sent. Change: both compare the workspace header with the workspace that the id lease was granted to, at the request's home. After: the new test passes (it would have got the kept answer before); 96 tests of callers, library, forwarding and ledger pass.

--- a/hornbeampulley/client.py
+++ b/hornbeampulley/client.py
@@ -260,7 +260,11 @@
         """
         path = f'/v1/requests/{RequestId.parse(request_id)}'
         for url in self._book.list_others(''):
-            request = HttpRequest('DELETE', f'{url}{path}')
+            request = HttpRequest(
+                'DELETE',
+                f'{url}{path}',
+                {'hornbeam-workspace': self.workspace},
+            )
             try:
                 async with self._transport.open(request) as response:
                     body = await response.aread()
--- a/hornbeampulley/identity/_ledger.py
+++ b/hornbeampulley/identity/_ledger.py
@@ -128,6 +128,24 @@
         self._open_count += 1
         return Admission.NEW
 
+    def find_workspace(self, request_id: RequestId) -> str | None:
+        """Return the workspace that an id was granted to.
+
+        Parameters
+        ----------
+        request_id : RequestId
+            Any id.
+
+        Returns
+        -------
+        str or None
+            None if its id lease is not remembered here.
+        """
+        if request_id.incarnation != self.incarnation:
+            return None
+        lease = self._leases.find(request_id.lease)
+        return None if lease is None else lease.workspace
+
     def assign(self, workspace: str, now_ms: float) -> RequestId:
         """Assign an id to a caller that sent none; it starts to wait.
 
--- a/hornbeampulley/pipeline/_callers.py
+++ b/hornbeampulley/pipeline/_callers.py
@@ -8,8 +8,9 @@
 import trio
 
 from hornbeampulley.errors import LedgerFullError, RequestIdError
-from hornbeampulley.identity import Ran, RequestId
+from hornbeampulley.identity import Admission, Ran, RequestId
 from hornbeampulley.logs import log_event
+from hornbeampulley.pipeline._admissions import refuse_admission
 from hornbeampulley.pipeline._answers import Answer, decode_answer
 from hornbeampulley.pipeline._exchanges import (
     CallerGoneError,
@@ -222,12 +223,12 @@
     exchange : Exchange
         With the request id in its path.
     """
-    id_text = _read_id(exchange)
-    if _is_foreign(caller, id_text):
-        await caller.forwarder.forward(exchange, _read_incoming(exchange, b''))
+    incoming = _read_incoming(exchange, b'')
+    if _is_foreign(caller, incoming.id_text):
+        await caller.forwarder.forward(exchange, incoming)
         return
-    answer = _find_answer(caller.home, RequestId.parse(id_text))
-    await exchange.send_answer(answer)
+    request_id = _check_owner(caller.home, incoming)
+    await exchange.send_answer(_find_answer(caller.home, request_id))
 
 
 @endpoints.register('DELETE /v1/requests')
@@ -244,14 +245,23 @@
     exchange : Exchange
         With the request id in its path.
     """
-    id_text = _read_id(exchange)
-    if _is_foreign(caller, id_text):
-        await caller.forwarder.forward(exchange, _read_incoming(exchange, b''))
+    incoming = _read_incoming(exchange, b'')
+    if _is_foreign(caller, incoming.id_text):
+        await caller.forwarder.forward(exchange, incoming)
         return
-    is_cancelled = caller.home.cancel(id_text)
+    request_id = _check_owner(caller.home, incoming)
+    is_cancelled = caller.home.cancel(str(request_id))
     await exchange.send_json({'cancelled': is_cancelled})
 
 
+def _check_owner(home: Home, incoming: Incoming) -> RequestId:
+    request_id = RequestId.parse(incoming.id_text)
+    owner = home.ledger.find_workspace(request_id)
+    if owner not in {None, incoming.workspace}:
+        raise refuse_admission(Admission.WRONG_WORKSPACE)
+    return request_id
+
+
 def _explain_id_error(error: RequestIdError | LedgerFullError) -> Problem:
     if isinstance(error, RequestIdError):
         return Problem(400, 'bad id', str(error))
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -151,6 +151,23 @@
     run_callers(scenario)
 
 
+@pytest.mark.parametrize('method', ['GET', 'DELETE'])
+def test_answers_are_for_their_own_workspace_only(run_callers, method):
+    async def scenario(interface):
+        number = await lease(interface)
+        path = f'/v1/requests/{INCARNATION}.{number}.1'
+        refused = await post(interface, f'{INCARNATION}.{number}.1', b'[]')
+        assert refused.status == 400
+        for headers in ({}, {'hornbeam_workspace': example.SMALL_WORKSPACE}):
+            foreign = await call(interface, method, path, b'', **headers)
+            check_problem(foreign, 403, 'id of another workspace', 'unknown')
+        own = {'hornbeam_workspace': example.WORKSPACE}
+        answer = await call(interface, method, path, b'', **own)
+        assert answer.status != 403
+
+    run_callers(scenario)
+
+
 def test_an_id_of_a_lost_home_has_an_unknown_outcome(run_callers):
     async def scenario(interface):
         check_problem(
