Test the new transport and routing; end slow heads; try another target

A head that drips in byte by byte kept its connection open for ever: each byte started the time anew. A repeat of an idempotent request now avoids the target that has just failed it.

--- a/hornbeampulley/decisions/_dispatch.py
+++ b/hornbeampulley/decisions/_dispatch.py
@@ -112,7 +112,12 @@
             if state is not None and state not in candidates:
                 if fleet.has_slot(state, request.rank):
                     candidates.append(state)
-        return candidates
+        others = [
+            state
+            for state in candidates
+            if state.name != request.reserve.avoided
+        ]
+        return others or candidates
 
     def _score(
         self,
--- a/hornbeampulley/decisions/_messages.py
+++ b/hornbeampulley/decisions/_messages.py
@@ -57,6 +57,8 @@
         Target it already runs on, when announced after a takeover; or empty.
     waited_ms : float
         Time it has already waited elsewhere.
+    avoided : str
+        Target that has just failed it; used only if there is no other.
     """
 
     request_id: str
@@ -73,6 +75,7 @@
     repeatable: bool = True
     target: str = ''
     waited_ms: float = 0
+    avoided: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeampulley/http1/_channels.py
+++ b/hornbeampulley/http1/_channels.py
@@ -79,13 +79,10 @@
     @property
     def is_reusable(self) -> bool:
         """Whether another request may be sent on it."""
-        return (
-            self._is_sent
-            and not self._is_broken
-            and self._parser.is_persistent
-            and self._parser.is_idle
-            and not self._parser.parts
-        )
+        if self._is_broken or not self._is_sent:
+            return False
+        parser = self._parser
+        return parser.is_persistent and parser.is_idle and not parser.parts
 
     @property
     def is_stale(self) -> bool:
--- a/hornbeampulley/http1/_messages.py
+++ b/hornbeampulley/http1/_messages.py
@@ -132,8 +132,8 @@
     bytes
         Head and body.
     """
-    lines = [request.method + b' ' + request.target + b' HTTP/1.1']
-    lines.extend(name + b': ' + value for name, value in request.headers)
+    lines = [b'%s %s HTTP/1.1' % (request.method, request.target)]
+    lines.extend(b'%s: %s' % header for header in request.headers)
     if request.body or request.method not in {b'GET', b'HEAD', b'DELETE'}:
         lines.append(b'content-length: %d' % len(request.body))
     return _LINE_END.join((*lines, b'', request.body))
@@ -156,5 +156,5 @@
     """
     phrase = _REASONS.get(status, b'')
     lines = [b'HTTP/1.1 %d %s' % (status, phrase)]
-    lines.extend(name + b': ' + value for name, value in headers)
+    lines.extend(b'%s: %s' % header for header in headers)
     return _LINE_END.join((*lines, b'', b''))
--- a/hornbeampulley/http1/_responses.py
+++ b/hornbeampulley/http1/_responses.py
@@ -66,7 +66,10 @@
         """
         try:
             self._parser.feed_data(received)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
             self.is_persistent = False
             raise ResponseBrokenError(
                 f'a target sent bytes that are not HTTP/1.1: {error}; '
--- a/hornbeampulley/http1/_server.py
+++ b/hornbeampulley/http1/_server.py
@@ -180,6 +180,9 @@
         self._limits = options.read_limits()
         self._parser = RequestParser(self._limits)
         self._changed = trio.Event()
+        self._taken = trio.Event()
+        self._active_s = trio.current_time()
+        self._head_s: float | None = None
         self._has_left = False
         self._error: BadRequestError | None = None
         self._scope = trio.CancelScope()
@@ -235,8 +238,9 @@
     async def _read(self) -> None:
         while not self._has_left and self._error is None:
             # A caller that sends ahead is not read until it has its answers.
-            while len(self._parser.requests) > MAX_READ_AHEAD:
-                await trio.sleep(to_seconds(LINGER_MS / 100))
+            if len(self._parser.requests) > MAX_READ_AHEAD:
+                self._taken = trio.Event()
+                await self._taken.wait()
             try:
                 await self._receive()
             except BadRequestError as error:
@@ -251,6 +255,7 @@
             self._leave()
             return
         self._parser.feed(received)
+        self._note_activity()
         if self._parser.awaits_continue and self._request_scope is None:
             self._parser.awaits_continue = False
             await self.transmit(_CONTINUE)
@@ -280,7 +285,7 @@
         return reply.is_whole and not reply.closes and not self._has_left
 
     async def _next_request(self) -> Request | None:
-        waits_ms = self._limits.idle_timeout_ms + IDLE_MARGIN_MS
+        self._active_s = trio.current_time()
         while not self._parser.requests:
             if self._error is not None:
                 await self._refuse(self._error)
@@ -288,18 +293,27 @@
             if self._has_left:
                 return None
             self._changed = trio.Event()
-            with trio.move_on_after(to_seconds(waits_ms)) as scope:
+            with trio.move_on_at(self._find_deadline()):
                 await self._changed.wait()
-            if scope.cancelled_caught:
+            if not self._changed.is_set():
                 await self._refuse_slow()
                 return None
-            waits_ms = self._find_wait()
+        self._taken.set()
         return self._parser.requests.popleft()
 
-    def _find_wait(self) -> float:
-        if self._parser.is_in_head:
-            return self._limits.header_timeout_ms
-        return self._limits.idle_timeout_ms + IDLE_MARGIN_MS
+    def _find_deadline(self) -> float:
+        """Return when to stop waiting for a request."""
+        if self._head_s is not None:
+            return self._head_s + to_seconds(self._limits.header_timeout_ms)
+        idle_ms = self._limits.idle_timeout_ms + IDLE_MARGIN_MS
+        return self._active_s + to_seconds(idle_ms)
+
+    def _note_activity(self) -> None:
+        self._active_s = trio.current_time()
+        if not self._parser.is_in_head:
+            self._head_s = None
+        elif self._head_s is None:
+            self._head_s = self._active_s
 
     async def _refuse_slow(self) -> None:
         if not self._parser.is_in_head and not self._parser.is_in_body:
@@ -337,8 +351,9 @@
         if self._has_left:
             return
         await self._stream.send_eof()
-        while await self._stream.receive_some(RECEIVE_BYTES):
-            continue
+        received = b'-'
+        while received:
+            received = await self._stream.receive_some(RECEIVE_BYTES)
 
 
 async def serve_http(
--- a/hornbeampulley/membership/_directory.py
+++ b/hornbeampulley/membership/_directory.py
@@ -333,9 +333,7 @@
         tuple of HostRecord
             In order of their names, the own one included.
         """
-        records = [
-            entry.record for entry in self._list_live(now_ms, within_ms)
-        ]
+        records = [entry.record for entry in self._list_live(now_ms, within_ms)]
         return tuple(sorted(records, key=lambda record: record.host))
 
     def _list_live(
--- a/hornbeampulley/node/_calls.py
+++ b/hornbeampulley/node/_calls.py
@@ -8,6 +8,7 @@
 from hornbeampulley.node.dialect import CallFacts
 from hornbeampulley.routing import (
     CallKind,
+    EngineFacts,
     HttpRoute,
     RoutingTable,
     WorkspaceKeys,
@@ -110,6 +111,22 @@
         """Whether its answer is a series of events."""
         return self.route is not None and self.route.kind is CallKind.STREAM
 
+    @property
+    def engine(self) -> EngineFacts | None:
+        """Engines of its pool; None for plain services."""
+        facts = self.table.pools.get(self.pool)
+        return facts.engine if facts else None
+
+    @property
+    def is_model(self) -> bool:
+        """Whether engines serve it."""
+        return self.engine is not None
+
+    @property
+    def event_tokens(self) -> int:
+        """Tokens in one event of its answer."""
+        return self.engine.event_tokens if self.engine else 1
+
     @property
     def workspace_name(self) -> str:
         """Name of its workspace; empty if nobody's."""
--- a/hornbeampulley/node/_desk.py
+++ b/hornbeampulley/node/_desk.py
@@ -146,7 +146,9 @@
             decisions.Progress(reservation.reserve.request_id, 1, first_ms),
         )
 
-    def release(self, reservation: Reservation, event: decisions.Release) -> None:
+    def release(
+        self, reservation: Reservation, event: decisions.Release
+    ) -> None:
         """Tell that a lease has ended.
 
         Parameters
--- a/hornbeampulley/node/_knowledge.py
+++ b/hornbeampulley/node/_knowledge.py
@@ -215,13 +215,14 @@
         if not self.targets.put(record):
             return
         self.changes += 1
+        known = self.targets.records[record.name]
         log_event(
             _log,
             'target_taken',
             target=record.name,
             pool=record.pool,
             address=record.endpoint,
-            state=self.targets.records[record.name].state.value,
+            state=known.state.value,
             revision=item.revision,
             source=source,
         )
--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -11,6 +11,7 @@
 import trio
 
 from hornbeampulley.clock import Clock, to_seconds
+from hornbeampulley.decisions import Action
 from hornbeampulley.endpoints import Endpoint
 from hornbeampulley.http1 import (
     ChannelPool,
@@ -21,6 +22,7 @@
     serve_http,
 )
 from hornbeampulley.logs import log_event
+from hornbeampulley.membership import HostRecord
 from hornbeampulley.node._calls import Call
 from hornbeampulley.node._counters import Counters
 from hornbeampulley.node._desk import Desk
@@ -60,7 +62,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Identity:
-    """This run of the node.
+    """One run of a node.
 
     Attributes
     ----------
@@ -148,8 +150,7 @@
     def is_ready(self) -> bool:
         """Whether the node takes requests."""
         return (
-            self.knowledge.table is not None
-            and not self.membership.is_draining
+            self.knowledge.table is not None and not self.membership.is_draining
         )
 
     def start(self) -> None:
@@ -251,7 +252,7 @@
             self.clock,
         )
 
-    def _form_record(self):
+    def _form_record(self) -> HostRecord:
         host = self.settings.host
         listen = self.settings.listen
         member = form_member(
@@ -282,7 +283,7 @@
             process_number=os.getpid(),
         )
 
-    def _send_action(self, home: str, action) -> None:
+    def _send_action(self, home: str, action: Action) -> None:
         self._talk.send_action(home, action)
 
     def _serve(self, endpoint: Endpoint, options: ServerOptions) -> None:
--- a/hornbeampulley/node/_serving.py
+++ b/hornbeampulley/node/_serving.py
@@ -109,13 +109,7 @@
         home.clock.now(),
     )
     if is_spent or len(call.targets) >= MAX_SENDS:
-        raise CallError(
-            502 if call.may_have_run else 503,
-            'no_target',
-            f'the targets take no more requests: {attempt.reason}; come back '
-            'after the time given',
-            0 if call.may_have_run else RETRY_MS,
-        )
+        raise _form_refusal(call, 'no_target', RETRY_MS)
 
 
 def _was_not_sent(attempt: Attempt) -> bool:
@@ -154,8 +148,7 @@
         first_ms=round(attempt.first_ms) or None,
         took_ms=round(attempt.duration_ms),
     )
-    engine = call.table.pools[call.pool].engine
-    tokens = attempt.events * (engine.event_tokens if engine else 1)
+    tokens = attempt.events * call.event_tokens
     home.desk.release(
         reservation,
         decisions.Release(
@@ -170,7 +163,6 @@
 
 def _form_reserve(home: Home, call: Call) -> decisions.Reserve:
     facts = call.facts
-    engine = call.table.pools[call.pool].engine
     hinted = facts.hinted_tokens or facts.output_tokens
     return decisions.Reserve(
         request_id=home.desk.new_id(),
@@ -178,12 +170,13 @@
         workspace=call.workspace_name,
         service=name_service(call.route.name, call.pool),
         tier=name_tier(call.rank),
-        prompt_tokens=facts.prompt_tokens if engine else 0,
-        output_tokens=hinted if engine else 0,
+        prompt_tokens=facts.prompt_tokens if call.is_model else 0,
+        output_tokens=hinted if call.is_model else 0,
         fingerprint=_hash_content(call),
         deadline_ms=call.ends_ms,
         # A running request is not moved to make room for others.
         repeatable=False,
+        avoided=call.targets[-1] if call.targets else '',
     )
 
 
@@ -228,19 +221,23 @@
 
 
 def _explain_refusal(call: Call, refusal: decisions.Refuse) -> CallError:
-    if refusal.ran or call.may_have_run:
+    call.may_have_run = call.may_have_run or refusal.ran
+    retry_ms = max(refusal.retry_after_ms, RETRY_MS)
+    return _form_refusal(call, refusal.reason.value, retry_ms)
+
+
+def _form_refusal(call: Call, reason: str, retry_ms: float) -> CallError:
+    if call.may_have_run:
         return CallError(
             502,
-            refusal.reason.value,
-            'no target can go on with the request; whether it ran is not '
-            'known',
+            reason,
+            'no target can go on with the request; whether it ran is not known',
         )
     return CallError(
         503,
-        refusal.reason.value,
-        f'the request was not run ({refusal.reason.value}); come back after '
-        'the time given',
-        max(refusal.retry_after_ms, RETRY_MS),
+        reason,
+        f'the request was not run ({reason}); come back after the time given',
+        retry_ms,
     )
 
 
--- a/hornbeampulley/platform/_store.py
+++ b/hornbeampulley/platform/_store.py
@@ -3,8 +3,8 @@
 import base64
 import json
 import logging
-import urllib.parse
 from typing import Any, Final
+from urllib.parse import urlencode
 
 from hornbeampulley.clock import Clock
 from hornbeampulley.endpoints import Endpoint
@@ -121,31 +121,39 @@
         query: dict[str, Any],
         timeout_ms: float,
     ) -> bytes:
-        target = f'{path}?{urllib.parse.urlencode(query)}'
+        target = f'{path}?{urlencode(query)}'
         host = (b'host', str(self._endpoint).encode())
         request = Request(b'GET', target.encode(), (host,))
         try:
-            channel = await self._pool.take(_SERVER, self._endpoint)
-            is_whole = False
-            try:
-                head, body = await exchange(
-                    channel,
-                    request,
-                    MAX_ANSWER_BYTES,
-                    timeout_ms,
-                )
-                is_whole = True
-            finally:
-                if not is_whole:
-                    channel.close()
+            head, body = await self._exchange(request, timeout_ms)
         except (NotConnectedError, ResponseBrokenError) as error:
             raise StoreUnavailableError(
                 f'the store does not answer {path}: {error}',
             ) from error
-        self._pool.give_back(_SERVER, channel, None)
         _check_status(head, path)
         return body
 
+    async def _exchange(
+        self,
+        request: Request,
+        timeout_ms: float,
+    ) -> tuple[ResponseHead, bytes]:
+        channel = await self._pool.take(_SERVER, self._endpoint)
+        is_whole = False
+        try:
+            head, body = await exchange(
+                channel,
+                request,
+                MAX_ANSWER_BYTES,
+                timeout_ms,
+            )
+            is_whole = True
+        finally:
+            if not is_whole:
+                channel.close()
+        self._pool.give_back(_SERVER, channel, None)
+        return head, body
+
 
 def _check_status(head: ResponseHead, path: str) -> None:
     if head.status == _GONE:
--- a/hornbeampulley/wire/_events.py
+++ b/hornbeampulley/wire/_events.py
@@ -67,6 +67,7 @@
         waited_ms=round_ms(event.waited_ms),
         stamp=write_stamp(stamp),
         dispatched=dispatched,
+        avoided=event.avoided,
     )
 
 
@@ -168,6 +169,7 @@
         repeatable=message.repeatable,
         target=message.target,
         waited_ms=float(message.waited_ms),
+        avoided=message.avoided or '',
     )
 
 
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -49,6 +49,7 @@
   14: i32 waited_ms
   15: Stamp stamp
   16: bool dispatched
+  17: string avoided
 }
 
 struct Withdraw {
--- /dev/null
+++ b/tests/test_http1_responses.py
@@ -0,0 +1,55 @@
+"""Tests of the parser of targets' responses."""
+
+import pytest
+
+from hornbeampulley.http1 import ResponseHead, ResponseParser
+from hornbeampulley.http1._responses import Mark
+from hornbeampulley.http1.errors import ResponseBrokenError
+
+WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab'
+UNFRAMED = b'HTTP/1.1 200 OK\r\n\r\nab'
+
+
+def test_reads_a_response():
+    parser = ResponseParser()
+    parser.feed(WHOLE)
+    head, body, end = parser.parts
+    assert isinstance(head, ResponseHead)
+    assert (head.status, body, end) == (200, b'ab', Mark.END)
+    assert parser.is_persistent
+
+
+def test_an_early_end_is_an_error():
+    parser = ResponseParser()
+    parser.feed(WHOLE[:-1])
+    with pytest.raises(ResponseBrokenError):
+        parser.end()
+
+
+def test_a_response_without_length_ends_with_its_connection():
+    parser = ResponseParser()
+    parser.feed(UNFRAMED)
+    assert Mark.END not in parser.parts
+    assert not parser.is_persistent
+    parser.end()
+    assert parser.parts[-1] is Mark.END
+
+
+def test_informational_responses_are_passed_over():
+    parser = ResponseParser()
+    parser.feed(b'HTTP/1.1 100 Continue\r\n\r\n' + WHOLE)
+    assert parser.parts[0].status == 200
+
+
+def test_bytes_after_a_response_leave_it_whole():
+    parser = ResponseParser()
+    with pytest.raises(ResponseBrokenError):
+        parser.feed(WHOLE + b'garbage\r\n\r\n')
+    assert Mark.END in parser.parts
+    assert not parser.is_persistent
+
+
+def test_a_second_response_is_seen():
+    parser = ResponseParser()
+    parser.feed(WHOLE + WHOLE)
+    assert list(parser.parts).count(Mark.END) == 2
--- /dev/null
+++ b/tests/test_http1_server.py
@@ -0,0 +1,149 @@
+"""Tests of the server of callers' connections, over loopback."""
+
+import trio
+
+from hornbeampulley.http1 import (
+    CallerConnection,
+    MessageLimits,
+    ServerOptions,
+)
+
+GET = b'GET /x HTTP/1.1\r\nHost: h\r\n\r\n'
+
+
+class Served:
+    """A connection whose server answers by a script."""
+
+    def __init__(self, stream, options):
+        self.stream = stream
+        self.options = options
+
+    async def read_until(self, ending):
+        received = b''
+        while not received.endswith(ending):
+            part = await self.stream.receive_some()
+            if not part:
+                break
+            received += part
+        return received
+
+
+def run(handle, scenario, limits=None):
+    async def main():
+        options = ServerOptions(handle, lambda: limits or MessageLimits())
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        port = listeners[0].socket.getsockname()[1]
+
+        async def accept(stream):
+            await CallerConnection(stream, options).run()
+
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(trio.serve_listeners, accept, listeners)
+                stream = await trio.open_tcp_stream('127.0.0.1', port)
+                await scenario(Served(stream, options))
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+async def echo(request, reply):
+    await reply.send(200, (), request.target + request.body)
+
+
+def test_requests_of_one_connection_are_answered_in_order():
+    async def scenario(served):
+        await served.stream.send_all(GET.replace(b'/x', b'/1') + GET)
+        received = await served.read_until(b'/x')
+        assert received.index(b'/1') < received.index(b'/x')
+
+    run(echo, scenario)
+
+
+def test_garbage_gets_a_clear_error_and_the_end():
+    async def scenario(served):
+        await served.stream.send_all(b'\x00\x01nonsense\r\n\r\n')
+        received = await served.read_until(b'never')
+        assert received.startswith(b'HTTP/1.1 400 ')
+        assert b'correct the message' in received
+
+    run(echo, scenario)
+
+
+def test_a_slow_head_is_ended():
+    async def scenario(served):
+        await served.stream.send_all(GET[:-3])
+        received = await served.read_until(b'never')
+        assert received.startswith(b'HTTP/1.1 408 ')
+
+    run(echo, scenario, MessageLimits(header_timeout_ms=50))
+
+
+def test_a_head_sent_byte_by_byte_does_not_win_time():
+    async def scenario(served):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(drip, served.stream)
+            received = await served.read_until(b'never')
+            nursery.cancel_scope.cancel()
+        assert received.startswith(b'HTTP/1.1 408 ')
+
+    async def drip(stream):
+        await stream.send_all(GET[:5])
+        while True:
+            await trio.sleep(0.03)
+            await stream.send_all(b'a')
+
+    limits = MessageLimits(max_header_bytes=1 << 20, header_timeout_ms=300)
+    run(echo, scenario, limits)
+
+
+def test_a_caller_that_leaves_cancels_its_request():
+    ended = trio.Event()
+
+    async def wait(request, reply):
+        try:
+            await trio.sleep_forever()
+        finally:
+            ended.set()
+
+    async def scenario(served):
+        await served.stream.send_all(GET)
+        await trio.sleep(0.05)
+        await served.stream.aclose()
+        await ended.wait()
+
+    run(wait, scenario)
+
+
+def test_an_answer_that_is_not_finished_does_not_look_whole():
+    async def break_off(request, reply):
+        await reply.start(200, ())
+        await reply.write(b'part')
+
+    async def scenario(served):
+        await served.stream.send_all(GET)
+        received = await served.read_until(b'never')
+        assert received.endswith(b'4\r\npart\r\n')
+
+    run(break_off, scenario)
+
+
+def test_an_ending_server_says_so():
+    async def scenario(served):
+        served.options.is_ending = True
+        await served.stream.send_all(GET)
+        received = await served.read_until(b'never')
+        assert b'connection: close\r\n' in received
+
+    run(echo, scenario)
+
+
+def test_a_caller_may_ask_before_it_sends_its_body():
+    async def scenario(served):
+        head = b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n'
+        await served.stream.send_all(head + b'Expect: 100-continue\r\n\r\n')
+        assert b'100 Continue' in await served.read_until(b'\r\n\r\n')
+        await served.stream.send_all(b'abc')
+        assert (await served.read_until(b'abc')).endswith(b'/abc')
+
+    run(echo, scenario)
--- /dev/null
+++ b/tests/test_node_events.py
@@ -0,0 +1,42 @@
+"""Tests of the splitter of event streams."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hornbeampulley.node._events import EventSplitter
+
+STREAM = b'id: 1\ndata: a\n\nweight-versions: 2\nid: 2\ndata: b\n\nid: 3\nda'
+
+
+def test_only_whole_events_are_returned():
+    splitter = EventSplitter()
+    whole = splitter.feed(STREAM)
+    assert whole.endswith(b'data: b\n\n')
+    assert splitter.rest == b'id: 3\nda'
+    assert (splitter.count, splitter.last_id) == (2, b'2')
+
+
+@given(cuts=st.lists(st.integers(0, len(STREAM)), max_size=8))
+def test_any_cutting_gives_the_same_bytes(cuts):
+    splitter = EventSplitter()
+    places = [0, *sorted(cuts), len(STREAM)]
+    passed = b''.join(
+        splitter.feed(STREAM[a:b])
+        for a, b in zip(places, places[1:], strict=False)
+    )
+    assert passed + splitter.rest == STREAM
+    assert (splitter.count, splitter.last_id) == (2, b'2')
+
+
+def test_another_stream_goes_on_after_the_last_whole_event():
+    splitter = EventSplitter()
+    splitter.feed(STREAM)
+    splitter.reset()
+    assert splitter.feed(b'id: 3\ndata: c\n\n') == b'id: 3\ndata: c\n\n'
+    assert splitter.last_id == b'3'
+
+
+def test_line_ends_of_both_kinds_are_known():
+    splitter = EventSplitter()
+    assert splitter.feed(b'id: 9\r\ndata: x\r\n\r\n')
+    assert splitter.last_id == b'9'
--- /dev/null
+++ b/tests/test_routing_caps.py
@@ -0,0 +1,66 @@
+"""Tests of the token buckets of usage caps."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hornbeampulley.routing import CapSettings, TokenBucket, UsageCap
+
+FULL = CapSettings(start_share=1)
+CAP = UsageCap(per_second=100, burst=50)
+
+
+def test_a_bucket_gives_its_burst_and_then_its_rate():
+    bucket = TokenBucket(CAP, 0, FULL)
+    assert bucket.draw(50, 0) == 0
+    assert bucket.draw(10, 0) == 100
+    assert bucket.draw(10, 100) == 0
+
+
+def test_the_time_told_is_true():
+    bucket = TokenBucket(CAP, 0, FULL)
+    bucket.draw(50, 0)
+    wait_ms = bucket.draw(30, 0)
+    assert bucket.draw(30, wait_ms - 1) > 0
+    assert bucket.draw(30, wait_ms) == 0
+
+
+def test_a_request_larger_than_the_burst_is_served():
+    bucket = TokenBucket(CAP, 0, FULL)
+    assert bucket.draw(500, 0) == 0
+    assert bucket.draw(1, 0) > 4000
+
+
+def test_a_new_bucket_does_not_hold_all():
+    bucket = TokenBucket(CAP, 0)
+    assert bucket.draw(26, 0) > 0
+
+
+def test_units_can_be_put_back():
+    bucket = TokenBucket(CAP, 0, FULL)
+    bucket.draw(50, 0)
+    bucket.put_back(50)
+    assert bucket.draw(50, 0) == 0
+
+
+DRAWS = st.lists(
+    st.tuples(st.floats(0, 500), st.floats(0.1, 80)),
+    max_size=60,
+)
+
+
+@given(draws=DRAWS)
+def test_no_window_gets_more_than_rate_and_burst(draws):
+    bucket = TokenBucket(CAP, 0, FULL)
+    now_ms = 0.0
+    granted = []
+    for pause_ms, units in draws:
+        now_ms += pause_ms
+        if bucket.draw(units, now_ms) == 0:
+            granted.append((now_ms, units))
+    largest = max((units for _, units in granted), default=0)
+    for start, (since_ms, _) in enumerate(granted):
+        for end in range(start, len(granted)):
+            window_s = (granted[end][0] - since_ms) / 1000
+            used = sum(units for _, units in granted[start : end + 1])
+            allowed = CAP.per_second * window_s + CAP.burst + largest
+            assert used <= allowed + 0.001
--- /dev/null
+++ b/tests/test_routing_retries.py
@@ -0,0 +1,54 @@
+"""Tests of the retry budget."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hornbeampulley.routing import RetryAllowance, RetrySettings
+
+SETTINGS = RetrySettings(ratio=0.2, window_ms=10_000, slack=56, hosts=16)
+
+
+def test_a_host_without_requests_has_a_small_part():
+    allowance = RetryAllowance(SETTINGS)
+    spent = [allowance.spend('p', 0) for _ in range(20)]
+    assert spent.count(True) == 4
+
+
+def test_pools_have_budgets_of_their_own():
+    allowance = RetryAllowance(SETTINGS)
+    while allowance.spend('p', 0):
+        continue
+    assert allowance.spend('q', 0)
+
+
+def test_the_budget_comes_back_after_the_window():
+    allowance = RetryAllowance(SETTINGS)
+    while allowance.spend('p', 0):
+        continue
+    assert not allowance.spend('p', 9_999)
+    assert allowance.spend('p', 10_001)
+
+
+STEPS = st.lists(
+    st.tuples(st.integers(0, 15), st.booleans(), st.integers(0, 900)),
+    max_size=300,
+)
+
+
+@given(steps=STEPS)
+def test_the_sum_over_all_hosts_holds(steps):
+    hosts = [RetryAllowance(SETTINGS) for _ in range(SETTINGS.hosts)]
+    now_ms = 0
+    requests = []
+    retries = []
+    for number, is_retry, pause_ms in steps:
+        now_ms += pause_ms
+        if not is_retry:
+            hosts[number].note_request('p', now_ms)
+            requests.append(now_ms)
+        elif hosts[number].spend('p', now_ms):
+            retries.append(now_ms)
+        since_ms = now_ms - SETTINGS.window_ms
+        recent = sum(moment >= since_ms for moment in requests)
+        used = sum(moment >= since_ms for moment in retries)
+        assert used <= SETTINGS.ratio * recent + SETTINGS.slack + 16
