Test the whole path on loopback; resend to another target; count holds from the removal

Three tests of the whole path failed first: - a rejected request was leased to the same target again, as the reservation kept its first word on what to avoid; each resend now asks anew, - removals told by a peer were held back for as long as the store turned the host away; each is now held for its own two seconds, - the first draw on a cap fell back to a local part, as no link was open; links to cap owners are now kept open.

--- a/hornbeampulley/node/_calls.py
+++ b/hornbeampulley/node/_calls.py
@@ -71,6 +71,10 @@
         What it has drawn on its workspace's cap.
     targets : list of str
         Targets that it was sent to.
+    last_target : str
+        Target of its last lease; empty before the first.
+    resends : int
+        How often it was sent again because it had not run.
     may_have_run : bool
         Whether a target may have begun to work on it.
     events : EventSplitter
@@ -95,6 +99,8 @@
     ends_ms: float = 0
     units: float = 0
     targets: list[str] = dataclasses.field(default_factory=list)
+    last_target: str = ''
+    resends: int = 0
     may_have_run: bool = False
     events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
     first_ms: float = 0
--- a/hornbeampulley/node/_desk.py
+++ b/hornbeampulley/node/_desk.py
@@ -113,20 +113,26 @@
         """
         return str(RequestId(self.own, 0, next(self._numbers)))
 
-    def reserve(self, event: decisions.Reserve) -> Reservation:
+    def reserve(
+        self,
+        event: decisions.Reserve,
+        opened_ms: float,
+    ) -> Reservation:
         """Ask for a lease.
 
         Parameters
         ----------
         event : Reserve
             With an id of `new_id`.
+        opened_ms : float
+            When the request began to wait.
 
         Returns
         -------
         Reservation
             Its event is set once there is a decision.
         """
-        reservation = Reservation(event, self._clock.now())
+        reservation = Reservation(event, opened_ms)
         self._reservations[event.request_id] = reservation
         self._announce(reservation, self._find_owner(reservation.pool))
         return reservation
@@ -154,15 +160,11 @@
         Parameters
         ----------
         reservation : Reservation
-            The request; one that was not sent waits for another lease.
+            The request.
         event : Release
             How it ended.
         """
-        if event.outcome is decisions.Outcome.NOT_SENT:
-            reservation.lease = None
-            reservation.decided = trio.Event()
-        else:
-            self._reservations.pop(event.request_id, None)
+        self._reservations.pop(event.request_id, None)
         self._tell(reservation, event)
 
     def withdraw(self, reservation: Reservation) -> None:
@@ -320,6 +322,8 @@
         for pool in pools:
             self._find_owner(pool)
             self._keep_standbys(pool)
+        for group in range(self._count_groups()):
+            self._find_group_owner(group)
         self._move_all()
 
     def note_link(self, incarnation: str) -> None:
@@ -387,8 +391,13 @@
                 self._mesh.reach(candidate)
 
     def _find_cap_owner(self, workspace: str) -> str:
-        groups = len(self._membership.live) // HOSTS_PER_GROUP + 1
-        group = sum(workspace.encode()) % groups
+        group = sum(workspace.encode()) % self._count_groups()
+        return self._find_group_owner(group)
+
+    def _count_groups(self) -> int:
+        return len(self._membership.live) // HOSTS_PER_GROUP + 1
+
+    def _find_group_owner(self, group: int) -> str:
         for candidate in self._membership.rank_owners(f'caps/{group}'):
             if candidate == self.own or self._mesh.reach(candidate) is not None:
                 return candidate
--- a/hornbeampulley/node/_knowledge.py
+++ b/hornbeampulley/node/_knowledge.py
@@ -70,7 +70,7 @@
         self._items: dict[str, _Kept] = {}
         self._routing_revision = 0
         self._targets_revision = 0
-        self._missing: dict[str, StoredItem] = {}
+        self._missing: dict[str, _Kept] = {}
         self._lenient_until_ms = 0.0
 
     @property
@@ -149,10 +149,14 @@
     def sweep(self) -> None:
         """Forget old removals, and take those that were held back."""
         now_ms = self._clock.now()
-        if self._missing and now_ms >= self._lenient_until_ms:
-            missing, self._missing = self._missing, {}
-            for item in missing.values():
-                self._remove(item, 'outage_over')
+        overdue = [
+            kept.item
+            for kept in self._missing.values()
+            if now_ms - kept.taken_ms >= RETURN_MS
+        ]
+        for item in overdue:
+            self._missing.pop(item.key)
+            self._remove(item, 'outage_over')
         expired = [
             key
             for key, kept in self._items.items()
@@ -229,7 +233,7 @@
 
     def _take_removal(self, item: StoredItem, source: str) -> None:
         if self._clock.now() < self._lenient_until_ms:
-            self._missing[item.key] = item
+            self._missing[item.key] = _Kept(item, self._clock.now())
             log_event(_log, 'target_missing', key=item.key, source=source)
             return
         self._remove(item, source)
--- a/hornbeampulley/node/_scheduling.py
+++ b/hornbeampulley/node/_scheduling.py
@@ -245,6 +245,4 @@
 
 
 def _is_end(event: decisions.Event) -> bool:
-    if isinstance(event, decisions.Release):
-        return event.outcome is not decisions.Outcome.NOT_SENT
-    return isinstance(event, decisions.Withdraw)
+    return isinstance(event, decisions.Release | decisions.Withdraw)
--- a/hornbeampulley/node/_serving.py
+++ b/hornbeampulley/node/_serving.py
@@ -15,7 +15,7 @@
 from hornbeampulley.node._sending import Attempt
 from hornbeampulley.routing import name_service, name_tier
 
-MAX_SENDS: Final = 4
+MAX_RESENDS: Final = 4
 RETRY_MS: Final = 200.0
 # Time that a second attempt needs at least.
 MIN_LEFT_MS: Final = 50.0
@@ -54,21 +54,20 @@
         if attempt.is_whole:
             call.outcome = attempt.reason
             return
-        if not _may_repeat(home, call, attempt):
+        if _was_not_sent(attempt):
+            _check_resend(home, call, attempt)
+        elif not _may_repeat(home, call, attempt):
             await _conclude(home, call, attempt)
             return
 
 
 async def _attempt(home: Home, call: Call) -> Attempt:
     """Get a lease, send the request, and tell how it ended."""
-    reservation = home.desk.reserve(_form_reserve(home, call))
+    reserve = _form_reserve(home, call)
+    reservation = home.desk.reserve(reserve, call.arrived_ms)
     attempt: Attempt | None = None
     try:
-        while attempt is None or _was_not_sent(attempt):
-            if attempt is not None:
-                _check_resend(home, call, attempt)
-                _release(home, call, reservation, attempt)
-            attempt = await _run_lease(home, call, reservation)
+        attempt = await _run_lease(home, call, reservation)
     finally:
         _settle(home, call, reservation, attempt)
     return attempt
@@ -83,6 +82,7 @@
     if reservation.refusal is not None:
         raise _explain_refusal(call, reservation.refusal)
     lease = reservation.lease
+    call.last_target = lease.target
     target = home.knowledge.targets.records.get(lease.target)
     if target is None:
         return Attempt(decisions.Outcome.NOT_SENT, 'unknown target')
@@ -103,12 +103,13 @@
 
 def _check_resend(home: Home, call: Call, attempt: Attempt) -> None:
     """Bound how often a request that did not run is sent again."""
+    call.resends += 1
     was_rejected = attempt.reason.startswith('rejected')
     is_spent = was_rejected and not home.retries.spend(
         call.pool,
         home.clock.now(),
     )
-    if is_spent or len(call.targets) >= MAX_SENDS:
+    if is_spent or call.resends >= MAX_RESENDS:
         raise _form_refusal(call, 'no_target', RETRY_MS)
 
 
@@ -125,10 +126,10 @@
     """Tell the scheduler how it ended, also if the caller has left."""
     if reservation.refusal is not None:
         return
-    if attempt is not None and not _was_not_sent(attempt):
-        _release(home, call, reservation, attempt)
+    if attempt is None:
+        home.desk.withdraw(reservation)
         return
-    home.desk.withdraw(reservation)
+    _release(home, call, reservation, attempt)
 
 
 def _release(
@@ -149,11 +150,15 @@
         took_ms=round(attempt.duration_ms),
     )
     tokens = attempt.events * call.event_tokens
+    outcome = attempt.outcome
+    if _was_not_sent(attempt):
+        # The request asks anew, for another target.
+        outcome = decisions.Outcome.CANCELLED
     home.desk.release(
         reservation,
         decisions.Release(
             reservation.reserve.request_id,
-            attempt.outcome,
+            outcome,
             tokens,
             attempt.first_ms,
             attempt.duration_ms,
@@ -176,7 +181,7 @@
         deadline_ms=call.ends_ms,
         # A running request is not moved to make room for others.
         repeatable=False,
-        avoided=call.targets[-1] if call.targets else '',
+        avoided=call.last_target,
     )
 
 
--- /dev/null
+++ b/standins/backend.py
@@ -0,0 +1,164 @@
+"""Stand-in for one of the users' servers: plain answers and event streams."""
+
+import dataclasses
+from collections import Counter
+from typing import Any, Final
+
+import trio
+
+from hornbeampulley.http1 import (
+    Reply,
+    Request,
+    ServerOptions,
+    find_header,
+    serve_http,
+)
+
+SEAL: Final = b'server-seal'
+
+
+@dataclasses.dataclass(slots=True)
+class Behaviour:
+    """How a backend treats requests.
+
+    Attributes
+    ----------
+    events : int
+        Events of a stream.
+    pause_ms : float
+        Time before each event, or before a plain answer.
+    breaks_after : int
+        Events after which a stream breaks off in the middle of the next;
+        -1 for never.
+    is_full : bool
+        Whether requests are rejected.
+    status : int
+        Status of its answers.
+    is_cut_short : bool
+        Whether plain answers end early.
+    has_stray_answer : bool
+        Whether an answer to another request comes first.
+    """
+
+    events: int = 3
+    pause_ms: float = 1
+    breaks_after: int = -1
+    is_full: bool = False
+    status: int = 200
+    is_cut_short: bool = False
+    has_stray_answer: bool = False
+
+
+class Backend:
+    """One server.
+
+    Parameters
+    ----------
+    name : str
+        Its id.
+    service : str
+        What it serves.
+
+    Attributes
+    ----------
+    behaviour : Behaviour
+        Can be changed at any time.
+    runs : Counter
+        How often each request has run here.
+    cancelled : list of bytes
+        Requests whose caller left.
+    seen : list of Request
+        Requests as they arrived.
+    """
+
+    def __init__(self, name: str, service: str) -> None:
+        self.name = name
+        self.service = service
+        self.behaviour = Behaviour()
+        self.runs: Counter[bytes] = Counter()
+        self.cancelled: list[bytes] = []
+        self.seen: list[Request] = []
+
+    def describe(self, address: str, port: int) -> dict[str, Any]:
+        """Return its entry in the store."""
+        return {
+            'service': self.service,
+            'address': f'{address}:{port}',
+            'zone': 'a',
+            'version': 'v1',
+            'slots': 4,
+            'state': 'ready',
+            'cold_remaining_ms': 0,
+            'sequence': 1,
+            'born': 1,
+        }
+
+    async def serve(self, address: str, port: int) -> None:
+        """Answer requests until cancelled."""
+        await serve_http(address, port, ServerOptions(self.answer))
+
+    async def answer(self, request: Request, reply: Reply) -> None:
+        """Answer one request."""
+        self.seen.append(request)
+        request_id = find_header(request.headers, b'attempt-id') or b''
+        expected = find_header(request.headers, b'expect-instance')
+        headers = [(b'attempt-id', request_id)]
+        if expected not in {None, self.name.encode()}:
+            await reply.send(421, headers)
+        elif self.behaviour.is_full:
+            await reply.send(503, [*headers, (b'not-executed', b'1')])
+        else:
+            self.runs[request_id] += 1
+            await self._run(request, reply, request_id)
+
+    async def _run(
+        self,
+        request: Request,
+        reply: Reply,
+        request_id: bytes,
+    ) -> None:
+        seal = (SEAL, self.name.encode())
+        headers = [(b'attempt-id', request_id), seal]
+        try:
+            if request.path.startswith(b'/stream/'):
+                await self._stream(request, reply, headers)
+            else:
+                await self._answer_plain(request, reply, headers)
+        except trio.Cancelled:
+            self.cancelled.append(request_id)
+            raise
+
+    async def _answer_plain(
+        self,
+        request: Request,
+        reply: Reply,
+        headers: list[tuple[bytes, bytes]],
+    ) -> None:
+        behaviour = self.behaviour
+        await trio.sleep(behaviour.pause_ms / 1000)
+        if behaviour.has_stray_answer:
+            stray = [(b'attempt-id', b'other'), (SEAL, b'other')]
+            await reply.send(200, stray, b'not yours')
+        if behaviour.is_cut_short:
+            cut = (b'content-length', b'100')
+            await reply.start(200, [*headers, cut])
+            return
+        body = b'%s %s' % (self.name.encode(), request.body)
+        await reply.send(behaviour.status, headers, body)
+
+    async def _stream(
+        self,
+        request: Request,
+        reply: Reply,
+        headers: list[tuple[bytes, bytes]],
+    ) -> None:
+        kind = (b'content-type', b'text/event-stream')
+        await reply.start(200, [*headers, kind])
+        last = int(find_header(request.headers, b'last-event-id') or 0)
+        for number in range(last + 1, self.behaviour.events + 1):
+            await trio.sleep(self.behaviour.pause_ms / 1000)
+            if number == self.behaviour.breaks_after + 1:
+                await reply.write(b'id: %d\nda' % number)
+                return
+            await reply.write(b'id: %d\ndata: t%d\n\n' % (number, number))
+        await reply.finish()
--- /dev/null
+++ b/standins/metadata.py
@@ -0,0 +1,121 @@
+"""Stand-in for the users' metadata store: items with revisions, watches."""
+
+import base64
+import json
+from typing import Any, Final
+from urllib.parse import parse_qs, urlsplit
+
+import trio
+
+from hornbeampulley.http1 import Reply, Request, ServerOptions, serve_http
+
+KEY_OF_CONFIG: Final = 'op/config'
+_JSON: Final = ((b'content-type', b'application/json'),)
+
+
+class MetadataStore:
+    """Keeps items and their history.
+
+    Attributes
+    ----------
+    revision : int
+        Grows with each change.
+    is_down : bool
+        Whether all calls are answered with 503.
+    forgotten : int
+        Changes up to this revision are no longer told.
+    calls : int
+        Calls that were answered.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.is_down = False
+        self.forgotten = 0
+        self.calls = 0
+        self._events: list[dict[str, Any]] = []
+        self._items: dict[str, dict[str, Any]] = {}
+        self._changed = trio.Event()
+
+    def put(self, key: str, document: Any) -> None:
+        """Write an item; bytes are stored as they are."""
+        self.revision += 1
+        content = document
+        if not isinstance(document, bytes):
+            content = json.dumps(document).encode()
+        item = {
+            'key': key,
+            'value': base64.b64encode(content).decode(),
+            'revision': self.revision,
+            'created': self.revision,
+            'lease': 0,
+        }
+        self._items[key] = item
+        self._tell(item)
+
+    def delete(self, key: str) -> None:
+        """Remove an item."""
+        self.revision += 1
+        self._items.pop(key, None)
+        self._tell({'key': key, 'revision': self.revision, 'deleted': True})
+
+    async def serve(self, address: str, port: int) -> None:
+        """Answer calls until cancelled."""
+        await serve_http(address, port, ServerOptions(self.answer))
+
+    async def answer(self, request: Request, reply: Reply) -> None:
+        """Answer one call."""
+        self.calls += 1
+        if self.is_down:
+            await reply.send(503, ())
+            return
+        url = urlsplit(request.target.decode())
+        query = {name: texts[0] for name, texts in parse_qs(url.query).items()}
+        if url.path == '/-/kv-range':
+            await self._send(reply, self._list(query))
+        elif url.path == '/-/kv-watch':
+            await self._watch(query, reply)
+        else:
+            await reply.send(404, ())
+
+    def _tell(self, event: dict[str, Any]) -> None:
+        self._events.append(event)
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _list(self, query: dict[str, str]) -> dict[str, Any]:
+        keys = sorted(
+            key
+            for key in self._items
+            if key.startswith(query['prefix']) and key > query.get('after', '')
+        )
+        page = keys[:2]
+        return {
+            'items': [self._items[key] for key in page],
+            'has_more': len(page) < len(keys),
+            'store_revision': self.revision,
+        }
+
+    async def _watch(self, query: dict[str, str], reply: Reply) -> None:
+        after = int(query['after'])
+        if after < self.forgotten:
+            await reply.send(410, ())
+            return
+        with trio.move_on_after(int(query['wait_ms']) / 1000):
+            while not self._list_events(query['prefix'], after):
+                await self._changed.wait()
+        answer = {
+            'events': self._list_events(query['prefix'], after),
+            'store_revision': self.revision,
+        }
+        await self._send(reply, answer)
+
+    def _list_events(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        return [
+            event
+            for event in self._events
+            if event['key'].startswith(prefix) and event['revision'] > after
+        ]
+
+    async def _send(self, reply: Reply, body: dict[str, Any]) -> None:
+        await reply.send(200, _JSON, json.dumps(body).encode())
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,166 @@
+"""Tests of the documents of the platform's operators and servers."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hornbeampulley.endpoints import Endpoint
+from hornbeampulley.node.stored import StoredItem
+from hornbeampulley.platform._documents import PlatformDecoder
+from hornbeampulley.routing import CallKind, Split, TargetState
+
+DECODER = PlatformDecoder()
+ENTRY = {
+    'service': 'huvo11a',
+    'address': '10.128.0.9:8080',
+    'zone': 'split-a',
+    'version': 'v1',
+    'slots': 10,
+    'state': 'ready',
+    'cold_remaining_ms': 20,
+    'sequence': 4,
+}
+ROUTE = {
+    'name': 'r-1',
+    'host': 'h.example',
+    'prefix': '/a/',
+    'route_kind': 'streaming',
+    'timeout_ms': 15000,
+    'target_latency_ms': 1000,
+    'priority': 1,
+    'split': [
+        {'service': 'p', 'weight': 90},
+        {'service': 'q', 'weight': 10},
+    ],
+    'max_attempts': 2,
+    'anonymous': False,
+    'sticky': True,
+    'resumable': True,
+    'gap_target_ms': 250,
+}
+CONFIG = {
+    'version': 7,
+    'routes': [ROUTE],
+    'services': [
+        {
+            'name': 'p',
+            'health_path': '/healthz',
+            'max_conns': 370,
+            'engine': {'slots': 10, 'kv_capacity': 653495, 'stride': 5},
+        },
+        {'name': 'q', 'health_path': '/healthz', 'max_conns': 110},
+    ],
+    'limits': {'max_header_bytes': 100, 'idle_timeout_ms': 5},
+    'tenants': [
+        {
+            'name': 'w',
+            'api_keys': ['k'],
+            'priority': 2,
+            'unit': 'tokens',
+            'plain_tokens': 200,
+            'rate_per_s': 10,
+            'burst': 20,
+        },
+    ],
+}
+
+
+def read_config(document):
+    content = json.dumps(document).encode()
+    return DECODER.read_routing(StoredItem('op/config', content, 1))
+
+
+def read_server(document):
+    content = json.dumps(document).encode()
+    return DECODER.read_target(StoredItem('servers/i-1', content, 1))
+
+
+def test_reads_routes():
+    route = read_config(CONFIG).find_route('h.example', '/a/x')
+    assert route.kind is CallKind.STREAM
+    assert route.splits == (Split('p', 90), Split('q', 10))
+    assert (route.rank, route.timeout_ms, route.gap_ms) == (1, 15000, 250)
+    assert route.max_attempts == 2
+    assert route.is_resumable
+
+
+def test_reads_a_route_to_one_service():
+    route = {key: ROUTE[key] for key in ROUTE if key != 'split'}
+    table = read_config(CONFIG | {'routes': [route | {'service': 'p'}]})
+    assert table.routes[0].splits == (Split('p'),)
+
+
+def test_reads_pools_limits_and_workspaces():
+    table = read_config(CONFIG)
+    assert table.pools['p'].engine.event_tokens == 5
+    assert table.pools['q'].engine is None
+    assert table.limits.max_header_bytes == 100
+    workspace = table.find_workspace(b'k')
+    assert (workspace.name, workspace.rank) == ('w', 2)
+    assert workspace.cap.count_units(None) == 200
+
+
+def test_reads_an_entry():
+    record = read_server(ENTRY | {'born': 12})
+    assert record.endpoint == Endpoint('10.128.0.9', 8080)
+    assert (record.name, record.slots, record.born_ms) == ('i-1', 10, 12)
+    assert record.state is TargetState.READY
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'service': 5},
+        {'service': ''},
+        {'address': '10.0.0.1'},
+        {'address': '10.0.0.1:0'},
+        {'address': ['10.0.0.1', 80]},
+        {'slots': '10'},
+        {'slots': True},
+        {'slots': 0},
+        {'state': 'resting'},
+        {'state': None},
+        {'born': 1.5},
+        {'zone': None},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_target(change):
+    assert read_server(ENTRY | change) is None
+
+
+@pytest.mark.parametrize(
+    'name', ['service', 'address', 'zone', 'slots', 'state']
+)
+def test_an_entry_with_a_missing_field_names_no_target(name):
+    assert (
+        read_server({key: ENTRY[key] for key in ENTRY if key != name}) is None
+    )
+
+
+@pytest.mark.parametrize('content', [b'', b'\xff\xfe', b'[1]', b'5', b'{"a"'])
+def test_bytes_that_are_no_document_are_refused(content):
+    assert DECODER.read_target(StoredItem('servers/i', content, 1)) is None
+    assert DECODER.read_routing(StoredItem('op/config', content, 1)) is None
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from(sorted(ENTRY)), inner, max_size=4)
+    ),
+    max_leaves=8,
+)
+
+
+@given(change=st.dictionaries(st.sampled_from(sorted(ENTRY)), JSON))
+def test_no_entry_raises(change):
+    read_server(ENTRY | change)
+
+
+def test_other_keys_of_operators_are_no_routing():
+    content = json.dumps(CONFIG).encode()
+    item = StoredItem('op/config-old', content, 1)
+    assert DECODER.read_routing(item) is None
--- /dev/null
+++ b/tests/test_platform_headers.py
@@ -0,0 +1,88 @@
+"""Tests of the headers of the platform."""
+
+from hornbeampulley.endpoints import Endpoint
+from hornbeampulley.http1 import Request, ResponseHead, find_header
+from hornbeampulley.node.dialect import Dispatch, PromptPart
+from hornbeampulley.platform._headers import PlatformDialect
+from hornbeampulley.routing import TargetRecord
+
+DIALECT = PlatformDialect()
+TARGET = TargetRecord('i-7', 'p', Endpoint('10.0.0.1', 80), 'z', 4)
+HEADERS = (
+    (b'host', b'h.example'),
+    (b'attempt-id', b'9c41'),
+    (b'token-usage', b'1460,80'),
+    (b'prompt-prefix', b'5c1e07a2:800,91bd3f06:410'),
+    (b'deadline-ms', b'15000'),
+    (b'api-key', b'secret'),
+    (b'length-hint', b'33'),
+)
+
+
+def form(*extra, **options):
+    request = Request(b'POST', b'/a/', HEADERS + extra, b'x')
+    dispatch = Dispatch(TARGET, 900.7, **options)
+    return DIALECT.form_request(request, dispatch).headers
+
+
+def test_reads_a_call():
+    facts = DIALECT.read_call(Request(b'POST', b'/a/', HEADERS))
+    assert facts.request_id == b'9c41'
+    assert (facts.prompt_tokens, facts.output_tokens) == (1460, 80)
+    assert facts.tokens == 1540
+    assert facts.parts == (
+        PromptPart(0x5C1E07A2, 800),
+        PromptPart(0x91BD3F06, 410),
+    )
+    assert facts.time_limit_ms == 15000
+    assert facts.hinted_tokens == 33
+    assert facts.key == b'secret'
+
+
+def test_what_is_malformed_counts_as_not_sent():
+    headers = (
+        (b'token-usage', b'a,b'),
+        (b'deadline-ms', b'-5'),
+        (b'prompt-prefix', b'xyz'),
+        (b'length-hint', b''),
+    )
+    facts = DIALECT.read_call(Request(b'GET', b'/', headers))
+    assert facts.tokens is None
+    assert facts.time_limit_ms is None
+    assert facts.parts == ()
+    assert facts.hinted_tokens == 0
+
+
+def test_a_request_to_a_target_carries_what_the_system_says():
+    headers = form(workspace='w')
+    assert find_header(headers, b'deadline-ms') == b'900'
+    assert find_header(headers, b'expect-instance') == b'i-7'
+    assert find_header(headers, b'tenant') == b'w'
+    assert find_header(headers, b'attempt-id') == b'9c41'
+
+
+def test_a_key_is_not_passed_on():
+    assert find_header(form(), b'api-key') is None
+
+
+def test_what_only_the_system_may_say_is_left_out():
+    names = (b'tenant', b'hold', b'pin-ms', b'kv-from', b'kv-backup')
+    headers = form(*((name, b'forged') for name in names))
+    assert not any(text == b'forged' for _, text in headers)
+
+
+def test_headers_of_the_connection_are_left_out():
+    headers = form((b'connection', b'x-own, close'), (b'x-own', b'1'))
+    assert find_header(headers, b'connection') is None
+    assert find_header(headers, b'x-own') is None
+
+
+def test_reads_the_answers_of_targets():
+    full = ResponseHead(503, ((b'not-executed', b'1'),))
+    assert DIALECT.read_answer(full).is_rejection
+    other = ResponseHead(421, ())
+    assert DIALECT.read_answer(other).is_other_target
+    failed = ResponseHead(503, ((b'server-load', b'3,1,8'),))
+    facts = DIALECT.read_answer(failed)
+    assert not facts.is_rejection
+    assert (facts.running, facts.queued) == (3, 1)
