--- a/hornbeampulley/_settings_kinds.py
+++ b/hornbeampulley/_settings_kinds.py
@@ -154,6 +154,17 @@
     return number
 
 
+@register_kind('number', 'a number from {minimum} to {maximum}')
+def parse_number(text: str, rule: Rule) -> float:
+    """Parse a decimal number within bounds."""
+    if not re.fullmatch(r'[0-9]{1,15}(\.[0-9]{1,9})?', text):
+        raise RefusedValueError(f'{text!r} is not a number')
+    number = float(text)
+    if not rule.minimum <= number <= rule.maximum:
+        raise RefusedValueError(f'{number} is out of range')
+    return number
+
+
 @register_kind('level', 'debug, info, warning, error or critical')
 def parse_level(text: str, _: Rule) -> int:
     """Parse a level of logging."""
--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -45,6 +45,7 @@
 from hornbeampulley.node.dialect import Dialect
 from hornbeampulley.node.stored import Decoder, Store
 from hornbeampulley.routing import (
+    CapSettings,
     RetryAllowance,
     RetrySettings,
     form_configuration,
@@ -56,7 +57,6 @@
 BEHIND_MS: Final = 400.0
 RESOLVE_TTL_MS: Final = 2000
 ROLE: Final = 'node'
-_PERCENT: Final = 100
 _log = logging.getLogger(__name__)
 
 
@@ -192,7 +192,15 @@
         )
 
     def _build_scheduling(self) -> None:
-        self.scheduling = Scheduling(self.clock, self._send_action)
+        bounds = self.settings.bounds
+        self.scheduling = Scheduling(
+            self.clock,
+            self._send_action,
+            CapSettings(
+                overage=bounds.cap_overage,
+                slack=bounds.cap_slack,
+            ),
+        )
         self._talk = PeerTalk(self.scheduling, self.knowledge, self.clock)
         self.mesh.user = self._talk
         self.desk = Desk(
@@ -237,7 +245,7 @@
         )
         retries = RetryAllowance(
             RetrySettings(
-                bounds.retry_percent / _PERCENT,
+                bounds.retry_ratio,
                 bounds.retry_window_ms,
                 bounds.retry_slack,
             ),
--- a/hornbeampulley/node/_scheduling.py
+++ b/hornbeampulley/node/_scheduling.py
@@ -8,7 +8,7 @@
 from hornbeampulley.clock import Clock
 from hornbeampulley.configuration import Configuration
 from hornbeampulley.logs import log_event
-from hornbeampulley.routing import RoutingTable, TokenBucket
+from hornbeampulley.routing import CapSettings, RoutingTable, TokenBucket
 
 SETTLED_AFTER_MS: Final = 300.0
 IDLE_POOL_MS: Final = 20_000.0
@@ -38,9 +38,17 @@
         Time.
     send : callable
         Carries actions to homes.
+    caps : CapSettings, optional
+        How usage caps are applied.
     """
 
-    def __init__(self, clock: Clock, send: Outbox) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        send: Outbox,
+        caps: CapSettings | None = None,
+    ) -> None:
+        self._caps = caps or CapSettings()
         self._clock = clock
         self._send = send
         self._pools: dict[str, _Pool] = {}
@@ -167,7 +175,11 @@
             return 0
         now_ms = self._clock.now()
         if workspace not in self._buckets:
-            self._buckets[workspace] = TokenBucket(known.cap, now_ms)
+            self._buckets[workspace] = TokenBucket(
+                known.cap,
+                now_ms,
+                self._caps,
+            )
         return self._buckets[workspace].draw(units, now_ms)
 
     def refund(self, workspace: str, units: float) -> None:
--- a/hornbeampulley/node/_settings.py
+++ b/hornbeampulley/node/_settings.py
@@ -29,6 +29,10 @@
     return _ruled(Rule('integer', 0, MAX_COUNT), default)
 
 
+def _number(default: float) -> Any:
+    return _ruled(Rule('number', 0, MAX_COUNT), default)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListenSettings:
     """Where the node listens.
@@ -93,12 +97,16 @@
         Time from SIGTERM to SIGKILL.
     resolve_ttl_ms : int
         Longest time that callers keep a list of addresses.
-    retry_percent : int
-        Retries for each hundred requests, over all nodes.
+    retry_ratio : float
+        Retries for each request, over all nodes.
     retry_window_ms : int
         Time over which they are counted.
     retry_slack : int
         Retries beside the share, over all nodes.
+    cap_overage : float
+        Share beyond a usage cap that operators put up with.
+    cap_slack : float
+        Units beyond it that they put up with besides.
     max_files : int
         Descriptors that the process may have.
     """
@@ -106,9 +114,11 @@
     drain_ms: int = _time(2000)
     grace_ms: int = _time(8000)
     resolve_ttl_ms: int = _time(2000)
-    retry_percent: int = _count(20)
+    retry_ratio: float = _number(0.2)
     retry_window_ms: int = _time(10_000)
     retry_slack: int = _count(56)
+    cap_overage: float = _number(0)
+    cap_slack: float = _number(0)
     max_files: int = _count(4096)
 
 
--- a/hornbeampulley/routing/_caps.py
+++ b/hornbeampulley/routing/_caps.py
@@ -1,10 +1,14 @@
 """Usage caps: token buckets over all hosts."""
 
 import dataclasses
+from typing import Final
 
 from hornbeampulley.clock import MS_PER_SECOND
 from hornbeampulley.routing._table import UsageCap
 
+OVERAGE_USED: Final = 0.4
+SLACK_USED: Final = 0.5
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CapSettings:
@@ -15,9 +19,35 @@
     start_share : float
         Share of the burst that a bucket holds when it is new, since another
         host may have given out the rest.
+    overage : float
+        Share beyond the cap that operators put up with.
+    slack : float
+        Units beyond it that they put up with besides.
     """
 
     start_share: float = 0.5
+    overage: float = 0
+    slack: float = 0
+
+    def widen(self, cap: UsageCap) -> UsageCap:
+        """Return a cap that uses a part of what operators put up with.
+
+        Parameters
+        ----------
+        cap : UsageCap
+            As operators wrote it.
+
+        Returns
+        -------
+        UsageCap
+            The rest is left for changes of the bucket's owner.
+        """
+        factor = 1 + OVERAGE_USED * self.overage
+        return dataclasses.replace(
+            cap,
+            per_second=cap.per_second * factor,
+            burst=cap.burst * factor + SLACK_USED * self.slack,
+        )
 
 
 class TokenBucket:
@@ -39,8 +69,9 @@
         now_ms: float,
         settings: CapSettings | None = None,
     ) -> None:
-        self._cap = cap
-        self._units = cap.burst * (settings or CapSettings()).start_share
+        self._settings = settings or CapSettings()
+        self._cap = self._settings.widen(cap)
+        self._units = self._cap.burst * self._settings.start_share
         self._filled_ms = now_ms
 
     def set_cap(self, cap: UsageCap, now_ms: float) -> None:
@@ -54,8 +85,8 @@
             The current time.
         """
         self._fill(now_ms)
-        self._cap = cap
-        self._units = min(self._units, cap.burst)
+        self._cap = self._settings.widen(cap)
+        self._units = min(self._units, self._cap.burst)
 
     def draw(self, units: float, now_ms: float) -> float:
         """Take units out if the bucket is not overdrawn.
--- a/tests/test_routing_caps.py
+++ b/tests/test_routing_caps.py
@@ -35,6 +35,21 @@
     assert bucket.draw(26, 0) > 0
 
 
+def test_a_part_of_what_operators_put_up_with_is_used():
+    settings = CapSettings(start_share=1, overage=0.25, slack=100)
+    bucket = TokenBucket(CAP, 0, settings)
+    assert bucket.draw(100, 0) == 0
+    assert bucket.draw(50, 0) > 0
+
+
+def test_widened_caps_stay_within_the_promise():
+    settings = CapSettings(start_share=1, overage=0.25, slack=140_000)
+    cap = settings.widen(UsageCap(36_000, 36_000))
+    window_s = 8
+    promised = (36_000 * window_s + 36_000) * 1.25 + 140_000
+    assert cap.per_second * window_s + cap.burst <= promised
+
+
 def test_units_can_be_put_back():
     bucket = TokenBucket(CAP, 0, FULL)
     bucket.draw(50, 0)
