--- a/hornbeampulley/node/_serving.py
+++ b/hornbeampulley/node/_serving.py
@@ -178,13 +178,21 @@
         prompt_tokens=facts.prompt_tokens if call.is_model else 0,
         output_tokens=hinted if call.is_model else 0,
         fingerprint=_hash_content(call),
-        deadline_ms=call.ends_ms,
+        deadline_ms=_find_deadline(call),
         # A running request is not moved to make room for others.
         repeatable=False,
         avoided=call.last_target,
     )
 
 
+def _find_deadline(call: Call) -> float:
+    """Return when the caller leaves if its answer has not begun."""
+    patience_ms = call.route.patience_ms
+    if not patience_ms or call.events.count:
+        return call.ends_ms
+    return min(call.ends_ms, call.arrived_ms + patience_ms)
+
+
 def _hash_content(call: Call) -> int:
     if call.targets:
         # What goes on after a break is not to be held for its cause.
--- a/hornbeampulley/platform/_documents.py
+++ b/hornbeampulley/platform/_documents.py
@@ -24,6 +24,10 @@
 
 CONFIG_KEY: Final = 'op/config'
 SERVERS_PREFIX: Final = 'servers/'
+# Callers leave a stream after the longest of these silences.
+MIN_PATIENCE_MS: Final = 2000.0
+PATIENCE_OBJECTIVES: Final = 4
+PATIENCE_GAPS: Final = 8
 MAX_SLOTS: Final = 100_000
 MAX_PORT: Final = 65_535
 _KINDS: Final = {
@@ -125,22 +129,33 @@
 
 
 def _read_route(route: dict[str, Any]) -> HttpRoute:
+    kind = _KINDS[route['route_kind']]
     return HttpRoute(
         name=route['name'],
         host=route['host'],
         prefix=route['prefix'],
-        kind=_KINDS[route['route_kind']],
+        kind=kind,
         splits=_read_splits(route),
         rank=int(route.get('priority') or 0),
         timeout_ms=float(route['timeout_ms']),
         objective_ms=float(route.get('target_latency_ms') or 0),
         gap_ms=float(route.get('gap_target_ms') or 0),
+        patience_ms=_find_patience(route) if kind is CallKind.STREAM else 0,
         max_attempts=int(route.get('max_attempts') or 1),
         is_anonymous=bool(route.get('anonymous')),
         is_resumable=bool(route.get('resumable')),
     )
 
 
+def _find_patience(route: dict[str, Any]) -> float:
+    """Return after what silence the platform's callers leave a stream."""
+    return max(
+        MIN_PATIENCE_MS,
+        PATIENCE_OBJECTIVES * float(route.get('target_latency_ms') or 0),
+        PATIENCE_GAPS * float(route.get('gap_target_ms') or 0),
+    )
+
+
 def _read_splits(route: dict[str, Any]) -> tuple[Split, ...]:
     splits = route.get('split')
     if not splits:
--- a/hornbeampulley/routing/_table.py
+++ b/hornbeampulley/routing/_table.py
@@ -59,6 +59,9 @@
         event.
     gap_ms : float
         Longest pause between events that counts as in time; 0 if none.
+    patience_ms : float
+        Longest time that callers wait for the first event of a stream; 0 if
+        they wait until their time limit.
     max_attempts : int
         Targets that one request may be sent to.
     is_anonymous : bool
@@ -76,6 +79,7 @@
     timeout_ms: float = 15_000
     objective_ms: float = 1000
     gap_ms: float = 0
+    patience_ms: float = 0
     max_attempts: int = 1
     is_anonymous: bool = False
     is_resumable: bool = False
--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -206,6 +206,29 @@
     run_nodes(scenario, count=2)
 
 
+def test_a_stream_that_cannot_begin_in_time_is_refused_early():
+    async def scenario(fleet):
+        for name in ('engines-1', 'engines-2'):
+            fleet.backends[name].behaviour.pause_ms = 60_000
+        running = 8
+        for number in range(running):
+            name = b'r%d' % number
+            fleet.nursery.start_soon(call_and_forget, fleet, name)
+        await wait_until(lambda: list_runs(fleet) == running)
+        started = trio.current_time()
+        status, head, _ = await fleet.call('/stream/a', request_id=b'late')
+        assert status == 503
+        assert b'retry-after: ' in head
+        assert trio.current_time() - started < 2.1
+        assert list_runs(fleet) == running
+
+    run_nodes(scenario)
+
+
+async def call_and_forget(fleet, name):
+    await fleet.call('/stream/a', body=b'p', request_id=name)
+
+
 def test_all_nodes_serve_and_learn_a_change():
     async def scenario(fleet):
         for number in range(3):
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -86,6 +86,22 @@
     assert route.is_resumable
 
 
+@pytest.mark.parametrize(
+    ('objective_ms', 'gap_ms', 'patience_ms'),
+    [(400, 100, 2000), (1000, 250, 4000), (400, 400, 3200)],
+)
+def test_callers_of_streams_wait_for_a_while(objective_ms, gap_ms, patience_ms):
+    change = {'target_latency_ms': objective_ms, 'gap_target_ms': gap_ms}
+    table = read_config(CONFIG | {'routes': [ROUTE | change]})
+    assert table.routes[0].patience_ms == patience_ms
+
+
+def test_callers_of_plain_calls_wait_to_their_limit():
+    change = {'route_kind': 'idempotent'}
+    table = read_config(CONFIG | {'routes': [ROUTE | change]})
+    assert table.routes[0].patience_ms == 0
+
+
 def test_reads_a_route_to_one_service():
     route = {key: ROUTE[key] for key in ROUTE if key != 'split'}
     table = read_config(CONFIG | {'routes': [route | {'service': 'p'}]})
