--- a/hornbeampulley/decisions/_cost.py
+++ b/hornbeampulley/decisions/_cost.py
@@ -86,6 +86,26 @@
             self.expect_output(reserve),
         )
 
+    def find_latest_start(self, reserve: Reserve) -> float:
+        """Return when a request must start to meet its objective.
+
+        Parameters
+        ----------
+        reserve : Reserve
+            The request.
+
+        Returns
+        -------
+        float
+            Moment in ms; 0 if it has no objective.
+        """
+        if not reserve.objective_ms:
+            return 0
+        if not reserve.prompt_tokens:
+            return reserve.objective_ms - self._call_ms(reserve.service)
+        first_ms = self.price_prefill(reserve.prompt_tokens)
+        return reserve.objective_ms - first_ms - self._pool.step_ms
+
     def note_price(self, price_ms: float) -> None:
         """Learn the mean price of leased requests."""
         self.mean_price_ms = smooth(self.mean_price_ms, price_ms, PRICE_WEIGHT)
--- a/hornbeampulley/decisions/_messages.py
+++ b/hornbeampulley/decisions/_messages.py
@@ -57,6 +57,9 @@
         Target it already runs on, when announced after a takeover; or empty.
     waited_ms : float
         Time it has already waited elsewhere.
+    objective_ms : float
+        Moment until which the answer counts in full: of a stream its first
+        token, otherwise all of it; 0 if none.
     avoided : str
         Target that has just failed it; used only if there is no other.
     """
@@ -75,6 +78,7 @@
     repeatable: bool = True
     target: str = ''
     waited_ms: float = 0
+    objective_ms: float = 0
     avoided: str = ''
 
 
--- a/hornbeampulley/decisions/_requests.py
+++ b/hornbeampulley/decisions/_requests.py
@@ -28,6 +28,9 @@
         When it began to wait, anywhere.
     price_ms : float
         Expected cost at the pool's average rates.
+    latest_start_ms : float
+        When it must start at the latest to meet its objective; 0 if it has
+        none.
     stage : Stage
         Where it stands.
     serial : int
@@ -62,6 +65,7 @@
     rank: int
     arrived_ms: float
     price_ms: float
+    latest_start_ms: float = 0
     stage: Stage = Stage.WAITING
     serial: int = 0
     target: str = ''
--- a/hornbeampulley/decisions/_tiers.py
+++ b/hornbeampulley/decisions/_tiers.py
@@ -11,8 +11,10 @@
     """Waiting requests of a tier.
 
     Most stand in the lane of their workspace. Those that can no longer meet
-    their deadline stand behind all lanes, and those that must run alone stand
-    aside until a target is idle.
+    their objective stand behind all lanes, those that can't meet their deadline
+    behind them, and those that must run alone stand aside until a target is
+    idle. In an overload that lasts, fresh requests are thus served in time,
+    instead of all of them late.
 
     Attributes
     ----------
@@ -29,10 +31,12 @@
         self.work_ms = 0.0
         self.aside: dict[str, Request] = {}
         self._late: dict[str, Request] = {}
+        self._overdue: dict[str, Request] = {}
         self._lanes: dict[str, Lane] = {}
         self._order: list[tuple[float, str]] = []
         self._excess: list[tuple[float, str]] = []
         self._deadlines: list[tuple[float, int, Request]] = []
+        self._objectives: list[tuple[float, int, Request]] = []
         self._virtual = 0.0
 
     @property
@@ -53,21 +57,24 @@
         """Add a request whose serial is new."""
         self._count(request, 1)
         lane = self._find_lane(request.reserve.workspace, share)
-        if not request.reserve.deadline_ms:
-            self._add(lane, request)
-            return
-        latest_ms = request.reserve.deadline_ms - request.price_ms
-        if latest_ms < request.arrived_ms:
-            self._late[request.request_id] = request
-            return
+        if request.reserve.deadline_ms:
+            latest_ms = request.reserve.deadline_ms - request.price_ms
+            if latest_ms < request.arrived_ms:
+                self._late[request.request_id] = request
+                return
+            entry = (latest_ms, request.serial, request)
+            heapq.heappush(self._deadlines, entry)
         self._add(lane, request)
-        heapq.heappush(self._deadlines, (latest_ms, request.serial, request))
+        if request.latest_start_ms:
+            start = (request.latest_start_ms, request.serial, request)
+            heapq.heappush(self._objectives, start)
 
     def pop(self) -> Request:
         """Remove the request to be leased next; ``ready`` must not be 0."""
         lane = self._pop_lane()
         if lane is None:
-            request = self._late.pop(next(iter(self._late)))
+            rest = self._overdue or self._late
+            request = rest.pop(next(iter(rest)))
         else:
             request = lane.pop_first()
             self._virtual = max(self._virtual, lane.served)
@@ -79,8 +86,11 @@
     def find_worst(self) -> Request:
         """Return the request to be shed next; ``count`` must not be 0.
 
-        It is the newest of the workspace that is most over its share.
+        It is one that has missed its objective, or else the newest of the
+        workspace that is most over its share.
         """
+        if self._overdue:
+            return next(iter(self._overdue.values()))
         lane = self._find_excess()
         if lane is not None:
             return lane.find_newest()
@@ -122,6 +132,8 @@
             self.aside.pop(name)
         elif name in self._late:
             self._late.pop(name)
+        elif name in self._overdue:
+            self._overdue.pop(name)
         else:
             lane = self._lanes[request.reserve.workspace]
             lane.discard(request)
@@ -146,11 +158,12 @@
         int
             How many were moved.
         """
+        self._mark_overdue(now_ms)
         moved = 0
         while self._deadlines and self._deadlines[0][0] < now_ms:
             _, serial, request = heapq.heappop(self._deadlines)
             if request.serial == serial:
-                self._lanes[request.reserve.workspace].discard(request)
+                self._take_out(request)
                 self._late[request.request_id] = request
                 moved += 1
         return moved
@@ -162,6 +175,26 @@
             lane.charge(difference_ms)
             self._list(lane)
 
+    def _mark_overdue(self, now_ms: float) -> None:
+        while self._objectives and self._objectives[0][0] < now_ms:
+            _, serial, request = heapq.heappop(self._objectives)
+            if request.serial == serial:
+                self._take_out(request)
+                self._set_overdue(request, -serial)
+
+    def _set_overdue(self, request: Request, serial: int) -> None:
+        # A new serial, as the entries of its lane are stale now.
+        request.serial = serial
+        self._overdue[request.request_id] = request
+        if request.reserve.deadline_ms:
+            latest_ms = request.reserve.deadline_ms - request.price_ms
+            heapq.heappush(self._deadlines, (latest_ms, serial, request))
+
+    def _take_out(self, request: Request) -> None:
+        """Take a request out of its lane or of those that are overdue."""
+        if self._overdue.pop(request.request_id, None) is None:
+            self._lanes[request.reserve.workspace].discard(request)
+
     def _add(self, lane: Lane, request: Request) -> None:
         if not lane.count:
             lane.served = max(lane.served, self._virtual)
--- a/hornbeampulley/node/_serving.py
+++ b/hornbeampulley/node/_serving.py
@@ -179,6 +179,7 @@
         output_tokens=hinted if call.is_model else 0,
         fingerprint=_hash_content(call),
         deadline_ms=_find_deadline(call),
+        objective_ms=_find_objective(call),
         # A running request is not moved to make room for others.
         repeatable=False,
         avoided=call.last_target,
@@ -193,6 +194,13 @@
     return min(call.ends_ms, call.arrived_ms + patience_ms)
 
 
+def _find_objective(call: Call) -> float:
+    """Return until when the answer counts in full; 0 if it has begun."""
+    if not call.route.objective_ms or call.events.count:
+        return 0
+    return call.arrived_ms + call.route.objective_ms
+
+
 def _hash_content(call: Call) -> int:
     if call.targets:
         # What goes on after a break is not to be held for its cause.
--- a/hornbeampulley/wire/_events.py
+++ b/hornbeampulley/wire/_events.py
@@ -46,9 +46,6 @@
     ttypes.Reserve
         Its deadline is a duration.
     """
-    deadline_in_ms = 0
-    if event.deadline_ms:
-        deadline_in_ms = max(round_ms(event.deadline_ms - now_ms), 1)
     lease, counter = split_id(event.request_id)
     return ttypes.Reserve(
         id_lease=lease,
@@ -60,7 +57,7 @@
         output_tokens=event.output_tokens,
         block_hashes=pack_hashes(event.block_hashes),
         fingerprint=event.fingerprint,
-        deadline_in_ms=deadline_in_ms,
+        deadline_in_ms=_count_down(event.deadline_ms, now_ms),
         idempotency_key=event.idempotency_key,
         repeatable=event.repeatable,
         target=event.target,
@@ -68,6 +65,7 @@
         stamp=write_stamp(stamp),
         dispatched=dispatched,
         avoided=event.avoided,
+        objective_in_ms=_count_down(event.objective_ms, now_ms),
     )
 
 
@@ -151,9 +149,6 @@
     home: str,
     now_ms: float,
 ) -> decisions.Reserve:
-    deadline_ms = 0.0
-    if message.deadline_in_ms:
-        deadline_ms = now_ms + message.deadline_in_ms
     return decisions.Reserve(
         request_id=str(read_request_id(message, home)),
         home=home,
@@ -164,15 +159,25 @@
         output_tokens=message.output_tokens,
         block_hashes=unpack_hashes(message.block_hashes),
         fingerprint=message.fingerprint,
-        deadline_ms=deadline_ms,
+        deadline_ms=_find_moment(message.deadline_in_ms, now_ms),
         idempotency_key=message.idempotency_key,
         repeatable=message.repeatable,
         target=message.target,
         waited_ms=float(message.waited_ms),
+        objective_ms=_find_moment(message.objective_in_ms, now_ms),
         avoided=message.avoided or '',
     )
 
 
+def _count_down(moment_ms: float, now_ms: float) -> int:
+    """Return the time until a moment, at least 1; 0 if there is none."""
+    return max(round_ms(moment_ms - now_ms), 1) if moment_ms else 0
+
+
+def _find_moment(duration_ms: int | None, now_ms: float) -> float:
+    return now_ms + duration_ms if duration_ms else 0.0
+
+
 @_EVENTS.register('Withdraw')
 def _read_withdraw(
     message: ttypes.Withdraw,
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -50,6 +50,7 @@
   15: Stamp stamp
   16: bool dispatched
   17: string avoided
+  18: i32 objective_in_ms
 }
 
 struct Withdraw {
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -21,6 +21,7 @@
     reserve = make_reserve(tier, **fields)
     rank = queue.find_rank(tier)
     request = Request(reserve, rank, arrived_ms, price_ms)
+    request.latest_start_ms = reserve.objective_ms
     queue.push(request)
     return request
 
@@ -95,3 +96,31 @@
     turned = {'low': Tier('low', 0), 'gold': Tier('gold', 1)}
     queue.configure(turned, SHARES)
     assert queue.pop(0) is request
+
+
+def test_fresh_requests_go_before_those_that_missed_their_objective():
+    queue = build_queue()
+    missed = push(queue, objective_ms=50, deadline_ms=500)
+    fresh = push(queue, objective_ms=300, arrived_ms=90)
+    queue.mark_late(100)
+    assert queue.list_late(100) == []
+    assert [queue.pop(1), queue.pop(1)] == [fresh, missed]
+    assert queue.count == 0
+
+
+def test_what_missed_its_objective_is_shed_first():
+    queue = build_queue()
+    missed = push(queue, workspace='large', objective_ms=50)
+    push(queue, workspace='small', price_ms=10**6, arrived_ms=90)
+    queue.mark_late(100)
+    assert queue.pop_worst() is missed
+
+
+def test_what_missed_its_objective_still_has_a_deadline():
+    queue = build_queue()
+    missed = push(queue, objective_ms=50, deadline_ms=500)
+    fresh = push(queue, arrived_ms=590)
+    queue.mark_late(100)
+    queue.mark_late(600)
+    assert queue.list_late(600) == [missed]
+    assert queue.pop(1) is fresh
