--- a/hornbeampulley/decisions/_tiers.py
+++ b/hornbeampulley/decisions/_tiers.py
@@ -75,6 +75,7 @@
         if lane is None:
             rest = self._overdue or self._late
             request = rest.pop(next(iter(rest)))
+            request.serial = 0
         else:
             request = lane.pop_first()
             self._virtual = max(self._virtual, lane.served)
@@ -134,6 +135,7 @@
             self._late.pop(name)
         elif name in self._overdue:
             self._overdue.pop(name)
+            request.serial = 0
         else:
             lane = self._lanes[request.reserve.workspace]
             lane.discard(request)
--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -320,6 +320,7 @@
         while True:
             self._configure()
             self.scheduling.tick()
+            self._talk.recover()
             table = self.knowledge.table
             if table is not None:
                 self.desk.update(table.pools)
--- a/hornbeampulley/node/_peers.py
+++ b/hornbeampulley/node/_peers.py
@@ -117,6 +117,15 @@
         if link is not None:
             link.send(write_action(action))
 
+    def recover(self) -> None:
+        """Let all homes announce anew after a core has failed."""
+        if not self._scheduling.has_failed:
+            return
+        self._scheduling.has_failed = False
+        for link in tuple(self._homes.values()):
+            link.close()
+        self.desk.lose(self.desk.own)
+
     def pull(self, link: Link) -> None:
         """Ask a peer for what it has read of the store.
 
--- a/hornbeampulley/node/_scheduling.py
+++ b/hornbeampulley/node/_scheduling.py
@@ -23,6 +23,7 @@
     """The core of one pool and when it was last used."""
 
     def __init__(self, name: str, now_ms: float) -> None:
+        self.name = name
         self.core = decisions.Core(name, seed=_SEED, is_takeover=True)
         self.opened_ms = now_ms
         self.used_ms = now_ms
@@ -40,6 +41,11 @@
         Carries actions to homes.
     caps : CapSettings, optional
         How usage caps are applied.
+
+    Attributes
+    ----------
+    has_failed : bool
+        Whether a core has failed, so that homes must announce anew.
     """
 
     def __init__(
@@ -49,6 +55,7 @@
         caps: CapSettings | None = None,
     ) -> None:
         self._caps = caps or CapSettings()
+        self.has_failed = False
         self._clock = clock
         self._send = send
         self._pools: dict[str, _Pool] = {}
@@ -88,7 +95,7 @@
             workspace = table.workspaces.get(name)
             if workspace is not None:
                 bucket.set_cap(workspace.cap, now_ms)
-        for pool in self._pools.values():
+        for pool in tuple(self._pools.values()):
             self._configure_pool(pool)
 
     def take(self, event: decisions.Event) -> None:
@@ -152,7 +159,7 @@
         for request_id in tuple(self._pool_of_request):
             if request_id.startswith(prefix):
                 self._pool_of_request.pop(request_id)
-        for pool in self._pools.values():
+        for pool in tuple(self._pools.values()):
             self._handle(pool, decisions.HomeLost(home))
 
     def draw(self, workspace: str, units: float) -> float:
@@ -228,9 +235,26 @@
             self._handle(pool, decisions.TargetsLeaving(self._leaving))
 
     def _handle(self, pool: _Pool, event: decisions.Event) -> None:
-        for action in pool.core.handle(event, self._clock.now()):
+        try:
+            actions = pool.core.handle(event, self._clock.now())
+        except Exception:
+            # One pool starts anew from what the homes announce; the other
+            # pools and the requests of this node go on.
+            _log.exception('the scheduler of pool %s failed', pool.name)
+            self._replace(pool)
+            return
+        for action in actions:
             self._carry_out(action)
 
+    def _replace(self, pool: _Pool) -> None:
+        self._pools.pop(pool.name, None)
+        self._pool_of_request = {
+            request_id: name
+            for request_id, name in self._pool_of_request.items()
+            if name != pool.name
+        }
+        self.has_failed = True
+
     def _carry_out(self, action: decisions.Action) -> None:
         if isinstance(action, decisions.Warn):
             log_event(_log, action.event, subject=action.subject)
--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -229,6 +229,24 @@
     await fleet.call('/stream/a', body=b'p', request_id=name)
 
 
+def test_a_core_that_fails_starts_anew():
+    async def scenario(fleet):
+        await fleet.call('/once/a')
+        cores = [
+            core
+            for node in fleet.nodes
+            for core in node.scheduling.pools.values()
+        ]
+        for core in cores:
+            core._handlers.clear()
+        for number in range(2):
+            name = b's%d' % number
+            status, _, _ = await fleet.call('/once/a', number, b'x', name)
+            assert status == 200
+
+    run_nodes(scenario, count=2)
+
+
 def test_all_nodes_serve_and_learn_a_change():
     async def scenario(fleet):
         for number in range(3):
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -124,3 +124,16 @@
     queue.mark_late(600)
     assert queue.list_late(600) == [missed]
     assert queue.pop(1) is fresh
+
+
+def test_what_was_served_after_its_objective_is_not_marked_late():
+    queue = build_queue()
+    push(queue, objective_ms=50, deadline_ms=500)
+    queue.mark_late(100)
+    queue.pop(1)
+    withdrawn = push(queue, objective_ms=150, deadline_ms=500)
+    queue.mark_late(200)
+    queue.remove(withdrawn)
+    queue.mark_late(600)
+    assert queue.list_late(600) == []
+    assert queue.count == 0
