--- a/hornbeampulley/http1/_server.py
+++ b/hornbeampulley/http1/_server.py
@@ -386,7 +386,11 @@
             await stream.aclose()
             return
         watch_silence(stream.socket)
-        await CallerConnection(stream, options).run()
+        try:
+            await CallerConnection(stream, options).run()
+        except Exception:
+            # One connection ends; the others go on.
+            _log.exception('a connection failed')
 
     listeners = await trio.open_tcp_listeners(
         port,
--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -53,7 +53,7 @@
 from hornbeampulley.wire.generated.peer import ttypes
 
 TICK_MS: Final = 50.0
-SWEEP_MS: Final = 1000.0
+SWEEP_MS: Final = 250.0
 BEHIND_MS: Final = 400.0
 RESOLVE_TTL_MS: Final = 2000
 ROLE: Final = 'node'
@@ -161,8 +161,8 @@
         for reader in self.readers:
             start(reader.run)
         start(serve_peers, self.mesh, listen.peers)
-        start(self._tick_all)
-        start(self._sweep_all)
+        start(repeat, self._tick, TICK_MS)
+        start(repeat, self._sweep, SWEEP_MS)
         self._serve(listen.callers, self.options)
         ttl_ms = min(self.settings.bounds.resolve_ttl_ms, RESOLVE_TTL_MS)
         ttl_s = to_seconds(ttl_ms)
@@ -316,23 +316,19 @@
         call = Call(request, facts, reply, self.clock.now())
         await answer_call(self.home, call)
 
-    async def _tick_all(self) -> None:
-        while True:
-            self._configure()
-            self.scheduling.tick()
-            self._talk.recover()
-            table = self.knowledge.table
-            if table is not None:
-                self.desk.update(table.pools)
-            await trio.sleep(to_seconds(TICK_MS))
-
-    async def _sweep_all(self) -> None:
-        while True:
-            self.channels.sweep()
-            self.knowledge.sweep()
-            self.mesh.sweep()
-            self._catch_up()
-            await trio.sleep(to_seconds(SWEEP_MS / 4))
+    def _tick(self) -> None:
+        self._configure()
+        self.scheduling.tick()
+        self._talk.recover()
+        table = self.knowledge.table
+        if table is not None:
+            self.desk.update(table.pools)
+
+    def _sweep(self) -> None:
+        self.channels.sweep()
+        self.knowledge.sweep()
+        self.mesh.sweep()
+        self._catch_up()
 
     def _configure(self) -> None:
         """Tell the scheduler of changes of routing or targets."""
@@ -376,3 +372,21 @@
             if other.routing > own.routing or other.targets > own.targets:
                 return node.incarnation
         return None
+
+
+async def repeat(step: Callable[[], None], pause_ms: float) -> None:
+    """Take a step again and again until cancelled.
+
+    Parameters
+    ----------
+    step : callable
+        One that fails is logged, and the next one is taken all the same.
+    pause_ms : float
+        Time between two steps.
+    """
+    while True:
+        try:
+            step()
+        except Exception:
+            _log.exception('a periodic step failed')
+        await trio.sleep(to_seconds(pause_ms))
--- a/hornbeampulley/node/_reading.py
+++ b/hornbeampulley/node/_reading.py
@@ -86,6 +86,7 @@
                 error=error,
             )
             self._revision = None
+            await trio.sleep(to_seconds(PAUSE_MS))
         except StoreUnavailableError as error:
             await self._fail(error)
         else:
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -160,6 +160,11 @@
         )
 
 
+async def call_and_keep(fleet, path, answers):
+    """Send one request and keep its answer."""
+    answers.append(await fleet.call(path, body=b'x'))
+
+
 async def wait_until(is_done, pause_s=0.02):
     """Look again and again until something is so."""
     for _ in range(1000):
--- /dev/null
+++ b/tests/test_node_membership.py
@@ -0,0 +1,102 @@
+"""Tests of who is live and who owns what."""
+
+import random
+
+from hornbeampulley.clock import ManualClock
+from hornbeampulley.node._membership import (
+    Membership,
+    form_member,
+    form_record,
+)
+
+
+def make(number, clock, started_ms=1000):
+    incarnation = f'{number:016x}'
+    member = form_member(incarnation, 80, 81)
+    record = form_record(
+        f'host-{number}',
+        'z',
+        'r',
+        member,
+        f'10.0.0.{number}',
+        started_ms,
+    )
+    return Membership(record, clock, random.Random(number))
+
+
+def meet(*members):
+    for _ in range(2):
+        for one in members:
+            for other in members:
+                if one is not other:
+                    one.take(other.compose_all())
+    for one in members:
+        one.refresh()
+
+
+def list_hosts(membership):
+    return [node.host for node in membership.live]
+
+
+def test_nodes_learn_of_each_other_through_one():
+    clock = ManualClock()
+    first, second, third = (make(number, clock) for number in (1, 2, 3))
+    meet(first, second)
+    meet(second, third)
+    first.take(second.compose_all())
+    first.refresh()
+    assert list_hosts(first) == ['host-1', 'host-2', 'host-3']
+
+
+def test_a_silent_node_is_no_longer_live():
+    clock = ManualClock()
+    first, second = make(1, clock), make(2, clock)
+    meet(first, second)
+    clock.advance(1600)
+    first.refresh()
+    assert list_hosts(first) == ['host-1']
+
+
+def test_all_agree_on_an_owner_and_a_draining_node_owns_nothing():
+    clock = ManualClock()
+    nodes = [make(number, clock) for number in (1, 2, 3)]
+    meet(*nodes)
+    (owner,) = {node.rank_owners('pool/p')[0] for node in nodes}
+    (leaving,) = [node for node in nodes if node.incarnation == owner]
+    leaving.is_draining = True
+    leaving.refresh()
+    meet(*nodes)
+    assert all(owner not in node.rank_owners('pool/p') for node in nodes)
+
+
+def test_the_loss_of_a_node_leaves_other_owners_as_they_were():
+    clock = ManualClock()
+    nodes = [make(number, clock) for number in range(1, 6)]
+    meet(*nodes)
+    keys = [f'pool/{number}' for number in range(40)]
+    before = {key: nodes[0].rank_owners(key)[0] for key in keys}
+    lost = nodes[4].incarnation
+    clock.advance(1000)
+    meet(*nodes[:4])
+    clock.advance(1000)
+    meet(*nodes[:4])
+    assert lost not in nodes[0].rank_owners('pool/1')
+    for key, owner in before.items():
+        if owner != lost:
+            assert nodes[0].rank_owners(key)[0] == owner
+
+
+def test_a_restart_with_an_earlier_clock_is_taken_for_the_newer_run():
+    clock = ManualClock()
+    peer = make(2, clock)
+    old = make(1, clock, started_ms=9000)
+    meet(peer, old)
+    new = make(1, clock, started_ms=5000)
+    new._member = form_member('f' * 16, 80, 81)
+    new.refresh()
+    new.take(peer.compose_all())
+    new.refresh()
+    peer.take(new.compose_all())
+    peer.refresh()
+    assert peer.find('f' * 16) is not None
+    assert peer.find(old.incarnation) is None
--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -247,6 +247,15 @@
     run_nodes(scenario, count=2)
 
 
+def test_a_periodic_step_that_fails_does_not_end_the_node():
+    async def scenario(fleet):
+        fleet.nodes[0].knowledge.sweep = None
+        await trio.sleep(0.6)
+        assert (await fleet.call('/look/a'))[0] == 200
+
+    run_nodes(scenario)
+
+
 def test_all_nodes_serve_and_learn_a_change():
     async def scenario(fleet):
         for number in range(3):
--- /dev/null
+++ b/tests/test_node_reading.py
@@ -0,0 +1,150 @@
+"""Tests of the reader of the store, in virtual time."""
+
+import json
+import random
+
+import trio
+
+from hornbeampulley.clock import Clock
+from hornbeampulley.node._knowledge import Knowledge
+from hornbeampulley.node._reading import list_readers
+from hornbeampulley.node.stored import (
+    HistoryLostError,
+    StoredChanges,
+    StoredItem,
+    StoreUnavailableError,
+)
+from hornbeampulley.platform._documents import PlatformDecoder
+
+ENTRY = {
+    'service': 'p',
+    'address': '10.0.0.1:80',
+    'zone': 'z',
+    'slots': 4,
+    'state': 'ready',
+}
+
+
+class ScriptedStore:
+    """Answers as its fields say."""
+
+    def __init__(self):
+        self.names = {'a': 1, 'b': 2, 'c': 3}
+        self.revision = 3
+        self.error = None
+        self.lists = 0
+        self.watches = 0
+        self.removed = []
+        self.hangs = False
+
+    async def list_items(self, prefix):
+        self.lists += 1
+        if self.error:
+            raise self.error
+        if prefix != 'servers/':
+            return StoredChanges((), self.revision)
+        items = tuple(
+            StoredItem(f'servers/{name}', json.dumps(ENTRY).encode(), revision)
+            for name, revision in self.names.items()
+        )
+        return StoredChanges(items, self.revision)
+
+    async def watch(self, prefix, revision, wait_ms):
+        self.watches += 1
+        if self.hangs:
+            await trio.sleep_forever()
+        await trio.sleep(0.1)
+        if self.error:
+            raise self.error
+        if prefix != 'servers/':
+            return StoredChanges((), self.revision)
+        removed, self.removed = self.removed, []
+        return StoredChanges(tuple(removed), self.revision)
+
+
+def run(mock_run, scenario):
+    async def main():
+        store = ScriptedStore()
+        clock = Clock(trio.current_time)
+        knowledge = Knowledge(PlatformDecoder(), clock)
+        readers = list_readers(
+            store,
+            knowledge,
+            ('op/config', 'servers/'),
+            random.Random(1),
+        )
+        async with trio.open_nursery() as nursery:
+            for reader in readers:
+                nursery.start_soon(reader.run)
+            await trio.sleep(1)
+            await scenario(store, knowledge, readers)
+            nursery.cancel_scope.cancel()
+
+    mock_run(main)
+
+
+def list_known(knowledge):
+    return sorted(knowledge.targets.records)
+
+
+def test_lists_once_and_then_watches(mock_run):
+    async def scenario(store, knowledge, readers):
+        assert list_known(knowledge) == ['a', 'b', 'c']
+        assert store.lists == 2
+        assert store.watches > 2
+
+    run(mock_run, scenario)
+
+
+def test_lists_anew_when_history_is_lost(mock_run):
+    async def scenario(store, knowledge, readers):
+        store.names = {'a': 1, 'b': 2, 'd': 9}
+        store.revision = 9
+        store.error = HistoryLostError('gone; list anew')
+        await trio.sleep(0.15)
+        store.error = None
+        await trio.sleep(1)
+        assert list_known(knowledge) == ['a', 'b', 'd']
+
+    run(mock_run, scenario)
+
+
+def test_an_outage_keeps_what_is_known_and_is_asked_sparingly(mock_run):
+    async def scenario(store, knowledge, readers):
+        before = store.watches
+        store.error = StoreUnavailableError('down; ask later')
+        await trio.sleep(10)
+        assert list_known(knowledge) == ['a', 'b', 'c']
+        assert not readers[0].is_reached
+        assert store.watches - before < 40
+
+    run(mock_run, scenario)
+
+
+def test_what_is_still_missing_after_an_outage_is_gone(mock_run):
+    async def scenario(store, knowledge, readers):
+        store.error = StoreUnavailableError('down; ask later')
+        await trio.sleep(2)
+        store.error = None
+        store.removed = [StoredItem('servers/a', b'', 8, is_deleted=True)]
+        await trio.sleep(1.5)
+        assert 'a' in list_known(knowledge)
+        await trio.sleep(1.5)
+        knowledge.sweep()
+        assert list_known(knowledge) == ['b', 'c']
+
+    run(mock_run, scenario)
+
+
+def test_a_call_that_hangs_can_be_given_up(mock_run):
+    async def scenario(store, knowledge, readers):
+        store.hangs = True
+        await trio.sleep(1)
+        store.hangs = False
+        store.removed = [StoredItem('servers/a', b'', 8, is_deleted=True)]
+        for reader in readers:
+            reader.hurry()
+        await trio.sleep(0.5)
+        assert list_known(knowledge) == ['b', 'c']
+
+    run(mock_run, scenario)
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,87 @@
+"""Tests of the store's client, against the stand-in."""
+
+import pytest
+import trio
+
+from hornbeampulley.clock import Clock
+from hornbeampulley.endpoints import Endpoint
+from hornbeampulley.node.stored import HistoryLostError, StoreUnavailableError
+from hornbeampulley.platform._store import StoreClient
+from standins.metadata import MetadataStore
+from tests.nodes import STORE_PORT, Fleet
+
+
+def run(scenario):
+    async def main():
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery:
+                fleet = Fleet(nursery)
+                store = MetadataStore()
+                place = Endpoint(fleet.address(1), STORE_PORT)
+                nursery.start_soon(store.serve, place.address, place.port)
+                await trio.sleep(0.05)
+                client = StoreClient(place, Clock(trio.current_time))
+                await scenario(store, client)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def test_all_pages_are_read():
+    async def scenario(store, client):
+        for number in range(5):
+            store.put(f'servers/{number}', {'number': number})
+        store.put('other', {})
+        changes = await client.list_items('servers/')
+        assert len(changes.items) == 5
+        assert changes.revision == store.revision
+
+    run(scenario)
+
+
+def test_a_watch_tells_changes_and_removals():
+    async def scenario(store, client):
+        store.put('servers/a', {})
+        since = store.revision
+        store.put('servers/b', {})
+        store.delete('servers/a')
+        changes = await client.watch('servers/', since, 1000)
+        assert [item.is_deleted for item in changes.items] == [False, True]
+        assert changes.items[0].content == b'{}'
+
+    run(scenario)
+
+
+def test_a_watch_without_changes_ends():
+    async def scenario(store, client):
+        changes = await client.watch('servers/', store.revision, 100)
+        assert changes.items == ()
+
+    run(scenario)
+
+
+def test_lost_history_is_told():
+    async def scenario(store, client):
+        store.forgotten = 5
+        with pytest.raises(HistoryLostError):
+            await client.watch('servers/', 1, 100)
+
+    run(scenario)
+
+
+def test_a_refusal_is_told():
+    async def scenario(store, client):
+        store.is_down = True
+        with pytest.raises(StoreUnavailableError):
+            await client.list_items('servers/')
+
+    run(scenario)
+
+
+def test_a_store_that_is_gone_is_told():
+    async def scenario(store, client):
+        client._endpoint = Endpoint('127.0.0.1', 1)
+        with pytest.raises(StoreUnavailableError):
+            await client.list_items('servers/')
+
+    run(scenario)
