Give late leases back, and take a request under a new id to an owner that returns

Cause, found by reading: a lease that crossed the withdrawal of its request was only logged, so its slot stayed taken in the scheduler until the home's link closed; and a scheduler ignored a request that had been moved away and came back, as it had ended that id. Four of six tests of the desk failed first.

--- a/hornbeampulley/node/_desk.py
+++ b/hornbeampulley/node/_desk.py
@@ -189,17 +189,23 @@
             event = decisions.TargetDown(message.target)
         self._scheduling.take_report(pool, event)
 
-    def act(self, action: decisions.Action) -> None:
+    def act(self, action: decisions.Action, source: str) -> None:
         """Take a decision.
 
         Parameters
         ----------
         action : Lease, Refuse or Preempt
-            Late ones are ignored.
+            A lease that comes too late is given back.
+        source : str
+            Incarnation of the scheduler that decided.
         """
         reservation = self._reservations.get(action.request_id)
         if reservation is None or reservation.lease is not None:
             log_event(_log, 'lease_unused', request=action.request_id)
+            if isinstance(action, decisions.Lease):
+                ended = decisions.Outcome.CANCELLED
+                release = decisions.Release(action.request_id, ended)
+                self._pass_on(source, release)
             return
         match action:
             case decisions.Lease():
@@ -263,8 +269,18 @@
         else:
             ended = decisions.Outcome.CANCELLED
             self._tell(reservation, decisions.Release(request_id, ended))
+        self._rename(reservation)
         self._announce(reservation, owner)
 
+    def _rename(self, reservation: Reservation) -> None:
+        """Give a new id, since a scheduler ignores one that it has ended."""
+        self._reservations.pop(reservation.reserve.request_id)
+        reservation.reserve = dataclasses.replace(
+            reservation.reserve,
+            request_id=self.new_id(),
+        )
+        self._reservations[reservation.reserve.request_id] = reservation
+
     def _find_owner(self, pool: str) -> str:
         owner = self._choose_owner(pool)
         if self._owners.get(pool) != owner:
--- a/hornbeampulley/node/_peers.py
+++ b/hornbeampulley/node/_peers.py
@@ -67,7 +67,7 @@
             case ttypes.Heartbeat():
                 return
             case ttypes.Lease() | ttypes.Refuse() | ttypes.Preempt():
-                self.desk.act(read_action(message, self.desk.own))
+                self.desk.act(read_action(message, self.desk.own), peer)
             case ttypes.Grant():
                 self.caps.take_grant(message)
             case ttypes.StoredItems():
@@ -113,7 +113,7 @@
             The decision.
         """
         if home == self.desk.own:
-            self.desk.act(action)
+            self.desk.act(action, home)
             return
         link = self._homes.get(home)
         if link is not None:
