Start anew with a home that links anew; bring a peer level after a pull

Three tests of the links failed first: - a home that linked anew before its old link had ended kept what it had released in between as running at the scheduler, - the end of its older link was taken for the loss of a scheduler, - a peer that lacked only a removal older than a minute stayed behind for ever, and gave up its own calls to the store again and again. A broken stream now waits 250 ms, not 700, for word whether its target is up.

--- a/hornbeampulley/node/_knowledge.py
+++ b/hornbeampulley/node/_knowledge.py
@@ -81,6 +81,17 @@
         """The last revisions taken."""
         return Position(self._routing_revision, self._targets_revision)
 
+    def adopt(self, position: Position) -> None:
+        """Take over a position, as all that it stands for was taken.
+
+        Parameters
+        ----------
+        position : Position
+            A peer's, after its items.
+        """
+        self._routing_revision = max(self._routing_revision, position.routing)
+        self._targets_revision = max(self._targets_revision, position.targets)
+
     def note_outage(self) -> None:
         """Note that the store was away; what lapsed may come back."""
         self._lenient_until_ms = self._clock.now() + RETURN_MS
--- a/hornbeampulley/node/_peers.py
+++ b/hornbeampulley/node/_peers.py
@@ -49,6 +49,7 @@
         self._knowledge = knowledge
         self._clock = clock
         self._homes: dict[str, Link] = {}
+        self._replaced: set[Link] = set()
 
     def receive(self, link: Link, message: Any) -> None:
         """Take a message of a peer.
@@ -63,7 +64,7 @@
         peer = link.peer.incarnation
         match message:
             case ttypes.Hello():
-                self._homes[peer] = link
+                self._meet(link, peer)
             case ttypes.Heartbeat():
                 return
             case ttypes.Lease() | ttypes.Refuse() | ttypes.Preempt():
@@ -99,8 +100,9 @@
         if self._homes.get(peer) is link:
             self._homes.pop(peer)
             self._scheduling.lose_home(peer)
-        else:
+        elif link not in self._replaced:
             self.desk.lose(peer)
+        self._replaced.discard(link)
 
     def send_action(self, home: str, action: decisions.Action) -> None:
         """Carry a decision of this node's scheduler to a home.
@@ -139,6 +141,15 @@
         position = self._knowledge.position
         link.send(ttypes.Position(position.targets, position.routing))
 
+    def _meet(self, link: Link, peer: str) -> None:
+        """Start anew with a home; it announces all that it holds."""
+        old = self._homes.get(peer)
+        if old is not None:
+            self._replaced.add(old)
+            self._scheduling.lose_home(peer)
+            old.close()
+        self._homes[peer] = link
+
     def _serve(self, link: Link, message: Any) -> None:
         """Serve a home as its scheduler."""
         home = link.peer.incarnation
@@ -169,12 +180,10 @@
         newer = tuple(self._knowledge.list_newer(position))
         for start in range(0, len(newer), MAX_ITEMS):
             batch = newer[start : start + MAX_ITEMS]
-            link.send(
-                ttypes.StoredItems(
-                    self._knowledge.position.targets,
-                    [_write_item(item) for item in batch],
-                ),
-            )
+            items = [_write_item(item) for item in batch]
+            link.send(ttypes.StoredItems(0, items, 0))
+        own = self._knowledge.position
+        link.send(ttypes.StoredItems(own.targets, [], own.routing))
 
     def _take_items(self, message: ttypes.StoredItems, peer: str) -> None:
         items = tuple(_read_item(item) for item in message.items)
@@ -186,6 +195,9 @@
             revision=message.revision,
         )
         self._knowledge.take(items, SOURCE)
+        self._knowledge.adopt(
+            Position(message.routing_version or 0, message.revision),
+        )
 
 
 def _write_item(item: StoredItem) -> ttypes.StoredItem:
--- a/hornbeampulley/node/_sending.py
+++ b/hornbeampulley/node/_sending.py
@@ -1,16 +1,25 @@
 """Sends requests to targets over kept connections."""
 
 from collections.abc import Callable
+from typing import Final
 
 from hornbeampulley.clock import Clock
 from hornbeampulley.decisions import Outcome
-from hornbeampulley.http1 import Channel, ChannelPool, open_channel
+from hornbeampulley.http1 import (
+    Channel,
+    ChannelPool,
+    ChannelSettings,
+    open_channel,
+)
 from hornbeampulley.http1.errors import NotConnectedError, ResponseBrokenError
 from hornbeampulley.node._calls import Call
 from hornbeampulley.node._exchanges import Attempt, Exchange
 from hornbeampulley.node.dialect import Dialect
 from hornbeampulley.routing import TargetRecord
 
+# Short, since the caller of a stream that broke waits for it to go on.
+_PROBE: Final = ChannelSettings(connect_timeout_ms=250)
+
 
 class Sender:
     """Sends requests to targets.
@@ -106,11 +115,7 @@
         """Tell a crash of the target from a broken connection."""
         outcome = Outcome.FAILED
         try:
-            probe = await open_channel(
-                target.endpoint,
-                self._channels.settings,
-                self.clock,
-            )
+            probe = await open_channel(target.endpoint, _PROBE, self.clock)
         except NotConnectedError:
             outcome = Outcome.CRASHED
             self._channels.forget(target.name)
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -231,7 +231,8 @@
   2: double units
 }
 
-// What a host has read, for a host that can't read.
+// What a host has read, for a host that can't read; the last message of several
+// holds the sender's position, which the receiver then has too.
 struct StoredItem {
   1: string key
   2: binary content
@@ -242,6 +243,7 @@
 struct StoredItems {
   1: i64 revision
   2: list<StoredItem> items
+  3: i64 routing_version
 }
 
 // The last revisions that a host has read: with its news of hosts, or on a link
--- /dev/null
+++ b/tests/test_node_peers.py
@@ -0,0 +1,180 @@
+"""Tests of what nodes tell each other on links."""
+
+import json
+
+from hornbeampulley import decisions
+from hornbeampulley.clock import ManualClock
+from hornbeampulley.node._knowledge import Knowledge, Position
+from hornbeampulley.node._peers import PeerTalk
+from hornbeampulley.node._scheduling import Scheduling
+from hornbeampulley.node.stored import StoredItem
+from hornbeampulley.platform._documents import PlatformDecoder
+from hornbeampulley.routing import form_configuration
+from hornbeampulley.wire.generated.peer import ttypes
+from tests.nodes import form_config
+
+HOME = '1' * 16
+ENTRY = {
+    'service': 'ledger',
+    'address': '10.0.0.1:80',
+    'zone': 'z',
+    'slots': 1,
+    'state': 'ready',
+}
+
+
+class FakeLink:
+    def __init__(self):
+        self.peer = ttypes.Hello(incarnation=HOME)
+        self.sent = []
+        self.is_closed = False
+
+    def send(self, *messages):
+        self.sent.extend(messages)
+
+    def close(self):
+        self.is_closed = True
+
+
+class FakeDesk:
+    own = '0' * 16
+
+    def __init__(self):
+        self.lost = []
+
+    def lose(self, peer):
+        self.lost.append(peer)
+
+
+def form_item(key, document, revision):
+    return StoredItem(key, json.dumps(document).encode(), revision)
+
+
+class Talk:
+    """A node's side of its links."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.knowledge = Knowledge(PlatformDecoder(), self.clock)
+        self.scheduling = Scheduling(self.clock, self.send)
+        self.talk = PeerTalk(self.scheduling, self.knowledge, self.clock)
+        self.talk.desk = FakeDesk()
+
+    def send(self, home, action):
+        self.talk.send_action(home, action)
+
+    def know(self):
+        items = [
+            form_item('op/config', form_config(3), 5),
+            form_item('servers/t', ENTRY, 6),
+        ]
+        self.knowledge.take(items, 'store')
+        table = self.knowledge.table
+        records = self.knowledge.targets.records.values()
+        self.scheduling.configure(
+            table,
+            form_configuration(table, records),
+            frozenset(),
+        )
+
+    def greet(self):
+        link = FakeLink()
+        self.talk.receive(link, link.peer)
+        return link
+
+    def reserve(self, link, counter):
+        message = ttypes.Reserve(
+            id_lease=0,
+            id_counter=counter,
+            workspace='w',
+            service_name='once@ledger',
+            tier='tier-1',
+            prompt_tokens=0,
+            output_tokens=0,
+            block_hashes=b'',
+            fingerprint=0,
+            deadline_in_ms=0,
+            idempotency_key='',
+            repeatable=False,
+            target='',
+            waited_ms=0,
+        )
+        self.talk.receive(link, message)
+
+    def list_leases(self, link):
+        return [one for one in link.sent if isinstance(one, ttypes.Lease)]
+
+
+def test_a_home_gets_a_lease():
+    side = Talk()
+    side.know()
+    link = side.greet()
+    side.reserve(link, 1)
+    assert [one.target for one in side.list_leases(link)] == ['t']
+
+
+def test_a_home_that_links_anew_frees_what_it_held():
+    side = Talk()
+    side.know()
+    old = side.greet()
+    side.reserve(old, 1)
+    new = side.greet()
+    side.reserve(new, 2)
+    assert len(side.list_leases(new)) == 1
+    assert old.is_closed
+
+
+def test_the_end_of_an_older_link_loses_nothing():
+    side = Talk()
+    side.know()
+    old = side.greet()
+    new = side.greet()
+    side.reserve(new, 1)
+    side.talk.lose(old)
+    assert side.talk.desk.lost == []
+    release = ttypes.Release(0, 1, 0, 0, 0, 10, 0)
+    side.talk.receive(new, release)
+    side.reserve(new, 2)
+    assert len(side.list_leases(new)) == 2
+
+
+def test_a_peer_that_is_behind_gets_all_and_is_level():
+    ahead, behind = Talk(), Talk()
+    ahead.know()
+    gone = StoredItem('servers/u', b'', 9, is_deleted=True)
+    ahead.knowledge.take([gone], 'store')
+    pulling = FakeLink()
+    behind.talk.pull(pulling)
+    answering = ahead.greet()
+    for message in pulling.sent:
+        ahead.talk.receive(answering, message)
+    link = behind.greet()
+    for message in answering.sent:
+        behind.talk.receive(link, message)
+    assert behind.knowledge.table.version == 3
+    assert behind.knowledge.position == Position(5, 9)
+
+
+def test_a_peer_is_level_also_if_nothing_is_left_to_tell():
+    ahead, behind = Talk(), Talk()
+    ahead.know()
+    behind.know()
+    gone = StoredItem('servers/u', b'', 9, is_deleted=True)
+    ahead.knowledge.take([gone], 'store')
+    ahead.clock.advance(120_000)
+    ahead.knowledge.sweep()
+    pulling = FakeLink()
+    behind.talk.pull(pulling)
+    answering = ahead.greet()
+    for message in pulling.sent:
+        ahead.talk.receive(answering, message)
+    link = behind.greet()
+    for message in answering.sent:
+        behind.talk.receive(link, message)
+    assert behind.knowledge.position == ahead.knowledge.position
+
+
+def test_a_decision_for_a_lost_home_is_dropped():
+    side = Talk()
+    lease = decisions.Lease(f'{HOME}.0.1', HOME, 't', 1000)
+    side.talk.send_action(HOME, lease)
