Take a removal from a peer at once when the peer has taken it

Cause: a host that the store turns away held each removal for 2.2 s, also one told by a peer that had taken it already; it served a leaving target up to 3.1 s after the others. Ruled out: late gossip (items arrive 0.4 to 0.9 s after the others' reading).

A peer now says how long it still holds a removal; the receiver holds it as long, or not at all. Tests: two, failing on the old code; the property test mixes both ways.

--- a/hornbeampulley/node/_knowledge.py
+++ b/hornbeampulley/node/_knowledge.py
@@ -15,6 +15,7 @@
 RETURN_MS: Final = 2200.0
 MASS_LOSS_SHARE: Final = 0.34
 MASS_LOSS_COUNT: Final = 2
+PEER: Final = 'peer'
 _log = logging.getLogger(__name__)
 
 
@@ -32,12 +33,20 @@
     targets: int = 0
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class _Kept:
     item: StoredItem
     taken_ms: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Held:
+    """A removal that may be followed by the return of what was removed."""
+
+    item: StoredItem
+    until_ms: float
+
+
 class Knowledge:
     """Takes items of the store, from the store itself or from peers.
 
@@ -73,7 +82,7 @@
         self._items: dict[str, _Kept] = {}
         self._routing_revision = 0
         self._targets_revision = 0
-        self._missing: dict[str, _Kept] = {}
+        self._missing: dict[str, _Held] = {}
         self._lenient_until_ms = 0.0
 
     @property
@@ -97,7 +106,7 @@
         self._lenient_until_ms = self._clock.now() + RETURN_MS
 
     def take(self, items: Iterable[StoredItem], source: str) -> None:
-        """Take items; older ones than those known are ignored.
+        """Take items of the store; those that are not newer are ignored.
 
         Parameters
         ----------
@@ -108,9 +117,22 @@
         """
         fresh = [item for item in items if self._is_new(item)]
         self._expect_mass_loss(fresh)
+        held_ms = self._lenient_until_ms - self._clock.now()
         for item in fresh:
-            self._items[item.key] = _Kept(item, self._clock.now())
-            self._take_one(item, source)
+            self._take_one(item, source, RETURN_MS if held_ms > 0 else 0)
+        self.note_change()
+
+    def take_relayed(self, items: Iterable[StoredItem]) -> None:
+        """Take items that a peer has read; it judged what may come back.
+
+        Parameters
+        ----------
+        items : iterable of StoredItem
+            Changes, in any order.
+        """
+        for item in items:
+            if self._is_new(item):
+                self._take_one(item, PEER, item.held_ms)
         self.note_change()
 
     def replace_targets(
@@ -153,21 +175,22 @@
         Yields
         ------
         StoredItem
-            Removals of the last minute included.
+            Removals of the last minute included, with the time for which
+            this process still holds them back.
         """
         for kept in self._items.values():
             is_routing = kept.item.key == self._decoder.routing_prefix
             known = position.routing if is_routing else position.targets
             if kept.item.revision > known:
-                yield kept.item
+                yield self._tell_held(kept.item)
 
     def sweep(self) -> None:
         """Forget old removals, and take those that were held back."""
         now_ms = self._clock.now()
         overdue = [
-            kept.item
-            for kept in self._missing.values()
-            if now_ms - kept.taken_ms >= RETURN_MS
+            held.item
+            for held in self._missing.values()
+            if now_ms >= held.until_ms
         ]
         for item in overdue:
             self._missing.pop(item.key)
@@ -192,14 +215,27 @@
             log_event(_log, 'outage_suspected', lost=lost, known=known)
             self.note_outage()
 
-    def _take_one(self, item: StoredItem, source: str) -> None:
+    def _tell_held(self, item: StoredItem) -> StoredItem:
+        held = self._missing.get(item.key)
+        if held is None:
+            return item
+        left_ms = max(held.until_ms - self._clock.now(), 0)
+        return dataclasses.replace(item, held_ms=left_ms)
+
+    def _take_one(
+        self,
+        item: StoredItem,
+        source: str,
+        held_ms: float,
+    ) -> None:
+        self._items[item.key] = _Kept(item, self._clock.now())
         if item.key == self._decoder.routing_prefix:
             self._routing_revision = max(self._routing_revision, item.revision)
             self._take_table(item, source)
             return
         self._targets_revision = max(self._targets_revision, item.revision)
         if item.is_deleted:
-            self._take_removal(item, source)
+            self._take_removal(item, source, held_ms)
             return
         record = self._decoder.read_target(item)
         if record is None:
@@ -246,12 +282,26 @@
             source=source,
         )
 
-    def _take_removal(self, item: StoredItem, source: str) -> None:
-        if self._clock.now() < self._lenient_until_ms:
-            self._missing[item.key] = _Kept(item, self._clock.now())
-            log_event(_log, 'target_missing', key=item.key, source=source)
+    def _take_removal(
+        self,
+        item: StoredItem,
+        source: str,
+        held_ms: float,
+    ) -> None:
+        if held_ms <= 0:
+            self._missing.pop(item.key, None)
+            self._remove(item, source)
             return
-        self._remove(item, source)
+        until_ms = self._clock.now() + held_ms
+        self._missing[item.key] = _Held(item, until_ms)
+        log_event(
+            _log,
+            'target_missing',
+            key=item.key,
+            source=source,
+            revision=item.revision,
+            held_ms=round(held_ms),
+        )
 
     def _remove(self, item: StoredItem, source: str) -> None:
         name = self._decoder.read_target_name(item.key)
--- a/hornbeampulley/node/_peers.py
+++ b/hornbeampulley/node/_peers.py
@@ -20,7 +20,6 @@
 )
 
 MAX_ITEMS: Final = 200
-SOURCE: Final = 'peer'
 _log = logging.getLogger(__name__)
 
 
@@ -194,7 +193,7 @@
             count=len(items),
             revision=message.revision,
         )
-        self._knowledge.take(items, SOURCE)
+        self._knowledge.take_relayed(items)
         self._knowledge.adopt(
             Position(message.routing_version or 0, message.revision),
         )
@@ -206,6 +205,7 @@
         item.content,
         item.revision,
         item.is_deleted,
+        round(item.held_ms),
     )
 
 
@@ -215,4 +215,5 @@
         bytes(item.content),
         item.revision,
         bool(item.deleted),
+        item.held_ms or 0,
     )
--- a/hornbeampulley/node/stored.py
+++ b/hornbeampulley/node/stored.py
@@ -29,12 +29,16 @@
         Its last change.
     is_deleted : bool
         Whether it was removed.
+    held_ms : float
+        If a peer told of the removal: how long the peer still waits for the
+        item to come back.
     """
 
     key: str
     content: bytes
     revision: int
     is_deleted: bool = False
+    held_ms: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -238,6 +238,8 @@
   2: binary content
   3: i64 revision
   4: bool deleted
+  // How long the sender still waits for a deleted item to come back, ms.
+  5: i32 held_ms
 }
 
 struct StoredItems {
--- a/tests/test_node_knowledge.py
+++ b/tests/test_node_knowledge.py
@@ -59,6 +59,32 @@
     assert 'a' not in knowledge.targets.records
 
 
+def test_a_removal_that_a_peer_has_taken_is_not_held_again():
+    knowledge = make()
+    knowledge.take([server('a', 1), server('b', 2), server('c', 3)], 'store')
+    knowledge.note_outage()
+    knowledge.take_relayed([gone('a', 4), gone('b', 5)])
+    assert list(knowledge.targets.records) == ['c']
+
+
+def test_a_removal_is_held_as_long_as_the_peer_that_read_it_holds_it():
+    clock = ManualClock()
+    reader = make(clock)
+    other = make(clock)
+    for knowledge in (reader, other):
+        knowledge.take([server('a', 1)], 'store')
+    reader.note_outage()
+    reader.take([gone('a', 4)], 'store')
+    clock.advance(1500)
+    other.take_relayed(reader.list_newer(other.position))
+    clock.advance(600)
+    other.sweep()
+    assert 'a' in other.targets.records
+    clock.advance(200)
+    other.sweep()
+    assert 'a' not in other.targets.records
+
+
 def test_a_target_that_came_back_is_kept():
     clock = ManualClock()
     knowledge = make(clock)
@@ -91,7 +117,7 @@
 
 def test_a_list_does_not_remove_what_is_newer():
     knowledge = make()
-    knowledge.take([server('a', 12)], 'peer')
+    knowledge.take_relayed([server('a', 12)])
     knowledge.replace_targets([], 9, 'store')
     assert 'a' in knowledge.targets.records
 
@@ -124,7 +150,7 @@
     highest = 0
     for version, revision in versions:
         before = knowledge.table
-        knowledge.take([config(version, revision)], 'peer')
+        knowledge.take_relayed([config(version, revision)])
         after = knowledge.table
         assert before is None or after.version >= before.version
         highest = max(highest, after.version)
@@ -132,7 +158,12 @@
 
 
 CHANGES = st.lists(
-    st.tuples(st.sampled_from('ab'), st.integers(1, 20), st.booleans()),
+    st.tuples(
+        st.sampled_from('ab'),
+        st.integers(1, 20),
+        st.booleans(),
+        st.booleans(),
+    ),
     max_size=30,
     unique_by=lambda change: change[:2],
 )
@@ -143,9 +174,12 @@
     clock = ManualClock()
     knowledge = make(clock)
     newest = {}
-    for name, revision, is_gone in changes:
+    for name, revision, is_gone, is_relayed in changes:
         item = gone(name, revision) if is_gone else server(name, revision)
-        knowledge.take([item], 'peer')
+        if is_relayed:
+            knowledge.take_relayed([item])
+        else:
+            knowledge.take([item], 'store')
         if revision > newest.get(name, (0, False))[0]:
             newest[name] = (revision, is_gone)
     clock.advance(10_000)
