Log the end of a lease that is cut by its caller or its time limit

Ruled out: leases that leak (their withdrawal was sent) and lines lost to the bound of the log.

Test: fails before, as no line is written.

--- a/hornbeampulley/node/_serving.py
+++ b/hornbeampulley/node/_serving.py
@@ -127,6 +127,9 @@
     if reservation.refusal is not None:
         return
     if attempt is None:
+        if reservation.lease is not None:
+            attempt = Attempt(decisions.Outcome.CANCELLED, 'cut')
+            _log_end(call, reservation, attempt)
         home.desk.withdraw(reservation)
         return
     _release(home, call, reservation, attempt)
@@ -138,17 +141,7 @@
     reservation: Reservation,
     attempt: Attempt,
 ) -> None:
-    log_event(
-        _log,
-        'lease_ended',
-        request=call.name,
-        target=reservation.lease.target if reservation.lease else None,
-        outcome=attempt.outcome.value,
-        reason=attempt.reason,
-        events=attempt.events or None,
-        first_ms=round(attempt.first_ms) or None,
-        took_ms=round(attempt.duration_ms),
-    )
+    _log_end(call, reservation, attempt)
     tokens = attempt.events * call.event_tokens
     outcome = attempt.outcome
     if _was_not_sent(attempt):
@@ -166,6 +159,20 @@
     )
 
 
+def _log_end(call: Call, reservation: Reservation, attempt: Attempt) -> None:
+    log_event(
+        _log,
+        'lease_ended',
+        request=call.name,
+        target=reservation.lease.target if reservation.lease else None,
+        outcome=attempt.outcome.value,
+        reason=attempt.reason,
+        events=attempt.events or None,
+        first_ms=round(attempt.first_ms) or None,
+        took_ms=round(attempt.duration_ms) or None,
+    )
+
+
 def _form_reserve(home: Home, call: Call) -> decisions.Reserve:
     facts = call.facts
     hinted = facts.hinted_tokens or facts.output_tokens
--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -169,6 +169,22 @@
     run_nodes(scenario)
 
 
+def test_a_lease_that_is_cut_is_logged_too(caplog):
+    caplog.set_level('INFO')
+
+    async def scenario(fleet):
+        for name in ('engines-1', 'engines-2'):
+            fleet.backends[name].behaviour.pause_ms = 10_000
+        with trio.move_on_after(0.5):
+            await fleet.call('/stream/a', body=b'p')
+        await wait_until(lambda: fleet.nodes[0].desk.open_count == 0)
+
+    run_nodes(scenario)
+    ends = [one for one in caplog.records if one.message == 'lease_ended']
+    assert [one.event_pairs['reason'] for one in ends] == ['cut']
+    assert ends[0].event_pairs['outcome'] == 'cancelled'
+
+
 def test_a_route_that_takes_too_long_gets_its_answer_in_time():
     async def scenario(fleet):
         for name in ('ledger-1', 'ledger-2'):
