--- a/hornbeampulley/logs.py
+++ b/hornbeampulley/logs.py
@@ -8,19 +8,21 @@
 from collections.abc import Callable, Mapping
 from typing import Final
 
-FIXED_KEYS: Final = (
-    'time',
-    'hlc',
-    'program',
-    'host',
-    'incarnation',
-    'level',
-    'event',
+FIXED_KEYS: Final = frozenset(
+    (
+        'time',
+        'hlc',
+        'program',
+        'host',
+        'incarnation',
+        'level',
+        'event',
+    )
 )
 # The event of lines that come from libraries.
 LIBRARY_EVENT: Final = 'library_message'
-_PLAIN_VALUE: Final = re.compile(r'[!-~]+')
-_QUOTED_CHARACTERS: Final = frozenset('"=\\')
+# Printable ASCII without quotes, equal signs and backslashes.
+_PLAIN_VALUE: Final = re.compile(r'[!#-<>-\[\]-~]+')
 _PAIRS: Final = 'event_pairs'
 
 
@@ -71,8 +73,7 @@
 def quote_value(value: object) -> str:
     """Return a value as it stands in a line, quoted as JSON if needed."""
     text = str(value)
-    plain = _PLAIN_VALUE.fullmatch(text)
-    if plain and not _QUOTED_CHARACTERS.intersection(text):
+    if isinstance(value, int) or _PLAIN_VALUE.fullmatch(text):
         return text
     return json.dumps(text)
 
@@ -103,30 +104,26 @@
         read_hlc: Callable[[], str],
     ) -> None:
         super().__init__()
-        self._origin = origin
+        self._origin = format_pairs(dataclasses.asdict(origin))
         self._read_hlc = read_hlc
 
     def format(self, record: logging.LogRecord) -> str:
         """Return the line of a record."""
-        fixed = {
-            'time': _format_time(record.created),
-            'hlc': self._read_hlc(),
-            **dataclasses.asdict(self._origin),
-            'level': record.levelname.lower(),
-        }
+        time = _format_time(record.created)
+        level = record.levelname.lower()
+        start = f'time={time} hlc={self._read_hlc()} {self._origin}'
+        rest = format_pairs(self._list_pairs(record))
+        return f'{start} level={level} {rest}'
+
+    def _list_pairs(self, record: logging.LogRecord) -> dict[str, object]:
         pairs = getattr(record, _PAIRS, None)
+        event = record.getMessage()
         if pairs is None:
-            pairs = {'logger': record.name, 'message': record.getMessage()}
-            fixed['event'] = LIBRARY_EVENT
-        else:
-            fixed['event'] = record.getMessage()
-        return format_pairs(
-            {
-                **fixed,
-                **_rename_clashes(pairs),
-                'traceback': self._format_traceback(record),
-            }
-        )
+            pairs = {'logger': record.name, 'message': event}
+            event = LIBRARY_EVENT
+        listed = {'event': event, **_rename_clashes(pairs)}
+        listed['traceback'] = self._format_traceback(record)
+        return listed
 
     def _format_traceback(self, record: logging.LogRecord) -> str | None:
         if record.exc_info and record.exc_info[0]:
@@ -172,8 +169,10 @@
     return text.replace('+00:00', 'Z')
 
 
-def _rename_clashes(pairs: Mapping[str, object]) -> dict[str, object]:
+def _rename_clashes(pairs: Mapping[str, object]) -> Mapping[str, object]:
     """Keep pairs from replacing the fixed keys."""
+    if FIXED_KEYS.isdisjoint(pairs):
+        return pairs
     return {
         f'{key}_' if key in FIXED_KEYS else key: value
         for key, value in pairs.items()
--- a/hornbeampulley/node/_log_output.py
+++ b/hornbeampulley/node/_log_output.py
@@ -79,6 +79,8 @@
 ) -> None:
     """Send all logs of the process to a handler.
 
+    Records name no source line, thread or task, which no line shows.
+
     Parameters
     ----------
     handler : BoundedHandler
@@ -88,5 +90,10 @@
     level : int
         Least level that is logged.
     """
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
+    # The documented way to keep records from looking for their caller.
+    logging._srcfile = None  # noqa: SLF001
     handler.setFormatter(formatter)
     logging.basicConfig(level=level, handlers=[handler], force=True)
