Place each refusal's return behind those before it

From second 7 to 16 refused callers were told 1.4 to 3.5 s, the time of the queue alone, and came back into the same burst.

Refused work that is still to come back counts as if it waited, at most 15 s.

--- a/hornbeampulley/decisions/_state.py
+++ b/hornbeampulley/decisions/_state.py
@@ -15,8 +15,10 @@
 from hornbeampulley.decisions._quarantine import QuarantineList
 from hornbeampulley.decisions._queue import WaitingQueue
 from hornbeampulley.decisions._requests import Request
+from hornbeampulley.decisions._returns import ReturnBook
 
 MIN_RETRY_MS: Final = 100.0
+MAX_RETRY_MS: Final = 15_000.0
 RETRY_JITTER: Final = 0.2
 
 
@@ -50,6 +52,8 @@
         Suspect and convicted contents.
     drain : DrainRate
         How fast the pool completes work.
+    returns : ReturnBook
+        Refused work that is still to come back.
     history : History
         The last decisions, to be explained.
     urgent_targets : list of str
@@ -72,6 +76,7 @@
         default_factory=QuarantineList,
     )
     drain: DrainRate = dataclasses.field(default_factory=DrainRate)
+    returns: ReturnBook = dataclasses.field(default_factory=ReturnBook)
     history: History = dataclasses.field(default_factory=History)
     urgent_targets: list[str] = dataclasses.field(default_factory=list)
     actions: list[Action] = dataclasses.field(default_factory=list)
@@ -106,7 +111,17 @@
     def _estimate_retry(self, request: Request, reason: Reason) -> float:
         if reason in {Reason.QUARANTINED, Reason.DUPLICATE_KEY}:
             return 0
-        work_ms = self.queue.sum_work(request.rank) + request.price_ms
+        work_ms = (
+            self.queue.sum_work(request.rank)
+            + self.returns.sum_work(request.rank, self.now_ms)
+            + request.price_ms
+        )
         wait_ms = work_ms / self.drain.estimate(self.fleet.capacity)
         jitter = 1 + RETRY_JITTER * self.random.random()
-        return max(wait_ms, MIN_RETRY_MS) * jitter
+        retry_ms = min(max(wait_ms, MIN_RETRY_MS), MAX_RETRY_MS) * jitter
+        self.returns.add(
+            self.now_ms + retry_ms,
+            request.rank,
+            request.price_ms,
+        )
+        return retry_ms
