Let a stream wait until its caller would leave, whatever its length

Cause: the moment at which a caller leaves a silent stream stood as the deadline of the whole answer, so a stream whose answer takes longer than that was refused as soon as it had to wait at all, and a long one more than a short one. Ruled out: slots (64 were free at the target) and the cap of the engine's memory.

--- a/hornbeampulley/decisions/_core.py
+++ b/hornbeampulley/decisions/_core.py
@@ -166,6 +166,7 @@
             state.queue.find_rank(event.tier),
             state.now_ms - event.waited_ms,
             state.cost.price(event),
+            state.cost.find_timely_start(event),
             state.cost.find_latest_start(event),
         )
         state.ledger.add(request)
--- a/hornbeampulley/decisions/_cost.py
+++ b/hornbeampulley/decisions/_cost.py
@@ -86,7 +86,7 @@
             self.expect_output(reserve),
         )
 
-    def find_latest_start(self, reserve: Reserve) -> float:
+    def find_timely_start(self, reserve: Reserve) -> float:
         """Return when a request must start to meet its objective.
 
         Parameters
@@ -103,8 +103,30 @@
             return 0
         if not reserve.prompt_tokens:
             return reserve.objective_ms - self._call_ms(reserve.service)
-        first_ms = self.price_prefill(reserve.prompt_tokens)
-        return reserve.objective_ms - first_ms - self._pool.step_ms
+        return reserve.objective_ms - self._price_first_token(reserve)
+
+    def find_latest_start(self, reserve: Reserve) -> float:
+        """Return when a request must start to be of use.
+
+        Parameters
+        ----------
+        reserve : Reserve
+            The request.
+
+        Returns
+        -------
+        float
+            Moment in ms at which its whole answer can still meet its
+            deadline, and its first token a caller that has not left; 0 if it
+            has neither limit.
+        """
+        limits: list[float] = []
+        if reserve.deadline_ms:
+            limits.append(reserve.deadline_ms - self.price(reserve))
+        if reserve.begin_by_ms:
+            first_ms = self._price_first_token(reserve)
+            limits.append(reserve.begin_by_ms - first_ms)
+        return min(limits, default=0)
 
     def note_price(self, price_ms: float) -> None:
         """Learn the mean price of leased requests."""
@@ -121,6 +143,9 @@
         """Return the price of prompt tokens at the pool's average rate."""
         return tokens * self._pool.prefill_ms_per_token
 
+    def _price_first_token(self, reserve: Reserve) -> float:
+        return self.price_prefill(reserve.prompt_tokens) + self._pool.step_ms
+
     def find_prefill_rate(self, target: str) -> float:
         """Return a target's ms per prompt token."""
         return self._find_rates(target).prefill_ms_per_token
--- a/hornbeampulley/decisions/_messages.py
+++ b/hornbeampulley/decisions/_messages.py
@@ -60,6 +60,9 @@
     objective_ms : float
         Moment until which the answer counts in full: of a stream its first
         token, otherwise all of it; 0 if none.
+    begin_by_ms : float
+        Moment when the caller leaves if the first token has not come; 0 if
+        none.
     avoided : str
         Target that has just failed it; used only if there is no other.
     """
@@ -79,6 +82,7 @@
     target: str = ''
     waited_ms: float = 0
     objective_ms: float = 0
+    begin_by_ms: float = 0
     avoided: str = ''
 
 
--- a/hornbeampulley/decisions/_queue.py
+++ b/hornbeampulley/decisions/_queue.py
@@ -189,6 +189,14 @@
         rank = self.lowest_rank()
         return self._tiers[rank].list_late(now_ms) if rank >= 0 else []
 
+    def list_hopeless(self, now_ms: float) -> list[Request]:
+        """List the requests of all tiers whose callers are about to leave."""
+        return [
+            request
+            for tier in self._tiers.values()
+            for request in tier.list_hopeless(now_ms)
+        ]
+
     def correct(self, request: Request, difference_ms: float) -> None:
         """Charge the difference of a request's actual and expected cost."""
         tier = self._open(request.rank)
--- a/hornbeampulley/decisions/_requests.py
+++ b/hornbeampulley/decisions/_requests.py
@@ -28,9 +28,12 @@
         When it began to wait, anywhere.
     price_ms : float
         Expected cost at the pool's average rates.
-    latest_start_ms : float
+    timely_start_ms : float
         When it must start at the latest to meet its objective; 0 if it has
         none.
+    latest_start_ms : float
+        When it must start at the latest to be of use; 0 if it has no
+        deadline.
     stage : Stage
         Where it stands.
     serial : int
@@ -65,6 +68,7 @@
     rank: int
     arrived_ms: float
     price_ms: float
+    timely_start_ms: float = 0
     latest_start_ms: float = 0
     stage: Stage = Stage.WAITING
     serial: int = 0
--- a/hornbeampulley/decisions/_shedding.py
+++ b/hornbeampulley/decisions/_shedding.py
@@ -31,20 +31,28 @@
             self._refuse_worst(Reason.SHED)
 
     def shed_late(self) -> None:
-        """Refuse what cannot meet its deadline, in the lowest tier only."""
+        """Refuse what cannot meet its deadline.
+
+        In all but the lowest tier it may wait until its caller is about to
+        leave, since room may be made for it.
+        """
         queue = self._state.queue
         now_ms = self._state.now_ms
         for rank in queue.mark_late(now_ms):
             # Time has run out for a request, and a lower tier goes first.
             if queue.lowest_rank() > rank:
                 self._refuse_worst(Reason.SHED)
+        self._refuse_late(queue.list_hopeless(now_ms))
         late = queue.list_late(now_ms)
         while late:
-            for request in late:
-                queue.remove(request)
-                self._state.refuse(request, Reason.DEADLINE)
+            self._refuse_late(late)
             late = queue.list_late(now_ms)
 
+    def _refuse_late(self, requests: list[Request]) -> None:
+        for request in requests:
+            self._state.queue.remove(request)
+            self._state.refuse(request, Reason.DEADLINE)
+
     def _is_excessive(self) -> bool:
         queue = self._state.queue
         capacity = max(self._state.fleet.capacity, 1)
@@ -57,10 +65,9 @@
 
     def _find_allowed_wait(self, request: Request) -> float:
         """Return how long the last request to be served may wait."""
-        deadline_ms = request.reserve.deadline_ms
-        if not deadline_ms:
+        if not request.latest_start_ms:
             return MAX_DRAIN_MS
-        left_ms = deadline_ms - self._state.now_ms - request.price_ms
+        left_ms = request.latest_start_ms - self._state.now_ms
         return max(left_ms, 0) * DEADLINE_SLACK
 
     def _refuse_worst(self, reason: Reason) -> None:
--- a/hornbeampulley/decisions/_tiers.py
+++ b/hornbeampulley/decisions/_tiers.py
@@ -1,11 +1,16 @@
 """The waiting requests of one tier, in weighted fair order by workspace."""
 
 import heapq
+import itertools
 import math
+from typing import Final
 
 from hornbeampulley.decisions._lanes import STALE_ENTRIES, Lane
 from hornbeampulley.decisions._requests import Request
 
+# Time in which a refusal reaches a caller that is about to leave.
+ANSWER_MS: Final = 50.0
+
 
 class TierQueue:
     """Waiting requests of a tier.
@@ -37,6 +42,8 @@
         self._excess: list[tuple[float, str]] = []
         self._deadlines: list[tuple[float, int, Request]] = []
         self._objectives: list[tuple[float, int, Request]] = []
+        self._departures: list[tuple[float, int, Request]] = []
+        self._numbers = itertools.count()
         self._virtual = 0.0
 
     @property
@@ -53,20 +60,33 @@
         ]
         return overdue + list(self._late.values())
 
+    def list_hopeless(self, now_ms: float) -> list[Request]:
+        """List the requests whose callers are about to leave."""
+        hopeless = [
+            request
+            for request in self.aside.values()
+            if 0 < request.reserve.begin_by_ms <= now_ms + ANSWER_MS
+        ]
+        while self._departures and self._departures[0][0] <= now_ms:
+            _, _, request = heapq.heappop(self._departures)
+            if self._late.get(request.request_id) is request:
+                hopeless.append(request)
+        return hopeless
+
     def push(self, request: Request, share: float) -> None:
         """Add a request whose serial is new."""
         self._count(request, 1)
         lane = self._find_lane(request.reserve.workspace, share)
-        if request.reserve.deadline_ms:
-            latest_ms = request.reserve.deadline_ms - request.price_ms
+        latest_ms = request.latest_start_ms
+        if latest_ms:
             if latest_ms < request.arrived_ms:
-                self._late[request.request_id] = request
+                self._set_late(request)
                 return
             entry = (latest_ms, request.serial, request)
             heapq.heappush(self._deadlines, entry)
         self._add(lane, request)
-        if request.latest_start_ms:
-            start = (request.latest_start_ms, request.serial, request)
+        if request.timely_start_ms:
+            start = (request.timely_start_ms, request.serial, request)
             heapq.heappush(self._objectives, start)
 
     def pop(self) -> Request:
@@ -166,7 +186,7 @@
             _, serial, request = heapq.heappop(self._deadlines)
             if request.serial == serial:
                 self._take_out(request)
-                self._late[request.request_id] = request
+                self._set_late(request)
                 moved += 1
         return moved
 
@@ -184,13 +204,20 @@
                 self._take_out(request)
                 self._set_overdue(request, -serial)
 
+    def _set_late(self, request: Request) -> None:
+        self._late[request.request_id] = request
+        if request.reserve.begin_by_ms:
+            answer_ms = request.reserve.begin_by_ms - ANSWER_MS
+            entry = (answer_ms, next(self._numbers), request)
+            heapq.heappush(self._departures, entry)
+
     def _set_overdue(self, request: Request, serial: int) -> None:
         # A new serial, as the entries of its lane are stale now.
         request.serial = serial
         self._overdue[request.request_id] = request
-        if request.reserve.deadline_ms:
-            latest_ms = request.reserve.deadline_ms - request.price_ms
-            heapq.heappush(self._deadlines, (latest_ms, serial, request))
+        if request.latest_start_ms:
+            entry = (request.latest_start_ms, serial, request)
+            heapq.heappush(self._deadlines, entry)
 
     def _take_out(self, request: Request) -> None:
         """Take a request out of its lane or of those that are overdue."""
--- a/hornbeampulley/node/_serving.py
+++ b/hornbeampulley/node/_serving.py
@@ -17,6 +17,8 @@
 
 MAX_RESENDS: Final = 4
 RETRY_MS: Final = 200.0
+# The first event, or a refusal, has to reach the caller before it leaves.
+DEPARTURE_MARGIN_MS: Final = 200.0
 # Time that a second attempt needs at least.
 MIN_LEFT_MS: Final = 50.0
 # Statuses that promise that a request has not run.
@@ -185,20 +187,21 @@
         prompt_tokens=facts.prompt_tokens if call.is_model else 0,
         output_tokens=hinted if call.is_model else 0,
         fingerprint=_hash_content(call),
-        deadline_ms=_find_deadline(call),
+        deadline_ms=call.ends_ms,
         objective_ms=_find_objective(call),
+        begin_by_ms=_find_departure(call),
         # A running request is not moved to make room for others.
         repeatable=False,
         avoided=call.last_target,
     )
 
 
-def _find_deadline(call: Call) -> float:
-    """Return when the caller leaves if its answer has not begun."""
+def _find_departure(call: Call) -> float:
+    """Return by when an answer has to begin; 0 if there is no such moment."""
     patience_ms = call.route.patience_ms
     if not patience_ms or call.events.count:
-        return call.ends_ms
-    return min(call.ends_ms, call.arrived_ms + patience_ms)
+        return 0
+    return call.arrived_ms + patience_ms - DEPARTURE_MARGIN_MS
 
 
 def _find_objective(call: Call) -> float:
--- a/hornbeampulley/wire/_events.py
+++ b/hornbeampulley/wire/_events.py
@@ -66,6 +66,7 @@
         dispatched=dispatched,
         avoided=event.avoided,
         objective_in_ms=_count_down(event.objective_ms, now_ms),
+        begin_by_in_ms=_count_down(event.begin_by_ms, now_ms),
     )
 
 
@@ -165,6 +166,7 @@
         target=message.target,
         waited_ms=float(message.waited_ms),
         objective_ms=_find_moment(message.objective_in_ms, now_ms),
+        begin_by_ms=_find_moment(message.begin_by_in_ms, now_ms),
         avoided=message.avoided or '',
     )
 
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -51,6 +51,7 @@
   16: bool dispatched
   17: string avoided
   18: i32 objective_in_ms
+  19: i32 begin_by_in_ms
 }
 
 struct Withdraw {
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -184,3 +184,35 @@
     assert state.running == state.targets[0].running == 1
     assert state.targets[0].health == 'healthy'
     assert pool.explain_last(running).endswith('lease t0')
+
+
+def test_a_long_answer_may_wait_until_its_caller_would_leave():
+    pool = Pool(targets=1, slots=1)
+    running = pool.reserve(output_tokens=50)
+    # At the default rates the whole answer takes about 4 s.
+    long = pool.reserve(deadline_ms=15_000, begin_by_ms=2500)
+    pool.send(Tick(), wait_ms=1500)
+    assert pool.find_reason(long) is None
+    pool.release(running)
+    assert pool.find_target(long)
+
+
+def test_a_request_whose_caller_would_leave_first_is_refused():
+    pool = Pool(targets=1, slots=1)
+    pool.reserve()
+    waiting = pool.reserve(deadline_ms=15_000, begin_by_ms=2500)
+    pool.send(Tick(), wait_ms=2500)
+    assert pool.find_reason(waiting) is Reason.DEADLINE
+
+
+def test_a_late_request_of_an_upper_tier_is_refused_before_its_caller_leaves():
+    pool = Pool(targets=1, slots=1)
+    pool.reserve('gold')
+    kept, shed = (pool.reserve('low') for _ in range(2))
+    waiting = pool.reserve('mid', deadline_ms=20_000, begin_by_ms=2500)
+    pool.send(Tick(), wait_ms=1900)
+    assert pool.find_reason(waiting) is None
+    pool.send(Tick(), wait_ms=90)
+    assert pool.find_reason(waiting) is Reason.DEADLINE
+    assert pool.find_reason(shed) is Reason.SHED
+    assert pool.find_reason(kept) is None
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -21,7 +21,9 @@
     reserve = make_reserve(tier, **fields)
     rank = queue.find_rank(tier)
     request = Request(reserve, rank, arrived_ms, price_ms)
-    request.latest_start_ms = reserve.objective_ms
+    request.timely_start_ms = reserve.objective_ms
+    if reserve.deadline_ms:
+        request.latest_start_ms = reserve.deadline_ms - price_ms
     queue.push(request)
     return request
 
