--- a/hornbeampulley/programs/entry.py
+++ b/hornbeampulley/programs/entry.py
@@ -33,6 +33,8 @@
 TICK_MS: Final = 100.0
 LEAVE_LOOKUPS_MS: Final = 1500.0
 MAX_BACKLOG: Final = 1024
+# A caller's request may wait in the socket while a host is overloaded.
+KEEP_ALIVE_S: Final = 75.0
 _log = logging.getLogger(__name__)
 
 
@@ -157,6 +159,7 @@
     config.errorlog = logging.getLogger('hypercorn')
     config.backlog = MAX_BACKLOG
     config.h11_max_incomplete_size = 32 * 1024
+    config.keep_alive_timeout = KEEP_ALIVE_S
     config.include_server_header = False
     config.graceful_timeout = to_seconds(settings.limits.drain_timeout_ms)
     return config
--- a/tests/test_processes_floods.py
+++ b/tests/test_processes_floods.py
@@ -124,12 +124,13 @@
             expected = compose_answer(f'{number} {PROMPT}', 20)
             assert read_text(reply) == expected
         refused = {
-            name: reply.read_json()['ran']
+            name: reply.read_json()
             for name, reply in flooded.items()
             if reply.status != HTTP_OK
         }
         assert refused, 'the flood was too small to shed anything'
-        assert set(refused.values()) == {'no'}
+        ran = [one for one in refused.values() if one['ran'] != 'no']
+        assert not ran
         runs = await count_runs(fleet)
         assert not refused.keys() & runs.keys()
         assert set(runs.values()) == {1}
