Log why the owner of a pool gave no target

Cause: the log told that a request was shed, not from what: the queue and the capacity that the scheduler saw stood nowhere. Ruled out: a line at the scheduler alone, as a call's log would then be in two places.

A refusal carries how many waited and how many the targets may run at once; lease_refused logs them with the owner. Test: extended, failing before.

--- a/hornbeampulley/decisions/_messages.py
+++ b/hornbeampulley/decisions/_messages.py
@@ -287,6 +287,10 @@
         Whether it ran before; false unless quarantined or preempted.
     retry_after_ms : float
         When to ask again, from the measured drain rate; 0 if never.
+    waiting : int
+        Requests that waited in the pool.
+    capacity : int
+        Requests that its healthy targets may run at once.
     """
 
     request_id: str
@@ -294,6 +298,8 @@
     reason: Reason
     ran: bool
     retry_after_ms: float
+    waiting: int = 0
+    capacity: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeampulley/decisions/_state.py
+++ b/hornbeampulley/decisions/_state.py
@@ -105,6 +105,8 @@
                 reason,
                 ran or request.resume,
                 self._estimate_retry(request, reason),
+                self.queue.count,
+                self.fleet.capacity,
             ),
         )
 
--- a/hornbeampulley/node/_serving.py
+++ b/hornbeampulley/node/_serving.py
@@ -82,7 +82,7 @@
 ) -> Attempt:
     await reservation.decided.wait()
     if reservation.refusal is not None:
-        raise _explain_refusal(call, reservation.refusal)
+        raise _explain_refusal(call, reservation)
     lease = reservation.lease
     call.last_target = lease.target
     target = home.knowledge.targets.records.get(lease.target)
@@ -251,7 +251,18 @@
     await call.reply.send(answer.status, answer.headers, answer.body)
 
 
-def _explain_refusal(call: Call, refusal: decisions.Refuse) -> CallError:
+def _explain_refusal(call: Call, reservation: Reservation) -> CallError:
+    refusal = reservation.refusal
+    log_event(
+        _log,
+        'lease_refused',
+        request=call.name,
+        reason=refusal.reason.value,
+        owner=reservation.owner,
+        waiting=refusal.waiting,
+        capacity=refusal.capacity,
+        retry_after_ms=round(refusal.retry_after_ms),
+    )
     call.may_have_run = call.may_have_run or refusal.ran
     retry_ms = max(refusal.retry_after_ms, RETRY_MS)
     return _form_refusal(call, refusal.reason.value, retry_ms)
--- a/hornbeampulley/wire/_actions.py
+++ b/hornbeampulley/wire/_actions.py
@@ -52,6 +52,8 @@
                 _REASONS.index(action.reason),
                 action.ran,
                 round_ms(action.retry_after_ms),
+                action.waiting,
+                action.capacity,
             )
     return ttypes.Preempt(*split_id(action.request_id), action.target)
 
@@ -102,6 +104,8 @@
         _REASONS[message.reason],
         message.ran,
         float(message.retry_after_ms),
+        message.waiting or 0,
+        message.capacity or 0,
     )
 
 
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -94,6 +94,8 @@
   3: i32 reason
   4: bool ran
   5: i32 retry_after_ms
+  6: i32 waiting
+  7: i32 capacity
 }
 
 struct Preempt {
--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -222,7 +222,9 @@
     run_nodes(scenario, count=2)
 
 
-def test_a_stream_that_cannot_begin_in_time_is_refused_early():
+def test_a_stream_that_cannot_begin_in_time_is_refused_early(caplog):
+    caplog.set_level('INFO')
+
     async def scenario(fleet):
         for name in ('engines-1', 'engines-2'):
             fleet.backends[name].behaviour.pause_ms = 60_000
@@ -239,6 +241,9 @@
         assert list_runs(fleet) == running
 
     run_nodes(scenario)
+    (line,) = [one for one in caplog.records if one.message == 'lease_refused']
+    assert line.event_pairs['reason'] == 'deadline'
+    assert line.event_pairs['capacity'] == 8
 
 
 async def call_and_forget(fleet, name):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -97,7 +97,7 @@
 )
 ACTIONS = (
     decisions.Lease(ID, HOME, 'target', 20.0, resume=True),
-    decisions.Refuse(ID, HOME, decisions.Reason.SHED, False, 30.0),
+    decisions.Refuse(ID, HOME, decisions.Reason.SHED, False, 30.0, 7, 4),
     decisions.Preempt(ID, HOME, 'target'),
 )
 
