Stop a preempted call only once its target has begun to answer

Cause: in the flood test a batch call got a 502 that says unknown. Its log: lease sent at 49.894 s, preemption sent at 50.118, request dispatched at 50.122. The preemption cancelled the call between its dispatch and its arrival; the engine knew no such stream, so the call ended as crashed, its target was taken down and its content charged. Ruled out: id leases, the silence limit (1.1 s in all).

A preemption that comes in that gap takes effect when the target begins to answer. Test: a target that takes 100 ms to receive a call; fails before.

--- a/hornbeampulley/pipeline/_calls.py
+++ b/hornbeampulley/pipeline/_calls.py
@@ -65,6 +65,10 @@
         Moment of dispatch, 0 before it, and delay of the first token.
     is_done : bool
         Whether the target said that the answer is whole.
+    has_head : bool
+        Whether the target has begun to answer.
+    is_stopping : bool
+        Whether the call stops as soon as the target begins to answer.
     scope : trio.CancelScope
         Cancelled to preempt the call.
     """
@@ -83,6 +87,8 @@
     started_ms: float = 0
     first_token_ms: float = 0
     is_done: bool = False
+    has_head: bool = False
+    is_stopping: bool = False
     scope: trio.CancelScope = dataclasses.field(
         default_factory=trio.CancelScope,
     )
@@ -97,6 +103,24 @@
         """Whether bytes may have reached the target."""
         return self.started_ms > 0
 
+    def stop(self) -> None:
+        """Preempt the call, but not between its dispatch and its answer.
+
+        A target that has not taken the request yet would know nothing of the
+        stream that is to be moved.
+        """
+        if self.is_sent and not self.has_head:
+            self.is_stopping = True
+        else:
+            self.scope.cancel()
+
+    def note_head(self) -> None:
+        """Note that the target has begun to answer."""
+        self.has_head = True
+        if self.is_stopping:
+            self.is_stopping = False
+            self.scope.cancel()
+
     def end(self, outcome: Outcome, now_ms: float) -> CallEnd:
         """Sum up the call.
 
--- a/hornbeampulley/pipeline/_home.py
+++ b/hornbeampulley/pipeline/_home.py
@@ -305,4 +305,4 @@
     def _take_preemption(self, preemption: decisions.Preempt) -> None:
         request = self._requests.get(preemption.request_id)
         if request is not None and request.call is not None:
-            request.call.scope.cancel()
+            request.call.stop()
--- a/hornbeampulley/pipeline/_runners.py
+++ b/hornbeampulley/pipeline/_runners.py
@@ -224,6 +224,7 @@
 ) -> Outcome | None:
     if reply.status != HTTP_OK:
         return await _copy_refusal(call, reply)
+    call.note_head()
     if not call.answer.status:
         call.answer.start(reply.status, _form_headers(call, reply))
     async for line in _split_lines(reply):
--- a/tests/test_runners.py
+++ b/tests/test_runners.py
@@ -117,6 +117,54 @@
     run_with_engine(scenario, mock_run)
 
 
+class SlowClient(EngineClient):
+    """Takes 100 ms until the engine has a request."""
+
+    @contextlib.asynccontextmanager
+    async def open_call(self, call, headers, read_timeout_ms):
+        call.started_ms = 1
+        await trio.sleep(0.1)
+        async with super().open_call(call, headers, read_timeout_ms) as reply:
+            yield reply
+
+
+def test_a_call_is_not_stopped_before_its_target_has_it(mock_run):
+    async def scenario(engine, _nursery):
+        ends = []
+        call = make_call(Answer())
+
+        async def run():
+            client = SlowClient(engine)
+            ends.append(await run_call(client, ServiceKind.MODEL, call))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run)
+            await trio.sleep(0.05)
+            call.stop()
+            assert not call.scope.cancel_called
+        assert call.scope.cancel_called
+        assert ends[0].outcome is Outcome.DONE
+
+    run_with_engine(scenario, mock_run)
+
+
+def test_a_call_is_stopped_at_once_before_its_dispatch_and_while_it_runs(
+    mock_run,
+):
+    async def main():
+        waiting = make_call(Answer())
+        waiting.stop()
+        assert waiting.scope.cancel_called
+        running = make_call(Answer())
+        running.started_ms = 1
+        running.note_head()
+        assert not running.scope.cancel_called
+        running.stop()
+        assert running.scope.cancel_called
+
+    mock_run(main)
+
+
 def test_a_stream_that_moves_gets_a_new_id_at_the_engine():
     assert make_call(Answer()).stream_id == 'id'
     assert make_call(Answer(), moves=2).stream_id == 'id-2'
