--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -130,8 +130,20 @@
                 lambda: all(self._is_ready(node) for node in self.nodes),
             )
 
-    async def call(self, path, number=0, body=b'', request_id=b'r1', **headers):
-        """Send one request and return status, head and body."""
+    async def call(self, path, number=0, **fields):
+        """Send one request to a node and return status, head and body."""
+        address = self.nodes[number].settings.listen.callers.address
+        return await self.call_at(address, path, **fields)
+
+    async def call_at(
+        self,
+        address,
+        path,
+        body=b'',
+        request_id=b'r1',
+        **headers,
+    ):
+        """Send one request to an address."""
         pairs = {
             'host': 'h.example',
             'attempt-id': request_id.decode(),
@@ -146,8 +158,7 @@
             tuple((name.encode(), pairs[name].encode()) for name in pairs),
             body,
         )
-        address = self.nodes[number].settings.listen.callers
-        stream = await trio.open_tcp_stream(address.address, address.port)
+        stream = await trio.open_tcp_stream(address, CALLER_PORT)
         async with stream:
             await stream.send_all(encode_request(request))
             return await read_answer(stream)
