--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -130,10 +130,10 @@
                 lambda: all(self._is_ready(node) for node in self.nodes),
             )
 
-    async def call(self, path, number=0, **fields):
+    async def call(self, path, number=0, body=b'', request_id=b'r1', **headers):
         """Send one request to a node and return status, head and body."""
         address = self.nodes[number].settings.listen.callers.address
-        return await self.call_at(address, path, **fields)
+        return await self.call_at(address, path, body, request_id, **headers)
 
     async def call_at(
         self,
