--- a/hornbeampulley/node/_knowledge.py
+++ b/hornbeampulley/node/_knowledge.py
@@ -11,8 +11,9 @@
 from hornbeampulley.routing import RoutingTable, TargetBook, TargetRecord
 
 TOMBSTONE_MS: Final = 60_000.0
-# Entries that lapsed during an outage are written again within two seconds.
-RETURN_MS: Final = 2200.0
+# Entries that lapsed during an outage are written again within about two
+# seconds of its end; a target that has left gets nothing new after two.
+RETURN_MS: Final = 1800.0
 MASS_LOSS_SHARE: Final = 0.34
 MASS_LOSS_COUNT: Final = 2
 PEER: Final = 'peer'
@@ -119,7 +120,7 @@
         self._expect_mass_loss(fresh)
         held_ms = self._lenient_until_ms - self._clock.now()
         for item in fresh:
-            self._take_one(item, source, RETURN_MS if held_ms > 0 else 0)
+            self._take_one(item, source, held_ms)
         self.note_change()
 
     def take_relayed(self, items: Iterable[StoredItem]) -> None:
@@ -184,8 +185,8 @@
             if kept.item.revision > known:
                 yield self._tell_held(kept.item)
 
-    def sweep(self) -> None:
-        """Forget old removals, and take those that were held back."""
+    def take_overdue(self) -> None:
+        """Take the removals that have been held back long enough."""
         now_ms = self._clock.now()
         overdue = [
             held.item
@@ -195,6 +196,10 @@
         for item in overdue:
             self._missing.pop(item.key)
             self._remove(item, 'outage_over')
+
+    def sweep(self) -> None:
+        """Forget old removals."""
+        now_ms = self._clock.now()
         expired = [
             key
             for key, kept in self._items.items()
--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -290,6 +290,7 @@
         await answer_call(self.home, call)
 
     def _tick(self) -> None:
+        self.knowledge.take_overdue()
         self._configure()
         self.scheduling.tick()
         self._talk.recover()
--- a/tests/test_node_knowledge.py
+++ b/tests/test_node_knowledge.py
@@ -51,11 +51,24 @@
     knowledge.take([server('a', 1), server('b', 2), server('c', 3)], 'store')
     knowledge.note_outage()
     knowledge.take([gone('a', 4)], 'store')
-    clock.advance(1900)
-    knowledge.sweep()
+    clock.advance(1700)
+    knowledge.take_overdue()
     assert 'a' in knowledge.targets.records
-    clock.advance(400)
-    knowledge.sweep()
+    clock.advance(200)
+    knowledge.take_overdue()
+    assert 'a' not in knowledge.targets.records
+
+
+def test_what_is_removed_long_after_an_outage_is_held_only_for_the_rest():
+    clock = ManualClock()
+    knowledge = make(clock)
+    knowledge.take([server('a', 1), server('b', 2), server('c', 3)], 'store')
+    knowledge.note_outage()
+    clock.advance(1700)
+    knowledge.take([gone('a', 4)], 'store')
+    assert 'a' in knowledge.targets.records
+    clock.advance(200)
+    knowledge.take_overdue()
     assert 'a' not in knowledge.targets.records
 
 
@@ -77,11 +90,11 @@
     reader.take([gone('a', 4)], 'store')
     clock.advance(1500)
     other.take_relayed(reader.list_newer(other.position))
-    clock.advance(600)
-    other.sweep()
+    clock.advance(200)
+    other.take_overdue()
     assert 'a' in other.targets.records
     clock.advance(200)
-    other.sweep()
+    other.take_overdue()
     assert 'a' not in other.targets.records
 
 
@@ -92,7 +105,7 @@
     knowledge.note_outage()
     knowledge.take([gone('a', 4), server('a', 5)], 'store')
     clock.advance(5000)
-    knowledge.sweep()
+    knowledge.take_overdue()
     assert 'a' in knowledge.targets.records
 
 
@@ -103,7 +116,7 @@
     knowledge.take([gone('a', 4), gone('b', 5)], 'store')
     assert len(knowledge.targets.records) == 3
     clock.advance(2500)
-    knowledge.sweep()
+    knowledge.take_overdue()
     assert list(knowledge.targets.records) == ['c']
 
 
@@ -183,6 +196,6 @@
         if revision > newest.get(name, (0, False))[0]:
             newest[name] = (revision, is_gone)
     clock.advance(10_000)
-    knowledge.sweep()
+    knowledge.take_overdue()
     living = {name for name, (_, is_gone) in newest.items() if not is_gone}
     assert set(knowledge.targets.records) == living
--- a/tests/test_node_reading.py
+++ b/tests/test_node_reading.py
@@ -130,7 +130,7 @@
         await trio.sleep(1.5)
         assert 'a' in list_known(knowledge)
         await trio.sleep(1.5)
-        knowledge.sweep()
+        knowledge.take_overdue()
         assert list_known(knowledge) == ['b', 'c']
 
     run(mock_run, scenario)
