Test partitions and silent backends between real processes

A proxy on loopback slows, silences, cuts one way, refuses and resets the connections of nodes to the store and to the backends.

--- /dev/null
+++ b/tests/proxies.py
@@ -0,0 +1,90 @@
+"""A proxy on loopback that slows, silences, cuts and resets connections."""
+
+import enum
+import socket
+import struct
+
+import trio
+
+PART_BYTES = 65_536
+_BROKEN = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
+# Closing with a zero linger time resets a connection.
+RESETS = struct.pack('ii', 1, 0)
+
+
+class Mode(enum.Enum):
+    """What a proxy does with bytes."""
+
+    PASS = 'pass'
+    SLOW = 'slow'
+    SILENT = 'silent'
+    NO_ANSWERS = 'no_answers'
+    REFUSED = 'refused'
+
+
+_HELD = frozenset((Mode.SILENT,))
+_HELD_BACK = frozenset((Mode.SILENT, Mode.NO_ANSWERS))
+
+
+class Proxy:
+    """Passes bytes between those who connect and one server.
+
+    What is held back while it is silent comes late, in order.
+    """
+
+    def __init__(self, upstream, port):
+        self.mode = Mode.PASS
+        self.delay_s = 0.2
+        self._upstream = upstream
+        self._port = port
+        self._streams = set()
+        self._changed = trio.Event()
+
+    async def serve(self, address):
+        """Accept connections until cancelled."""
+        await trio.serve_tcp(self._accept, self._port, host=address)
+
+    def set_mode(self, mode):
+        """Treat all connections so from now on."""
+        self.mode = mode
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def reset(self):
+        """Reset all connections."""
+        for stream in tuple(self._streams):
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESETS)
+            stream.socket.close()
+        self._streams.clear()
+
+    async def _accept(self, caller):
+        if self.mode is Mode.REFUSED:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESETS)
+            return
+        try:
+            server = await trio.open_tcp_stream(self._upstream, self._port)
+        except OSError:
+            return
+        pair = {caller, server}
+        self._streams |= pair
+        try:
+            async with trio.open_nursery() as nursery:
+                end = nursery.cancel_scope.cancel
+                nursery.start_soon(self._pump, caller, server, _HELD, end)
+                nursery.start_soon(self._pump, server, caller, _HELD_BACK, end)
+        finally:
+            self._streams -= pair
+            await trio.aclose_forcefully(server)
+
+    async def _pump(self, source, sink, held, end):
+        try:
+            while part := await source.receive_some(PART_BYTES):
+                while self.mode in held:
+                    await self._changed.wait()
+                if self.mode is Mode.SLOW:
+                    await trio.sleep(self.delay_s)
+                await sink.send_all(part)
+        except _BROKEN:
+            # Either end has closed, or the proxy has reset the connection.
+            pass
+        end()
