Check bookings in one place, and test the soak's own checks

The tests of real processes and the soak each had their own check; the soak's checks are shown to find a doubled run, a false refusal, an answer of another request and a stream that lost or doubled an event.

--- a/tests/node_processes.py
+++ b/tests/node_processes.py
@@ -19,6 +19,8 @@
 from tests.proxies import Proxy
 
 NODES = 3
+# Ends that promise that a request has not run.
+REFUSALS = frozenset((408, 421, 429, 503))
 SERVICES = ('engines', 'ledger')
 SETTINGS = """
 [host]
@@ -162,6 +164,18 @@
                 await trio.sleep(0.05)
 
 
+def list_wrong_bookings(nodes, ends):
+    """List the bookings that ran otherwise than their callers were told."""
+    wrong = []
+    backends = nodes.fleet.backends.values()
+    for request_id, status in ends.items():
+        runs = sum(backend.runs[request_id] for backend in backends)
+        was_told = status != 200 or runs == 1
+        if runs > 1 or not was_told or (status in REFUSALS and runs):
+            wrong.append(f'{request_id}: {status}, ran {runs} times')
+    return wrong
+
+
 def run_processes(scenario, folder):
     """Run a scenario against a store, backends and nodes as processes."""
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -15,15 +15,18 @@
 import trio
 
 from hornbeampulley.registry import Registry
-from tests.node_processes import NODES, Processes, run_processes
+from tests.node_processes import (
+    NODES,
+    Processes,
+    list_wrong_bookings,
+    run_processes,
+)
 from tests.proxies import Mode
 
 CALLERS: Final = 6
 MAX_FAULT_S: Final = 2.5
 MAX_PAUSE_S: Final = 0.8
 STREAM_EVENTS: Final = 12
-# Ends that promise that a request has not run.
-REFUSALS: Final = frozenset((408, 421, 429, 503))
 # Longest time in which a node may take up its work after all faults.
 RECOVERY_S: Final = 30
 CONFIG_S: Final = 5
@@ -214,19 +217,6 @@
         soak.wrong.append(f'{request_id}: events lost or doubled: {body!r}')
 
 
-def check_bookings(soak):
-    """Check that bookings ran as often as their callers were told."""
-    backends = soak.nodes.fleet.backends.values()
-    for request_id, status in soak.ends.items():
-        runs = sum(backend.runs[request_id] for backend in backends)
-        if runs > 1:
-            soak.wrong.append(f'{request_id} ran {runs} times')
-        if status == HTTP_OK and runs != 1:
-            soak.wrong.append(f'{request_id} was answered and ran {runs} times')
-        if status in REFUSALS and runs:
-            soak.wrong.append(f'{request_id} was refused with {status} and ran')
-
-
 async def check_recovery(soak):
     """Check that all nodes serve, and follow one more change."""
     for number in range(NODES):
@@ -266,7 +256,7 @@
             await bring_faults(soak, length_s)
             await check_recovery(soak)
             soak.is_over = True
-        check_bookings(soak)
+        soak.wrong += list_wrong_bookings(nodes, soak.ends)
 
     run_processes(scenario, folder)
     return results[0]
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -4,32 +4,31 @@
 
 import trio
 
-from tests.node_processes import NODES, run_processes
+from tests.node_processes import (
+    NODES,
+    list_wrong_bookings,
+    run_processes,
+)
 from tests.nodes import wait_until
 from tests.proxies import Mode
 
 CALLERS = 6
 CALLS = 25
-# Ends of requests that promise that they have not run.
-REFUSALS = (429, 503)
-
-
-def count_runs(nodes, request_id):
-    backends = nodes.fleet.backends.values()
-    return sum(one.runs[request_id] for one in backends)
 
 
 def check_ends(nodes, ends):
     """Check that each booking ran as often as its caller was told."""
     assert len(ends) == CALLERS * CALLS
     assert 200 in ends.values()
-    for request_id, status in ends.items():
-        runs = count_runs(nodes, request_id)
-        assert runs <= 1, request_id
-        if status == 200:
-            assert runs == 1, request_id
-        if status in REFUSALS:
-            assert runs == 0, request_id
+    assert not list_wrong_bookings(nodes, ends)
+
+
+def start_callers(nursery, nodes):
+    """Let callers book; return the ends of their bookings as they come."""
+    ends = {}
+    for caller in range(CALLERS):
+        nursery.start_soon(book_all, nodes, ends, caller)
+    return ends
 
 
 async def book_all(nodes, ends, caller):
@@ -43,10 +42,8 @@
 
 def test_no_booking_runs_twice_while_nodes_are_killed_and_paused(tmp_path):
     async def scenario(nodes):
-        ends = {}
         async with trio.open_nursery() as nursery:
-            for caller in range(CALLERS):
-                nursery.start_soon(book_all, nodes, ends, caller)
+            ends = start_callers(nursery, nodes)
             for number in range(NODES):
                 await wait_until(lambda: len(ends) > 20 * number)  # noqa: B023
                 nodes.signal((number + 1) % NODES, signal.SIGSTOP)
@@ -61,10 +58,8 @@
 
 def test_all_are_told_to_end_in_turn_while_requests_come(tmp_path):
     async def scenario(nodes):
-        ends = {}
         async with trio.open_nursery() as nursery:
-            for caller in range(CALLERS):
-                nursery.start_soon(book_all, nodes, ends, caller)
+            ends = start_callers(nursery, nodes)
             for number in range(NODES):
                 nodes.signal(number, signal.SIGTERM)
                 await nodes.running[number].wait()
@@ -90,10 +85,8 @@
 
 def test_a_backend_that_falls_silent_costs_no_second_booking(tmp_path):
     async def scenario(nodes):
-        ends = {}
         async with trio.open_nursery() as nursery:
-            for caller in range(CALLERS):
-                nursery.start_soon(book_all, nodes, ends, caller)
+            ends = start_callers(nursery, nodes)
             await wait_until(lambda: len(ends) > 10)
             # The last two are those of the bookings.
             silent, resetting = nodes.backend_proxies[2:]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,8 +1,13 @@
-"""A short run of the soak, with seeds that failed once and a few more."""
+"""A short run of the soak, with seeds that failed once, and its checks."""
+
+import collections
+import random
+import types
 
 import pytest
 
-from tests.soak import run_seed
+from tests.node_processes import list_wrong_bookings
+from tests.soak import STREAM_EVENTS, Soak, check_answer, run_seed
 
 LENGTH_S = 4
 # Seeds 1 and 2 showed that a node told to end before it listens ends at once.
@@ -15,3 +20,47 @@
     assert not soak.wrong
     assert soak.answered
     assert soak.ends
+
+
+@pytest.mark.parametrize(
+    ('status', 'runs', 'is_wrong'),
+    [
+        (200, 1, False),
+        (200, 0, True),
+        (200, 2, True),
+        (0, 1, False),
+        (0, 2, True),
+        (503, 0, False),
+        (503, 1, True),
+        (502, 1, False),
+    ],
+)
+def test_a_booking_that_ran_otherwise_than_told_is_found(
+    status,
+    runs,
+    is_wrong,
+):
+    backend = types.SimpleNamespace(runs=collections.Counter({b'r': runs}))
+    fleet = types.SimpleNamespace(backends={'one': backend})
+    nodes = types.SimpleNamespace(fleet=fleet)
+    assert bool(list_wrong_bookings(nodes, {b'r': status})) is is_wrong
+
+
+def list_wrong(kind, body):
+    soak = Soak(None, random.Random(1))
+    check_answer(soak, kind, b'r1', 200, body)
+    return soak.wrong
+
+
+def test_an_answer_of_another_request_is_found():
+    assert not list_wrong('look', b'ledger-1 r1')
+    assert list_wrong('look', b'ledger-1 r2')
+
+
+def test_a_stream_that_looks_whole_without_all_events_is_found():
+    events = [b'id: %d\n' % number for number in range(1, STREAM_EVENTS + 1)]
+    end = b'\r\n0\r\n\r\n'
+    assert not list_wrong('stream', b''.join(events) + end)
+    assert not list_wrong('stream', b''.join(events[:-1]))
+    assert list_wrong('stream', b''.join(events[:-1]) + end)
+    assert list_wrong('stream', b''.join([*events, events[-1]]) + end)
