Break a stream off when its second target answers with a failure

A failure is passed on only if the answer has not begun. The stand-in's streams can fail with a status; test: fails before with the second head in the body.

--- a/hornbeampulley/node/_serving.py
+++ b/hornbeampulley/node/_serving.py
@@ -238,7 +238,9 @@
 
 async def _conclude(home: Home, call: Call, attempt: Attempt) -> None:
     answer = attempt.answer
-    if answer is None or answer.status in _PROMISES:
+    # What goes on after a break can't begin with another head.
+    is_late = call.reply.is_started
+    if answer is None or is_late or answer.status in _PROMISES:
         raise CallError(
             502,
             'target_failed',
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -15,6 +15,7 @@
 )
 
 SEAL: Final = b'server-seal'
+FIRST_FAILURE: Final = 400
 
 
 @dataclasses.dataclass(slots=True)
@@ -120,7 +121,8 @@
         seal = (SEAL, self.name.encode())
         headers = [(b'attempt-id', request_id), seal]
         try:
-            if request.path.startswith(b'/stream/'):
+            is_stream = request.path.startswith(b'/stream/')
+            if is_stream and self.behaviour.status < FIRST_FAILURE:
                 await self._stream(request, reply, headers)
             else:
                 await self._answer_plain(request, reply, headers)
--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -5,7 +5,13 @@
 from hornbeampulley.http1 import find_header
 from hornbeampulley.node.stored import StoreUnavailableError
 from standins.metadata import KEY_OF_CONFIG
-from tests.nodes import form_config, form_route, run_nodes, wait_until
+from tests.nodes import (
+    call_and_keep,
+    form_config,
+    form_route,
+    run_nodes,
+    wait_until,
+)
 
 EVENTS = [b'id: %d\ndata: t%d\n\n' % (number, number) for number in (1, 2, 3)]
 
@@ -156,6 +162,28 @@
     run_nodes(scenario)
 
 
+def test_a_stream_that_can_not_go_on_is_broken_off():
+    async def scenario(fleet):
+        engines = [fleet.backends[f'engines-{number}'] for number in (1, 2)]
+        for engine in engines:
+            engine.behaviour.breaks_after = 1
+            engine.behaviour.pause_ms = 200
+        answers = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call_and_keep, fleet, '/stream/a', answers)
+            await wait_until(lambda: list_runs(fleet) == 1)
+            for engine in engines:
+                engine.behaviour.status = 500
+        ((status, _, body),) = answers
+        assert status == 200
+        assert list_runs(fleet) == 2
+        assert b'HTTP/1.1' not in body
+        assert unchunk(body) == EVENTS[0]
+        assert not body.endswith(b'0\r\n\r\n')
+
+    run_nodes(scenario)
+
+
 def test_a_caller_that_leaves_frees_its_target():
     async def scenario(fleet):
         for name in ('engines-1', 'engines-2'):
