--- a/tests/soak.py
+++ b/tests/soak.py
@@ -209,6 +209,9 @@
         if not body.endswith(b' ' + request_id):
             soak.wrong.append(f'{request_id}: answer of another: {body!r}')
         return
+    if not is_chunked(body):
+        soak.wrong.append(f'{request_id}: no answer in HTTP: {body!r}')
+        return
     if not body.endswith(b'\r\n0\r\n\r\n'):
         # Broken off; the caller sees that it is not whole.
         return
@@ -217,6 +220,23 @@
         soak.wrong.append(f'{request_id}: events lost or doubled: {body!r}')
 
 
+def is_chunked(body):
+    """Tell whether bytes are chunks, the last of which may be cut off."""
+    while body:
+        size, found, rest = body.partition(b'\r\n')
+        digits = size.removesuffix(b'\r')
+        try:
+            length = int(digits, 16)
+        except ValueError:
+            return not digits and not found
+        if not found or len(rest) < length:
+            return True
+        if not b'\r\n'.startswith(rest[length : length + 2]):
+            return False
+        body = rest[length + 2 :]
+    return True
+
+
 async def check_recovery(soak):
     """Check that all nodes serve, and follow one more change."""
     for number in range(NODES):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,13 @@
 import pytest
 
 from tests.node_processes import list_wrong_bookings
-from tests.soak import STREAM_EVENTS, Soak, check_answer, run_seed
+from tests.soak import (
+    STREAM_EVENTS,
+    Soak,
+    check_answer,
+    is_chunked,
+    run_seed,
+)
 
 LENGTH_S = 4
 # Seeds 1 and 2 showed that a node told to end before it listens ends at once.
@@ -58,9 +64,20 @@
 
 
 def test_a_stream_that_looks_whole_without_all_events_is_found():
-    events = [b'id: %d\n' % number for number in range(1, STREAM_EVENTS + 1)]
-    end = b'\r\n0\r\n\r\n'
-    assert not list_wrong('stream', b''.join(events) + end)
+    events = [chunk(b'id: %d\n' % (one + 1)) for one in range(STREAM_EVENTS)]
+    assert not list_wrong('stream', b''.join(events) + chunk(b''))
     assert not list_wrong('stream', b''.join(events[:-1]))
-    assert list_wrong('stream', b''.join(events[:-1]) + end)
-    assert list_wrong('stream', b''.join([*events, events[-1]]) + end)
+    assert list_wrong('stream', b''.join(events[:-1]) + chunk(b''))
+    assert list_wrong('stream', b''.join([*events, events[-1]]) + chunk(b''))
+
+
+def chunk(part):
+    return b'%x\r\n%s\r\n' % (len(part), part)
+
+
+def test_a_stream_may_be_cut_but_not_followed_by_another_head():
+    whole = chunk(b'id: 1\n') + chunk(b'id: 2\n')
+    for length in range(len(whole)):
+        assert is_chunked(whole[:length])
+    assert not is_chunked(whole + b'HTTP/1.1 500 Internal Server Error\r\n')
+    assert not is_chunked(chunk(b'id: 1\n')[:-2] + b'HTTP')
