--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -26,6 +26,7 @@
 BACKEND_PORT = 8306
 CALLER_PORT = 8221
 KEY = b'secret'
+EVENTS = [b'id: %d\ndata: t%d\n\n' % (number, number) for number in (1, 2, 3)]
 _networks = itertools.count()
 
 
@@ -234,3 +235,19 @@
                 await scenario(fleet)
 
     trio.run(main)
+
+
+def list_runs(fleet):
+    """Return how often all backends have run something."""
+    return sum(sum(one.runs.values()) for one in fleet.backends.values())
+
+
+def unchunk(body):
+    """Return a body without the framing of its chunks."""
+    whole = b''
+    while body:
+        size, _, rest = body.partition(b'\r\n')
+        length = int(size, 16)
+        whole += rest[:length]
+        body = rest[length + 2 :]
+    return whole
--- /dev/null
+++ b/tests/test_node_streams.py
@@ -0,0 +1,114 @@
+"""Tests of streams of events on the whole path."""
+
+import trio
+
+from tests.nodes import (
+    EVENTS,
+    call_and_keep,
+    list_runs,
+    run_nodes,
+    unchunk,
+    wait_until,
+)
+
+
+def test_a_broken_stream_goes_on_at_another_target():
+    async def scenario(fleet):
+        fleet.backends['engines-1'].behaviour.breaks_after = 1
+        fleet.backends['engines-2'].behaviour.breaks_after = 1
+        task_done = trio.Event()
+
+        async def mend():
+            await wait_until(lambda: list_runs(fleet), 0.001)
+            for name in ('engines-1', 'engines-2'):
+                if not fleet.backends[name].runs:
+                    fleet.backends[name].behaviour.breaks_after = -1
+            task_done.set()
+
+        fleet.nursery.start_soon(mend)
+        status, _, body = await fleet.call('/stream/a', body=b'p')
+        await task_done.wait()
+        assert status == 200
+        assert unchunk(body) == b''.join(EVENTS)
+        assert list_runs(fleet) == 2
+
+    run_nodes(scenario)
+
+
+def test_a_stream_that_can_not_go_on_is_broken_off():
+    async def scenario(fleet):
+        engines = [fleet.backends[f'engines-{number}'] for number in (1, 2)]
+        for engine in engines:
+            engine.behaviour.breaks_after = 1
+            engine.behaviour.pause_ms = 200
+        answers = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call_and_keep, fleet, '/stream/a', answers)
+            await wait_until(lambda: list_runs(fleet) == 1)
+            for engine in engines:
+                engine.behaviour.status = 500
+        ((status, _, body),) = answers
+        assert status == 200
+        assert list_runs(fleet) == 2
+        assert b'HTTP/1.1' not in body
+        assert unchunk(body) == EVENTS[0]
+        assert not body.endswith(b'0\r\n\r\n')
+
+    run_nodes(scenario)
+
+
+def test_a_caller_that_leaves_frees_its_target():
+    async def scenario(fleet):
+        for name in ('engines-1', 'engines-2'):
+            fleet.backends[name].behaviour.pause_ms = 10_000
+        with trio.move_on_after(0.5):
+            await fleet.call('/stream/a', body=b'p')
+        targets = fleet.backends.values()
+        await wait_until(lambda: any(one.cancelled for one in targets))
+        assert fleet.nodes[0].desk.open_count == 0
+
+    run_nodes(scenario)
+
+
+def test_a_lease_that_is_cut_is_logged_too(caplog):
+    caplog.set_level('INFO')
+
+    async def scenario(fleet):
+        for name in ('engines-1', 'engines-2'):
+            fleet.backends[name].behaviour.pause_ms = 10_000
+        with trio.move_on_after(0.5):
+            await fleet.call('/stream/a', body=b'p')
+        await wait_until(lambda: fleet.nodes[0].desk.open_count == 0)
+
+    run_nodes(scenario)
+    ends = [one for one in caplog.records if one.message == 'lease_ended']
+    assert [one.event_pairs['reason'] for one in ends] == ['cut']
+    assert ends[0].event_pairs['outcome'] == 'cancelled'
+
+
+def test_a_stream_that_cannot_begin_in_time_is_refused_early(caplog):
+    caplog.set_level('INFO')
+
+    async def scenario(fleet):
+        for name in ('engines-1', 'engines-2'):
+            fleet.backends[name].behaviour.pause_ms = 60_000
+        running = 8
+        for number in range(running):
+            name = b'r%d' % number
+            fleet.nursery.start_soon(call_and_forget, fleet, name)
+        await wait_until(lambda: list_runs(fleet) == running)
+        started = trio.current_time()
+        status, head, _ = await fleet.call('/stream/a', request_id=b'late')
+        assert status == 503
+        assert b'retry-after: ' in head
+        assert trio.current_time() - started < 2.1
+        assert list_runs(fleet) == running
+
+    run_nodes(scenario)
+    (line,) = [one for one in caplog.records if one.message == 'lease_refused']
+    assert line.event_pairs['reason'] == 'deadline'
+    assert line.event_pairs['capacity'] == 8
+
+
+async def call_and_forget(fleet, name):
+    await fleet.call('/stream/a', body=b'p', request_id=name)
