Log and count the sizes of requests, and what the scheduler expected

No log line told the size of a request, what the scheduler expected of it or how much time it had, so that a length misjudged, a latest start misjudged and a late first target could not be told apart.

Two histograms count prompts and hints by whether they were served. No decision changes.

--- a/hornbeampulley/decisions/_dispatch.py
+++ b/hornbeampulley/decisions/_dispatch.py
@@ -203,6 +203,12 @@
         request.cached_tokens = cached_tokens
         request.charged = False
         request.sampled = False
+        expected_ms = self._state.cost.expect_ms(
+            state.name,
+            request.reserve,
+            cached_tokens,
+            state.estimate_load(self._state.now_ms),
+        )
         self._state.fleet.start(state, request, self._state.now_ms)
         self._state.index.insert(
             state.name,
@@ -222,5 +228,6 @@
                 state.name,
                 LEASE_VALID_MS,
                 request.resume,
+                expected_ms,
             ),
         )
--- a/hornbeampulley/decisions/_messages.py
+++ b/hornbeampulley/decisions/_messages.py
@@ -262,6 +262,8 @@
         How long the permission lasts; a later dispatch is not allowed.
     resume : bool
         True if the request was preempted earlier and is to be resumed.
+    expected_ms : float
+        Expected time from dispatch to the end of the answer.
     """
 
     request_id: str
@@ -269,6 +271,7 @@
     target: str
     valid_ms: float
     resume: bool = False
+    expected_ms: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -291,6 +294,11 @@
         Requests that waited in the pool.
     capacity : int
         Requests that its healthy targets may run at once.
+    price_ms : float
+        What it was expected to cost.
+    start_within_ms : float
+        Time that was left to start it; negative if that had passed, 0 if it
+        had no limit.
     """
 
     request_id: str
@@ -300,6 +308,8 @@
     retry_after_ms: float
     waiting: int = 0
     capacity: int = 0
+    price_ms: float = 0
+    start_within_ms: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeampulley/decisions/_state.py
+++ b/hornbeampulley/decisions/_state.py
@@ -107,9 +107,16 @@
                 self._estimate_retry(request, reason),
                 self.queue.count,
                 self.fleet.capacity,
+                request.price_ms,
+                self._find_time_left(request),
             ),
         )
 
+    def _find_time_left(self, request: Request) -> float:
+        if not request.latest_start_ms:
+            return 0
+        return request.latest_start_ms - self.now_ms
+
     def _estimate_retry(self, request: Request, reason: Reason) -> float:
         if reason in {Reason.QUARANTINED, Reason.DUPLICATE_KEY}:
             return 0
--- a/hornbeampulley/node/_counters.py
+++ b/hornbeampulley/node/_counters.py
@@ -8,6 +8,8 @@
 from hornbeampulley.node._calls import Call
 
 _BUCKETS_S: Final = (0.01, 0.03, 0.1, 0.2, 0.4, 0.7, 1, 2, 4, 8, 16)
+_BUCKETS_TOKENS: Final = (30, 100, 300, 1000, 3000, 10_000, 30_000)
+_FIRST_FAILURE: Final = 400
 
 
 class Counters:
@@ -36,6 +38,20 @@
             buckets=_BUCKETS_S,
             registry=registry,
         )
+        self._prompts = prometheus_client.Histogram(
+            'hornbeam_prompt_tokens',
+            'Tokens of prompts, by whether the request was served.',
+            ('rank', 'served'),
+            buckets=_BUCKETS_TOKENS,
+            registry=registry,
+        )
+        self._hints = prometheus_client.Histogram(
+            'hornbeam_hinted_tokens',
+            'Tokens that callers expect, by whether the request was served.',
+            ('rank', 'served'),
+            buckets=_BUCKETS_TOKENS,
+            registry=registry,
+        )
         self._connections = prometheus_client.Counter(
             'hornbeam_target_connections',
             'Connections opened to targets.',
@@ -68,6 +84,15 @@
         self._whole.labels(rank).observe(took_ms / MS_PER_SECOND)
         if call.first_ms:
             self._first.labels(rank).observe(call.first_ms / MS_PER_SECOND)
+        if call.facts.prompt_tokens:
+            self._note_size(call, rank)
+
+    def _note_size(self, call: Call, rank: str) -> None:
+        is_served = call.reply.is_whole and call.status < _FIRST_FAILURE
+        labels = (rank, 'yes' if is_served else 'no')
+        self._prompts.labels(*labels).observe(call.facts.prompt_tokens)
+        if call.facts.hinted_tokens:
+            self._hints.labels(*labels).observe(call.facts.hinted_tokens)
 
     def note_connection(self) -> None:
         """Count a connection opened to a target."""
--- a/hornbeampulley/node/_serving.py
+++ b/hornbeampulley/node/_serving.py
@@ -95,6 +95,8 @@
         target=lease.target,
         owner=reservation.owner,
         waited_ms=round(home.clock.now() - reservation.opened_ms),
+        expected_ms=round(lease.expected_ms),
+        left_ms=round(call.ends_ms - home.clock.now()),
     )
 
     def note_first(first_ms: float) -> None:  # noqa: WPS430
@@ -263,6 +265,8 @@
         owner=reservation.owner,
         waiting=refusal.waiting,
         capacity=refusal.capacity,
+        price_ms=round(refusal.price_ms),
+        start_within_ms=round(refusal.start_within_ms) or None,
         retry_after_ms=round(refusal.retry_after_ms),
     )
     call.may_have_run = call.may_have_run or refusal.ran
--- a/hornbeampulley/wire/_actions.py
+++ b/hornbeampulley/wire/_actions.py
@@ -45,6 +45,7 @@
                 action.resume,
                 stamp.session if stamp else 0,
                 stamp.heard if stamp else 0,
+                round_ms(action.expected_ms),
             )
         case decisions.Refuse():
             return ttypes.Refuse(
@@ -54,6 +55,8 @@
                 round_ms(action.retry_after_ms),
                 action.waiting,
                 action.capacity,
+                round_ms(action.price_ms),
+                round_ms(action.start_within_ms),
             )
     return ttypes.Preempt(*split_id(action.request_id), action.target)
 
@@ -93,6 +96,7 @@
         message.target,
         float(message.valid_ms),
         message.resume,
+        float(message.expected_ms or 0),
     )
 
 
@@ -106,6 +110,8 @@
         float(message.retry_after_ms),
         message.waiting or 0,
         message.capacity or 0,
+        float(message.price_ms or 0),
+        float(message.start_within_ms or 0),
     )
 
 
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -86,6 +86,7 @@
   5: bool resume
   6: i32 session
   7: i64 heard
+  8: optional i32 expected_ms
 }
 
 struct Refuse {
@@ -96,6 +97,8 @@
   5: i32 retry_after_ms
   6: i32 waiting
   7: i32 capacity
+  8: optional i32 price_ms
+  9: optional i32 start_within_ms
 }
 
 struct Preempt {
--- a/tests/test_node_streams.py
+++ b/tests/test_node_streams.py
@@ -108,6 +108,34 @@
     (line,) = [one for one in caplog.records if one.message == 'lease_refused']
     assert line.event_pairs['reason'] == 'deadline'
     assert line.event_pairs['capacity'] == 8
+    assert line.event_pairs['price_ms'] > 0
+    assert line.event_pairs['start_within_ms'] < 0
+
+
+def test_size_and_expected_time_of_a_request_are_logged_and_counted(caplog):
+    caplog.set_level('INFO')
+
+    pages = []
+
+    async def scenario(fleet):
+        await fleet.call(
+            '/stream/a',
+            body=b'p',
+            token_usage='800,3800',
+            length_hint='120',
+        )
+        pages.append(fleet.nodes[0].counters.format(0).decode())
+
+    run_nodes(scenario)
+    lines = {one.message: one.event_pairs for one in caplog.records}
+    answered = lines['request_answered']
+    assert answered['prompt_tokens'] == 800
+    assert answered['hinted_tokens'] == 120
+    assert answered['output_limit'] == 3800
+    assert lines['lease_taken']['expected_ms'] > 0
+    assert 0 < lines['lease_taken']['left_ms'] <= 4000
+    served = 'hornbeam_hinted_tokens_sum{rank="1",served="yes"} 120.0'
+    assert served in pages[0]
 
 
 async def call_and_forget(fleet, name):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -96,8 +96,10 @@
     decisions.Release(ID, decisions.Outcome.DONE, 3, 40.0, 50.0, 2),
 )
 ACTIONS = (
-    decisions.Lease(ID, HOME, 'target', 20.0, resume=True),
-    decisions.Refuse(ID, HOME, decisions.Reason.SHED, False, 30.0, 7, 4),
+    decisions.Lease(ID, HOME, 'target', 20.0, True, 1500.0),
+    decisions.Refuse(
+        ID, HOME, decisions.Reason.SHED, False, 30.0, 7, 4, 80, -9
+    ),
     decisions.Preempt(ID, HOME, 'target'),
 )
 
