--- /dev/null
+++ b/tests/sizes.py
@@ -0,0 +1,284 @@
+"""A pool of unlike engines under requests of which a few are very large."""
+
+import dataclasses
+import math
+import random
+
+from bench._engines import Engine
+from bench._loop import Loop
+from bench._requests import Request
+from bench._streams import EngineSpec, PrefillCount, Stream
+from hornbeampulley.configuration import (
+    ANY,
+    Configuration,
+    RoutingRule,
+    Service,
+    Target,
+    Tier,
+    Workspace,
+)
+from hornbeampulley.decisions import (
+    Configure,
+    Core,
+    Lease,
+    Outcome,
+    Progress,
+    Refuse,
+    Release,
+    Reserve,
+    Tick,
+    Withdraw,
+)
+
+# Time for the same work, relative to the middle third of the engines.
+SPEEDS = (0.55, 1.0, 2.8)
+ENGINES = 15
+SLOTS = 7
+PREFILL_TOKENS_PER_MS = 37
+STEP_MS = 4.4
+STEP_GROWTH = 0.0236
+HINT_SPREAD = 0.5
+HOP_MS = 0.5
+TICK_MS = 50
+END_MS = 40_000
+# Shares of the workspaces, the large ones first.
+WORKSPACES = {'large': 5, 'next': 3, 'small': 1, 'seldom': 1}
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """One kind of request.
+
+    Sizes are log-normal: mean and largest value, in tokens, and the standard
+    deviation relative to the mean.
+    """
+
+    name: str
+    per_s: float
+    prompt: tuple
+    output: tuple
+    objective_ms: float
+    deadline_ms: float
+    patience_ms: float
+
+
+KINDS = (
+    Kind('draft', 33, (6610, 54_600, 1.4), (385, 3850, 2.4), 845, 15850, 4000),
+    Kind('trim', 25, (628, 3310, 1.0), (294, 2940, 2.4), 419, 12557, 2400),
+    Kind('flag', 45, (1800, 6870, 1.3), (22, 224, 2.4), 422, 3167, 2400),
+)
+
+
+@dataclasses.dataclass(eq=False)
+class Sized:
+    """A request and what became of it."""
+
+    kind: Kind
+    request_id: str
+    prompt: int
+    output: int
+    arrived_ms: float
+    state: str = 'waits'
+    target: str = ''
+    leased_ms: float = 0
+    first_ms: float = 0
+    ended_ms: float = 0
+
+
+class SizedPool:
+    """A core, its engines and the callers, in virtual time.
+
+    Callers leave if the first token does not come within their patience, or
+    the whole answer before their deadline.
+
+    Parameters
+    ----------
+    load : float
+        Multiplies the arrivals of `KINDS`.
+    span_ms : float
+        For how long requests arrive.
+    seed : int
+        Seed of arrivals and sizes.
+    """
+
+    def __init__(self, load, span_ms=16_000, seed=1):
+        self.loop = Loop()
+        self.core = Core('pool', seed=1)
+        self.requests = {}
+        self._streams = {}
+        self._dice = random.Random(seed)
+        targets = [
+            Target(f't{n}', 'pool', '10.0.0.1', 80, 'z', slots=SLOTS)
+            for n in range(ENGINES)
+        ]
+        self._engines = {
+            target.name: self._make_engine(target, SPEEDS[n % len(SPEEDS)])
+            for n, target in enumerate(targets)
+        }
+        self._tell(Configure(form_configuration(targets)))
+        for kind in KINDS:
+            self._draw_arrivals(kind, load, span_ms)
+        self.loop.call_at(0, self._tick)
+
+    def run(self):
+        """Run until all requests have ended."""
+        self.loop.run_until(END_MS)
+        return self
+
+    def list_kind(self, name):
+        """List the requests of a kind."""
+        return [one for one in self.requests.values() if one.kind.name == name]
+
+    def _make_engine(self, target, speed):
+        spec = EngineSpec(
+            SLOTS,
+            PREFILL_TOKENS_PER_MS / speed,
+            STEP_MS * speed,
+            STEP_GROWTH,
+            cache_blocks=1,
+            exports_kv=False,
+        )
+        return Engine(target, spec, self.loop, PrefillCount(), ignore)
+
+    def _draw_arrivals(self, kind, load, span_ms):
+        moment_ms = 0
+        while moment_ms < span_ms:
+            moment_ms += self._dice.expovariate(load * kind.per_s) * 1000
+            self.loop.call_at(moment_ms, self._arrive, kind)
+
+    def _arrive(self, kind):
+        now_ms = self.loop.now_ms
+        number = len(self.requests)
+        one = Sized(
+            kind,
+            f'home.0.{number}',
+            draw_size(self._dice, *kind.prompt),
+            draw_size(self._dice, *kind.output),
+            now_ms,
+        )
+        self.requests[one.request_id] = one
+        self._tell(self._form_reserve(one))
+        self.loop.call_after(kind.patience_ms, self._lose_patience, one)
+        self.loop.call_after(kind.deadline_ms, self._cut, one)
+
+    def _form_reserve(self, one):
+        kind = one.kind
+        names, shares = zip(*WORKSPACES.items(), strict=True)
+        hinted = one.output * math.exp(self._dice.gauss(0, HINT_SPREAD))
+        return Reserve(
+            one.request_id,
+            'home',
+            self._dice.choices(names, shares)[0],
+            kind.name,
+            'all',
+            prompt_tokens=one.prompt,
+            deadline_ms=one.arrived_ms + kind.deadline_ms,
+            objective_ms=one.arrived_ms + kind.objective_ms,
+            begin_by_ms=one.arrived_ms + kind.patience_ms - 200,
+            repeatable=False,
+            **form_lengths(max(int(hinted), 1), kind.output[1]),
+        )
+
+    def _tick(self):
+        self._tell(Tick())
+        self.loop.call_after(TICK_MS, self._tick)
+
+    def _tell(self, event):
+        for action in self.core.handle(event, self.loop.now_ms):
+            self.loop.call_after(HOP_MS, self._act, action)
+
+    def _act(self, action):
+        if isinstance(action, Refuse):
+            self._refuse(self.requests[action.request_id])
+        elif isinstance(action, Lease):
+            self._start(self.requests[action.request_id], action.target)
+
+    def _refuse(self, one):
+        if one.state == 'waits':
+            one.state = 'refused'
+            one.ended_ms = self.loop.now_ms
+
+    def _start(self, one, target):
+        if one.state != 'waits':
+            self._tell(Release(one.request_id, Outcome.CANCELLED))
+            return
+        one.state = 'runs'
+        one.target = target
+        one.leased_ms = self.loop.now_ms
+        work = Request(
+            one.request_id, '', '', '', '', 0, one.prompt, one.output
+        )
+        stream = Stream(work, self._note_first, self._note_end)
+        self._streams[one.request_id] = stream
+        self._engines[target].submit(stream)
+
+    def _note_first(self, stream):
+        one = self.requests[stream.request.request_id]
+        one.first_ms = self.loop.now_ms - one.leased_ms
+        self._tell(Progress(one.request_id, 1, one.first_ms))
+
+    def _note_end(self, stream):
+        one = self.requests[stream.request.request_id]
+        took_ms = self.loop.now_ms - one.leased_ms
+        one.first_ms = one.first_ms or took_ms
+        one.state = 'served'
+        one.ended_ms = self.loop.now_ms
+        done = Outcome.DONE
+        self._tell(
+            Release(one.request_id, done, one.output, one.first_ms, took_ms),
+        )
+
+    def _lose_patience(self, one):
+        if not one.first_ms:
+            self._cut(one)
+
+    def _cut(self, one):
+        if one.state == 'runs':
+            stream = self._streams[one.request_id]
+            self._engines[one.target].cancel(stream)
+            self._tell(Release(one.request_id, Outcome.CANCELLED))
+        elif one.state == 'waits':
+            self._tell(Withdraw(one.request_id))
+        else:
+            return
+        one.state = 'cut'
+        one.ended_ms = self.loop.now_ms
+
+
+def form_configuration(targets):
+    """Form the configuration of one tier and one service a kind."""
+    return Configuration(
+        tiers={'all': Tier('all', 0)},
+        workspaces={name: Workspace(name) for name in WORKSPACES},
+        services={
+            kind.name: Service(kind.name, 'pool', repeatable=False)
+            for kind in KINDS
+        },
+        targets={target.name: target for target in targets},
+        rules=(RoutingRule(ANY, ANY, 'all'),),
+        numbers={'routing': 1},
+    )
+
+
+def form_lengths(hinted, bound):
+    """Form the fields of a reservation that tell how long the answer is."""
+    return {'output_tokens': hinted}
+
+
+def draw_size(dice, mean, largest, spread):
+    """Draw a size in tokens."""
+    variance = math.log(1 + spread * spread)
+    size = dice.lognormvariate(
+        math.log(mean) - variance / 2,
+        math.sqrt(variance),
+    )
+    return int(min(max(size, 1), largest))
+
+
+def measure_served(requests):
+    """Return the share that got a whole answer."""
+    return sum(one.state == 'served' for one in requests) / len(requests)
+
+
+def ignore(*_):
+    """Take news of caches that nobody needs."""
