Judge by the fastest targets whether there is still time

A prompt of 14,000 tokens was overdue when it came; what is overdue stands behind all others and is shed first, and the average grew with each prompt that a slow server read. lease_refused showed it: nearly all of the large were shed, few were cut.

Both moments are judged by the rates of the fastest tenth of the targets now, in a module that names the pattern. Latest starts still take the usual length of an answer: a guess of its caller is no reason to refuse it.

--- a/hornbeampulley/decisions/_core.py
+++ b/hornbeampulley/decisions/_core.py
@@ -1,5 +1,6 @@
 """The decision core: takes events and returns actions."""
 
+import math
 import random
 from collections.abc import Callable
 from typing import Any, Final
@@ -7,6 +8,7 @@
 from hornbeampulley.decisions._completion import Completion, mark_running
 from hornbeampulley.decisions._cost import CostModel
 from hornbeampulley.decisions._dispatch import Dispatcher
+from hornbeampulley.decisions._fit import Fit
 from hornbeampulley.decisions._fleet import Fleet
 from hornbeampulley.decisions._isolation import Isolation
 from hornbeampulley.decisions._messages import (
@@ -40,6 +42,8 @@
 # Events that by themselves give no room and bring no work.
 _QUIET_EVENTS: Final = (Progress, CacheEvent, LoadReport)
 POLICY_NAME: Final = 'hornbeam'
+# Rates change slowly, and sorting them takes longer with each target.
+BEST_RATES_MS: Final = 500.0
 
 
 class Core:
@@ -69,7 +73,14 @@
     ) -> None:
         cost = CostModel()
         fleet = Fleet(cost, is_takeover)
-        self._state = State(pool, random.Random(seed), cost, fleet)
+        self._state = State(
+            pool,
+            random.Random(seed),
+            cost,
+            fleet,
+            Fit(cost),
+        )
+        self._refreshed_ms = -math.inf
         self._shedder = Shedder(self._state)
         self._preemptor = Preemptor(self._state)
         isolation = Isolation(self._state, self._preemptor)
@@ -166,8 +177,8 @@
             state.queue.find_rank(event.tier),
             state.now_ms - event.waited_ms,
             state.cost.price(event),
-            state.cost.find_timely_start(event),
-            state.cost.find_latest_start(event),
+            state.fit.find_timely_start(event),
+            state.fit.find_latest_start(event),
         )
         state.ledger.add(request)
         return request
@@ -235,10 +246,19 @@
     def _tick(self, _: Tick) -> None:
         self._state.drain.advance(self._state.now_ms)
         self._completion.check_overdue()
+        self._refresh_best()
         for target in self._state.fleet:
             if not target.health.is_healthy:
                 self._state.fleet.touch(target)
 
+    def _refresh_best(self) -> None:
+        if self._state.now_ms - self._refreshed_ms < BEST_RATES_MS:
+            return
+        self._refreshed_ms = self._state.now_ms
+        self._state.cost.refresh_best(
+            target.name for target in self._state.fleet if target.slots
+        )
+
 
 @policies.register(POLICY_NAME)
 def make_core(pool: str, seed: int) -> Core:
--- a/hornbeampulley/decisions/_cost.py
+++ b/hornbeampulley/decisions/_cost.py
@@ -1,6 +1,7 @@
 """Learnt costs: rates per target, output lengths and call times per service."""
 
 import dataclasses
+from collections.abc import Iterable
 from typing import Final
 
 from hornbeampulley.decisions._messages import Release, Reserve
@@ -18,6 +19,8 @@
 POOL_WEIGHT: Final = 0.02
 PRICE_WEIGHT: Final = 0.02
 CROWDING: Final = 0.2
+# Share of the targets that may be faster than what counts as the best rate.
+BEST_SHARE: Final = 0.1
 MIN_PRICE_MS: Final = 0.1
 
 
@@ -62,6 +65,7 @@
         self._targets: dict[str, Rates] = {}
         self._lengths: dict[str, float] = {}
         self._calls: dict[str, float] = {}
+        self._best: Rates | None = None
         self._samples = 0
         self._prefills = 0
         self.mean_price_ms = MIN_PRICE_MS
@@ -70,12 +74,35 @@
         """Take the operator's expected output length, if none was learnt."""
         self._lengths.setdefault(service, float(max(output_tokens, 1)))
 
+    @property
+    def best(self) -> Rates:
+        """Rates of the fastest targets; the pool's before any is known."""
+        return self._best or self._pool
+
+    def refresh_best(self, targets: Iterable[str]) -> None:
+        """Find out how fast the fastest targets are.
+
+        Parameters
+        ----------
+        targets : iterable of str
+            Names of those that get work.
+        """
+        known = [
+            self._targets[name] for name in targets if name in self._targets
+        ]
+        if not known:
+            self._best = None
+            return
+        place = int(len(known) * BEST_SHARE)
+        prefills = sorted(rates.prefill_ms_per_token for rates in known)
+        steps = sorted(rates.step_ms for rates in known)
+        self._best = Rates(prefills[place], steps[place])
+
     def expect_output(self, reserve: Reserve) -> float:
-        """Return the expected number of output tokens of a request."""
+        """Return the output tokens to be paid for; at most the usual length."""
         length = self._lengths.get(reserve.service, DEFAULT_OUTPUT_TOKENS)
-        if reserve.output_tokens:
-            return min(length, reserve.output_tokens)
-        return length
+        bound = reserve.output_tokens
+        return min(length, bound) if bound else length
 
     def price(self, reserve: Reserve, cached_tokens: int = 0) -> float:
         """Return the expected cost in ms at the pool's average rates."""
@@ -86,48 +113,6 @@
             self.expect_output(reserve),
         )
 
-    def find_timely_start(self, reserve: Reserve) -> float:
-        """Return when a request must start to meet its objective.
-
-        Parameters
-        ----------
-        reserve : Reserve
-            The request.
-
-        Returns
-        -------
-        float
-            Moment in ms; 0 if it has no objective.
-        """
-        if not reserve.objective_ms:
-            return 0
-        if not reserve.prompt_tokens:
-            return reserve.objective_ms - self._call_ms(reserve.service)
-        return reserve.objective_ms - self._price_first_token(reserve)
-
-    def find_latest_start(self, reserve: Reserve) -> float:
-        """Return when a request must start to be of use.
-
-        Parameters
-        ----------
-        reserve : Reserve
-            The request.
-
-        Returns
-        -------
-        float
-            Moment in ms at which its whole answer can still meet its
-            deadline, and its first token a caller that has not left; 0 if it
-            has neither limit.
-        """
-        limits: list[float] = []
-        if reserve.deadline_ms:
-            limits.append(reserve.deadline_ms - self.price(reserve))
-        if reserve.begin_by_ms:
-            first_ms = self._price_first_token(reserve)
-            limits.append(reserve.begin_by_ms - first_ms)
-        return min(limits, default=0)
-
     def note_price(self, price_ms: float) -> None:
         """Learn the mean price of leased requests."""
         self.mean_price_ms = smooth(self.mean_price_ms, price_ms, PRICE_WEIGHT)
@@ -143,9 +128,6 @@
         """Return the price of prompt tokens at the pool's average rate."""
         return tokens * self._pool.prefill_ms_per_token
 
-    def _price_first_token(self, reserve: Reserve) -> float:
-        return self.price_prefill(reserve.prompt_tokens) + self._pool.step_ms
-
     def find_prefill_rate(self, target: str) -> float:
         """Return a target's ms per prompt token."""
         return self._find_rates(target).prefill_ms_per_token
--- a/hornbeampulley/decisions/_state.py
+++ b/hornbeampulley/decisions/_state.py
@@ -7,6 +7,7 @@
 from hornbeampulley.configuration import Configuration
 from hornbeampulley.decisions._cost import CostModel
 from hornbeampulley.decisions._drain import DrainRate
+from hornbeampulley.decisions._fit import Fit
 from hornbeampulley.decisions._fleet import Fleet
 from hornbeampulley.decisions._history import History
 from hornbeampulley.decisions._ledger import Ledger, RetryBudget
@@ -36,6 +37,8 @@
         Learnt rates and lengths.
     fleet : Fleet
         The targets and what runs on them.
+    fit : Fit
+        Tells who can be served in time, and where.
     now_ms : float
         Time of the event in hand.
     configuration : Configuration or None
@@ -66,6 +69,7 @@
     random: random.Random
     cost: CostModel
     fleet: Fleet
+    fit: Fit
     now_ms: float = 0
     configuration: Configuration | None = None
     index: PrefixIndex = dataclasses.field(default_factory=PrefixIndex)
--- a/tests/test_fit.py
+++ b/tests/test_fit.py
@@ -40,13 +40,13 @@
     """Occupy the fast target and return what runs there."""
     running = []
     while 't0' not in [pool.find_target(one) for one in running[-1:]]:
-        running.append(pool.reserve(prompt_tokens=10))
+        running.append(pool.reserve(**TEACHING))
     while True:
-        request_id = pool.reserve(prompt_tokens=10)
+        request_id = pool.reserve(**TEACHING)
         if pool.find_target(request_id) != 't0':
             break
         running.append(request_id)
-    pool.release(request_id)
+    teach(pool, request_id)
     return [one for one in running if pool.find_target(one) == 't0']
 
 
@@ -66,7 +66,7 @@
     )
     assert pool.find_target(short) == 't1'
     assert not pool.find_target(long)
-    pool.release(busy[0])
+    teach(pool, busy[0])
     assert pool.find_target(long) == 't0'
 
 
@@ -81,7 +81,7 @@
     )
     pool.send(Tick(), wait_ms=900)
     assert pool.find_reason(large) is None
-    pool.release(busy[0])
+    teach(pool, busy[0])
     assert pool.find_target(large) == 't0'
 
 
