Give no request to a target that is too slow for it while others are not

Cause: the expected length was at most the usual one of the route, whatever the caller hints, so that a long answer was placed like a short one; and a request took whatever target had room.

The caller's hint travels to the scheduler. A target must be able to begin within the objective while that can be met, else within the caller's patience, and end before the deadline, unless it is nearly as fast as the best. A request that fits no target with room is passed over, up to eight in a round, and keeps its place; lower ones may take the slow places meanwhile. Prices do not follow the hint, so long answers do not stand behind short ones.

On the way: a request that left its place to another workspace was put back as the newest of its own, and the newest is shed first. It is not moved any more; tests/test_queue.py, last test.

--- a/hornbeampulley/decisions/_cost.py
+++ b/hornbeampulley/decisions/_cost.py
@@ -101,9 +101,16 @@
     def expect_output(self, reserve: Reserve) -> float:
         """Return the output tokens to be paid for; at most the usual length."""
         length = self._lengths.get(reserve.service, DEFAULT_OUTPUT_TOKENS)
-        bound = reserve.output_tokens
+        bound = reserve.expected_tokens or reserve.output_tokens
         return min(length, bound) if bound else length
 
+    def forecast_output(self, reserve: Reserve) -> float:
+        """Return the output tokens to make time for, by the caller's word."""
+        if not reserve.expected_tokens:
+            return self.expect_output(reserve)
+        bound = reserve.output_tokens or reserve.expected_tokens
+        return min(reserve.expected_tokens, bound)
+
     def price(self, reserve: Reserve, cached_tokens: int = 0) -> float:
         """Return the expected cost in ms at the pool's average rates."""
         if not reserve.prompt_tokens:
@@ -132,6 +139,12 @@
         """Return a target's ms per prompt token."""
         return self._find_rates(target).prefill_ms_per_token
 
+    def expect_begin(self, target: str, reserve: Reserve) -> float:
+        """Return the time from dispatch to the first token on a target."""
+        rates = self._find_rates(target)
+        prefill_ms = reserve.prompt_tokens * rates.prefill_ms_per_token
+        return prefill_ms + rates.step_ms
+
     def expect_first_token(self, request: Request) -> float:
         """Return the expected delay of a running request's first token."""
         rates = self._find_rates(request.target)
@@ -192,7 +205,7 @@
         prefill = (
             reserve.prompt_tokens - cached_tokens
         ) * rates.prefill_ms_per_token
-        steps = self.expect_output(reserve) * rates.step_ms
+        steps = self.forecast_output(reserve) * rates.step_ms
         return prefill + steps * crowding
 
     def rate(self, target: str) -> float:
--- a/hornbeampulley/decisions/_dispatch.py
+++ b/hornbeampulley/decisions/_dispatch.py
@@ -1,6 +1,6 @@
 """The loop that gives leases while targets have room."""
 
-from typing import Final
+from typing import Final, NamedTuple
 
 from hornbeampulley.decisions._isolation import Isolation
 from hornbeampulley.decisions._messages import Lease, Reason, Reserve
@@ -15,6 +15,15 @@
 URGENT_WEIGHT: Final = 5.0
 SPARE_SLOTS: Final = 3
 SCARCITY: Final = 1.0
+# Requests passed over in a round, as each costs time.
+MAX_SKIPS: Final = 8
+
+
+class _Choice(NamedTuple):
+    """A target, and the prompt tokens that it is expected to have cached."""
+
+    state: TargetState
+    cached_tokens: int
 
 
 class Dispatcher:
@@ -35,38 +44,60 @@
     def dispatch(self) -> None:
         """Give all leases that can be given now."""
         self._dispatch_alone()
-        while True:
-            rank = self._state.queue.choose_rank(self._state.fleet.has_room)
+        queue = self._state.queue
+        skips = 0
+        while skips < MAX_SKIPS:
+            rank = queue.choose_rank(self._state.fleet.has_room)
             if rank is None:
-                return
-            self._dispatch_one(rank)
+                break
+            skips += not self._dispatch_one(rank)
+        queue.restore()
 
-    def _dispatch_one(self, rank: int) -> None:
-        request = self._state.queue.pop(rank)
+    def _dispatch_one(self, rank: int) -> bool:
+        """Decide about the next request; false if it is passed over."""
+        queue = self._state.queue
+        request = queue.find_next(rank)
         fingerprint = request.reserve.fingerprint
         if self._state.quarantine.is_convicted(fingerprint):
+            queue.take(request)
             self._state.refuse(request, Reason.QUARANTINED)
         elif self._state.quarantine.is_suspect(fingerprint):
-            self._state.queue.set_aside(request)
+            queue.take(request)
+            queue.set_aside(request)
             self._state.note(request, 'wait', 'must run alone')
             self._dispatch_alone()
         else:
-            self._place_or_swap(request)
+            return self._place(request)
+        return True
+
+    def _place(self, request: Request) -> bool:
+        choice = self._choose(request)
+        if choice is None:
+            self._state.queue.skip(request)
+            return False
+        request, choice = self._swap(request, choice)
+        self._state.queue.take(request)
+        if self._claim(request):
+            self._lease(request, choice)
+        return True
 
-    def _place_or_swap(self, request: Request) -> None:
+    def _swap(
+        self,
+        request: Request,
+        choice: _Choice,
+    ) -> tuple[Request, _Choice]:
         """Give a slow target to a workspace that is over its share.
 
         The request waits instead for a while, as a faster target will soon
         be free and complete it earlier.
         """
-        chosen = request
-        target, cached_tokens = self._choose(request)
-        if self._is_worth_waiting(request, target):
-            chosen = self._state.queue.swap(request)
-        if chosen is not request:
-            target, cached_tokens = self._choose(chosen)
-        if self._claim(chosen):
-            self._lease(chosen, target, cached_tokens)
+        if not self._is_worth_waiting(request, choice.state):
+            return request, choice
+        other = self._state.queue.find_other(request)
+        other_choice = self._choose(other) if other else None
+        if other_choice is None:
+            return request, choice
+        return other, other_choice
 
     def _is_worth_waiting(self, request: Request, state: TargetState) -> bool:
         rate = self._state.cost.rate(state.name)
@@ -77,7 +108,7 @@
         """Lease idle targets to suspects."""
         for request, target in self._isolation.take_pairs():
             if self._claim(request):
-                self._lease(request, target, 0)
+                self._lease(request, _Choice(target, 0))
 
     def _claim(self, request: Request) -> bool:
         is_free = self._state.ledger.claim_key(
@@ -88,17 +119,36 @@
             self._state.refuse(request, Reason.DUPLICATE_KEY)
         return is_free
 
-    def _choose(self, request: Request) -> tuple[TargetState, int]:
-        """Choose a target and estimate the prompt tokens it has cached."""
+    def _choose(self, request: Request) -> _Choice | None:
+        """Choose the target that completes a request first.
+
+        Parameters
+        ----------
+        request : Request
+            A waiting request.
+
+        Returns
+        -------
+        _Choice or None
+            None if the targets with room are too slow for it.
+        """
         match = self._state.index.match(request.reserve.block_hashes)
         if request.reserve.block_hashes:
             self._state.index.note_reuse(match)
+        now_ms = self._state.now_ms
         best = min(
-            self._list_candidates(request, match),
+            (
+                state
+                for state in self._list_candidates(request, match)
+                if self._state.fit.is_in_time(request, state, now_ms)
+            ),
             key=lambda state: (self._score(request, state, match), state.name),
+            default=None,
         )
-        cached = self._count_cached(request, best, match)
-        return best, int(cached)
+        if best is None:
+            return None
+        cached_tokens = self._count_cached(request, best, match)
+        return _Choice(best, int(cached_tokens))
 
     def _list_candidates(
         self,
@@ -189,12 +239,9 @@
         )
         return lost * block_tokens
 
-    def _lease(
-        self,
-        request: Request,
-        state: TargetState,
-        cached_tokens: int,
-    ) -> None:
+    def _lease(self, request: Request, choice: _Choice) -> None:
+        state = choice.state
+        cached_tokens = choice.cached_tokens
         request.stage = Stage.RUNNING
         if request.resume:
             # Its KV cache is imported instead of a second prefill.
--- a/hornbeampulley/decisions/_fit.py
+++ b/hornbeampulley/decisions/_fit.py
@@ -1,13 +1,21 @@
-"""Which requests can still be served in time.
+"""Which requests can still be served in time, and by which targets.
 
 The pattern: unlike targets, some several times as fast as others, under
 requests of which a few are many times as large as most. Whether there is time
 is judged by the fastest targets, so that a large request does not count as lost
-while they can serve it.
+while they can serve it; and it is not given to a target that is too slow for it.
 """
 
+from typing import Final
+
 from hornbeampulley.decisions._cost import CostModel
 from hornbeampulley.decisions._messages import Reserve
+from hornbeampulley.decisions._requests import Request
+from hornbeampulley.decisions._targets import TargetState
+
+# A target that takes at most this many times as long as the best is taken when
+# no target is in time.
+NEARLY_BEST: Final = 1.4
 
 
 class Fit:
@@ -66,6 +74,74 @@
             limits.append(reserve.begin_by_ms - first_ms)
         return min(limits, default=0)
 
+    def is_in_time(
+        self,
+        request: Request,
+        state: TargetState,
+        now_ms: float,
+    ) -> bool:
+        """Tell whether a target can serve a request in time, or as any other.
+
+        Parameters
+        ----------
+        request : Request
+            A waiting request.
+        state : TargetState
+            A target with room.
+        now_ms : float
+            The current time.
+
+        Returns
+        -------
+        bool
+            False if the request should wait for a faster target.
+        """
+        reserve = request.reserve
+        if not reserve.prompt_tokens:
+            return True
+        starts_ms = now_ms + state.estimate_pending(now_ms)
+        return self._begins_in_time(
+            request, state.name, starts_ms, now_ms
+        ) and self._ends_in_time(reserve, state, starts_ms, now_ms)
+
+    def _begins_in_time(
+        self,
+        request: Request,
+        target: str,
+        starts_ms: float,
+        now_ms: float,
+    ) -> bool:
+        reserve = request.reserve
+        limit_ms = reserve.begin_by_ms
+        if now_ms <= request.timely_start_ms:
+            limit_ms = reserve.objective_ms
+        begin_ms = self._cost.expect_begin(target, reserve)
+        if not limit_ms or starts_ms + begin_ms <= limit_ms:
+            return True
+        return begin_ms <= NEARLY_BEST * self._find_best_begin(reserve)
+
+    def _ends_in_time(
+        self,
+        reserve: Reserve,
+        state: TargetState,
+        starts_ms: float,
+        now_ms: float,
+    ) -> bool:
+        # A length that nobody told is no reason to wait.
+        if not reserve.deadline_ms or not reserve.expected_tokens:
+            return True
+        whole_ms = self._cost.expect_ms(
+            state.name,
+            reserve,
+            0,
+            state.estimate_load(now_ms),
+        )
+        if starts_ms + whole_ms <= reserve.deadline_ms:
+            return True
+        tokens = self._cost.forecast_output(reserve)
+        best_ms = self._find_best_whole(reserve, tokens)
+        return whole_ms <= NEARLY_BEST * best_ms
+
     def _find_best_begin(self, reserve: Reserve) -> float:
         best = self._cost.best
         prefill_ms = reserve.prompt_tokens * best.prefill_ms_per_token
--- a/hornbeampulley/decisions/_lanes.py
+++ b/hornbeampulley/decisions/_lanes.py
@@ -40,6 +40,7 @@
         self.backlog = 0.0
         self.count = 0
         self._order: list[tuple[float, int, Request]] = []
+        self._skipped: list[tuple[float, int, Request]] = []
         self._newest: collections.deque[tuple[int, Request]] = (
             collections.deque()
         )
@@ -60,13 +61,27 @@
         self.count += 1
         self.backlog += request.price_ms
 
-    def pop_first(self) -> Request:
-        """Remove the request to be served next."""
-        while True:
-            _, serial, request = heapq.heappop(self._order)
-            if request.serial == serial:
-                self.discard(request)
-                return request
+    @property
+    def has_next(self) -> bool:
+        """Tell whether any request was not skipped."""
+        return self.count > len(self._skipped)
+
+    def find_first(self) -> Request:
+        """Return the request to be served next; ``has_next`` must hold."""
+        while self._order[0][2].serial != self._order[0][1]:
+            heapq.heappop(self._order)
+        return self._order[0][2]
+
+    def skip_first(self) -> None:
+        """Pass over the request to be served next until ``restore``."""
+        self.find_first()
+        self._skipped.append(heapq.heappop(self._order))
+
+    def restore(self) -> None:
+        """Give what was skipped its place back."""
+        for entry in self._skipped:
+            heapq.heappush(self._order, entry)
+        self._skipped.clear()
 
     def find_newest(self) -> Request:
         """Return the request to be shed next."""
--- a/hornbeampulley/decisions/_messages.py
+++ b/hornbeampulley/decisions/_messages.py
@@ -65,6 +65,8 @@
         none.
     avoided : str
         Target that has just failed it; used only if there is no other.
+    expected_tokens : int
+        Output that the caller expects; 0 if it does not say.
     """
 
     request_id: str
@@ -84,6 +86,7 @@
     objective_ms: float = 0
     begin_by_ms: float = 0
     avoided: str = ''
+    expected_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeampulley/decisions/_queue.py
+++ b/hornbeampulley/decisions/_queue.py
@@ -64,29 +64,26 @@
         share = self._shares.get(request.reserve.workspace, 1.0)
         self._open(request.rank).push(request, share)
 
-    def pop(self, rank: int) -> Request:
-        """Remove the request of a rank that is to be leased next."""
-        return self._tiers[rank].pop()
+    def find_next(self, rank: int) -> Request:
+        """Return the request of a rank that is to be leased next."""
+        return self._tiers[rank].find_next()
 
-    def swap(self, request: Request) -> Request:
-        """Put a popped request back for one of a workspace over its share.
+    def find_other(self, request: Request) -> Request | None:
+        """Return the first request of the workspace most over its share."""
+        return self._tiers[request.rank].find_other(request)
 
-        Parameters
-        ----------
-        request : Request
-            A popped request.
+    def take(self, request: Request) -> None:
+        """Remove a request that is to be leased."""
+        self._tiers[request.rank].take(request)
 
-        Returns
-        -------
-        Request
-            The request popped instead, or the same if there is no other.
-        """
-        other = self._tiers[request.rank].pop_other(request)
-        if other is None:
-            return request
-        self.correct(request, -request.price_ms)
-        self.push(request)
-        return other
+    def skip(self, request: Request) -> None:
+        """Pass over a request that is to be leased next."""
+        self._tiers[request.rank].skip(request)
+
+    def restore(self) -> None:
+        """Give what was skipped its place back."""
+        for tier in self._tiers.values():
+            tier.restore()
 
     def remove(self, request: Request) -> None:
         """Remove a waiting request."""
--- a/hornbeampulley/decisions/_tiers.py
+++ b/hornbeampulley/decisions/_tiers.py
@@ -44,12 +44,14 @@
         self._objectives: list[tuple[float, int, Request]] = []
         self._departures: list[tuple[float, int, Request]] = []
         self._numbers = itertools.count()
+        self._skipped: dict[str, Request] = {}
+        self._skipped_lanes: dict[str, Lane] = {}
         self._virtual = 0.0
 
     @property
     def ready(self) -> int:
         """Return how many requests can be leased to any target."""
-        return self.count - len(self.aside)
+        return self.count - len(self.aside) - len(self._skipped)
 
     def list_late(self, now_ms: float) -> list[Request]:
         """List the requests that cannot meet their deadline."""
@@ -89,20 +91,44 @@
             start = (request.timely_start_ms, request.serial, request)
             heapq.heappush(self._objectives, start)
 
-    def pop(self) -> Request:
-        """Remove the request to be leased next; ``ready`` must not be 0."""
-        lane = self._pop_lane()
-        if lane is None:
-            rest = self._overdue or self._late
-            request = rest.pop(next(iter(rest)))
-            request.serial = 0
-        else:
-            request = lane.pop_first()
+    def find_next(self) -> Request:
+        """Return the request to be leased next; ``ready`` must not be 0."""
+        lane = self._find_next_lane()
+        if lane is not None:
+            return lane.find_first()
+        return next(
+            request
+            for request in itertools.chain(
+                self._overdue.values(),
+                self._late.values(),
+            )
+            if request.request_id not in self._skipped
+        )
+
+    def take(self, request: Request) -> None:
+        """Remove a request that is to be leased, at its workspace's cost."""
+        if not self._is_behind(request):
+            lane = self._lanes[request.reserve.workspace]
             self._virtual = max(self._virtual, lane.served)
             lane.charge(request.price_ms)
+        self.remove(request)
+
+    def skip(self, request: Request) -> None:
+        """Pass over the request to be leased next until ``restore``."""
+        self._skipped[request.request_id] = request
+        if not self._is_behind(request):
+            self._lanes[request.reserve.workspace].skip_first()
+
+    def restore(self) -> None:
+        """Give what was skipped its place back."""
+        for request in self._skipped.values():
+            lane = self._lanes.get(request.reserve.workspace)
+            if lane is not None:
+                lane.restore()
+        self._skipped.clear()
+        for lane in self._skipped_lanes.values():
             self._list(lane)
-        self._count(request, -1)
-        return request
+        self._skipped_lanes.clear()
 
     def find_worst(self) -> Request:
         """Return the request to be shed next; ``count`` must not be 0.
@@ -118,27 +144,23 @@
         rest = self._late or self.aside
         return next(reversed(rest.values()))
 
-    def pop_other(self, request: Request) -> Request | None:
-        """Remove the first request of the workspace most over its share.
+    def find_other(self, request: Request) -> Request | None:
+        """Return the first request of the workspace most over its share.
 
         Parameters
         ----------
         request : Request
-            A popped request.
+            The request to be leased next.
 
         Returns
         -------
         Request or None
-            None if it is the workspace of the popped request.
+            None if it is the same workspace.
         """
         lane = self._find_excess()
         if lane is None or lane.name == request.reserve.workspace:
             return None
-        other = lane.pop_first()
-        lane.charge(other.price_ms)
-        self._list(lane)
-        self._count(other, -1)
-        return other
+        return lane.find_first() if lane.has_next else None
 
     def pop_worst(self) -> Request:
         """Remove the request to be shed next; ``count`` must not be 0."""
@@ -197,6 +219,11 @@
             lane.charge(difference_ms)
             self._list(lane)
 
+    def _is_behind(self, request: Request) -> bool:
+        """Tell whether a request stands behind all lanes."""
+        name = request.request_id
+        return name in self._overdue or name in self._late
+
     def _mark_overdue(self, now_ms: float) -> None:
         while self._objectives and self._objectives[0][0] < now_ms:
             _, serial, request = heapq.heappop(self._objectives)
@@ -253,12 +280,15 @@
         heapq.heapify(self._order)
         heapq.heapify(self._excess)
 
-    def _pop_lane(self) -> Lane | None:
+    def _find_next_lane(self) -> Lane | None:
         while self._order:
-            served, name = heapq.heappop(self._order)
+            served, name = self._order[0]
             lane = self._lanes[name]
             if lane.count and lane.served == served:
-                return lane
+                if lane.has_next:
+                    return lane
+                self._skipped_lanes[name] = lane
+            heapq.heappop(self._order)
         return None
 
     def _find_excess(self) -> Lane | None:
--- a/hornbeampulley/node/_serving.py
+++ b/hornbeampulley/node/_serving.py
@@ -179,7 +179,6 @@
 
 def _form_reserve(home: Home, call: Call) -> decisions.Reserve:
     facts = call.facts
-    hinted = facts.hinted_tokens or facts.output_tokens
     return decisions.Reserve(
         request_id=home.desk.new_id(),
         home=home.desk.own,
@@ -187,7 +186,7 @@
         service=name_service(call.route.name, call.pool),
         tier=name_tier(call.rank),
         prompt_tokens=facts.prompt_tokens if call.is_model else 0,
-        output_tokens=hinted if call.is_model else 0,
+        output_tokens=facts.output_tokens if call.is_model else 0,
         fingerprint=_hash_content(call),
         deadline_ms=call.ends_ms,
         objective_ms=_find_objective(call),
@@ -195,9 +194,17 @@
         # A running request is not moved to make room for others.
         repeatable=False,
         avoided=call.last_target,
+        expected_tokens=_find_expected(call),
     )
 
 
+def _find_expected(call: Call) -> int:
+    """Return the output that a caller still expects; 0 if it doesn't say."""
+    hinted = call.facts.hinted_tokens if call.is_model else 0
+    had = call.events.count * call.event_tokens
+    return max(hinted - had, call.event_tokens) if hinted else 0
+
+
 def _find_departure(call: Call) -> float:
     """Return by when an answer has to begin; 0 if there is no such moment."""
     patience_ms = call.route.patience_ms
--- a/hornbeampulley/wire/_events.py
+++ b/hornbeampulley/wire/_events.py
@@ -67,6 +67,7 @@
         avoided=event.avoided,
         objective_in_ms=_count_down(event.objective_ms, now_ms),
         begin_by_in_ms=_count_down(event.begin_by_ms, now_ms),
+        expected_tokens=event.expected_tokens,
     )
 
 
@@ -168,6 +169,7 @@
         objective_ms=_find_moment(message.objective_in_ms, now_ms),
         begin_by_ms=_find_moment(message.begin_by_in_ms, now_ms),
         avoided=message.avoided or '',
+        expected_tokens=message.expected_tokens or 0,
     )
 
 
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -52,6 +52,7 @@
   17: string avoided
   18: i32 objective_in_ms
   19: i32 begin_by_in_ms
+  20: optional i32 expected_tokens
 }
 
 struct Withdraw {
--- a/tests/sizes.py
+++ b/tests/sizes.py
@@ -262,7 +262,7 @@
 
 def form_lengths(hinted, bound):
     """Form the fields of a reservation that tell how long the answer is."""
-    return {'output_tokens': hinted}
+    return {'output_tokens': bound, 'expected_tokens': hinted}
 
 
 def draw_size(dice, mean, largest, spread):
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -28,12 +28,18 @@
     return request
 
 
+def pop(queue, rank):
+    request = queue.find_next(rank)
+    queue.take(request)
+    return request
+
+
 def test_short_goes_before_long_until_the_long_has_aged():
     queue = build_queue()
     long = push(queue, price_ms=1000)
     short = push(queue, price_ms=1, arrived_ms=100)
     late = push(queue, price_ms=1, arrived_ms=4000)
-    assert [queue.pop(1) for _ in range(3)] == [short, long, late]
+    assert [pop(queue, 1) for _ in range(3)] == [short, long, late]
 
 
 def test_workspaces_are_served_by_their_shares():
@@ -42,7 +48,7 @@
         push(queue, workspace='small')
         push(queue, workspace='large')
     served = collections.Counter(
-        queue.pop(1).reserve.workspace for _ in range(80)
+        pop(queue, 1).reserve.workspace for _ in range(80)
     )
     assert 55 <= served['large'] <= 65
 
@@ -50,11 +56,11 @@
 def test_actual_cost_counts_against_a_workspace():
     queue = build_queue()
     greedy = push(queue, workspace='small')
-    queue.pop(1)
+    pop(queue, 1)
     queue.correct(greedy, 1000)
     push(queue, workspace='small')
     other = push(queue, workspace='large')
-    assert queue.pop(1) is other
+    assert pop(queue, 1) is other
 
 
 def test_floor_serves_a_lower_tier_now_and_then():
@@ -65,7 +71,7 @@
         push(queue, 'low')
     for _ in range(40):
         rank = queue.choose_rank(lambda _: True)
-        queue.pop(rank)
+        pop(queue, rank)
         queue.note_dispatch(rank)
         served[rank] += 1
     assert 6 <= served[1] <= 11
@@ -88,7 +94,7 @@
     queue.remove(gone)
     queue.mark_late(100)
     assert queue.list_late(100) == [late]
-    assert [queue.pop(1), queue.pop(1)] == [other, late]
+    assert [pop(queue, 1), pop(queue, 1)] == [other, late]
     assert queue.count == 0
 
 
@@ -97,7 +103,7 @@
     request = push(queue, 'low')
     turned = {'low': Tier('low', 0), 'gold': Tier('gold', 1)}
     queue.configure(turned, SHARES)
-    assert queue.pop(0) is request
+    assert pop(queue, 0) is request
 
 
 def test_fresh_requests_go_before_those_that_missed_their_objective():
@@ -106,7 +112,7 @@
     fresh = push(queue, objective_ms=300, arrived_ms=90)
     queue.mark_late(100)
     assert queue.list_late(100) == []
-    assert [queue.pop(1), queue.pop(1)] == [fresh, missed]
+    assert [pop(queue, 1), pop(queue, 1)] == [fresh, missed]
     assert queue.count == 0
 
 
@@ -125,14 +131,14 @@
     queue.mark_late(100)
     queue.mark_late(600)
     assert queue.list_late(600) == [missed]
-    assert queue.pop(1) is fresh
+    assert pop(queue, 1) is fresh
 
 
 def test_what_was_served_after_its_objective_is_not_marked_late():
     queue = build_queue()
     push(queue, objective_ms=50, deadline_ms=500)
     queue.mark_late(100)
-    queue.pop(1)
+    pop(queue, 1)
     withdrawn = push(queue, objective_ms=150, deadline_ms=500)
     queue.mark_late(200)
     queue.remove(withdrawn)
@@ -140,4 +146,31 @@
     assert queue.count == 0
     fresh = push(queue, arrived_ms=590)
     assert queue.list_late(600) == []
-    assert queue.pop(1) is fresh
+    assert pop(queue, 1) is fresh
+
+
+def test_what_is_passed_over_keeps_its_place():
+    queue = build_queue()
+    first = push(queue, arrived_ms=1)
+    second = push(queue, arrived_ms=2)
+    overdue = push(queue, objective_ms=50)
+    queue.mark_late(100)
+    for passed in (first, second, overdue):
+        assert queue.find_next(1) is passed
+        queue.skip(passed)
+    assert queue.choose_rank(lambda _: True) is None
+    queue.restore()
+    assert queue.count == 3
+    assert [pop(queue, 1) for _ in range(3)] == [first, second, overdue]
+
+
+def test_what_waits_for_a_faster_target_is_not_shed_as_the_newest():
+    queue = build_queue()
+    waiting = push(queue, workspace='small', arrived_ms=1)
+    newest = push(queue, workspace='small', arrived_ms=2)
+    other = push(queue, workspace='large')
+    queue.correct(other, 1000)
+    assert queue.find_next(1) is waiting
+    assert queue.find_other(waiting) is other
+    queue.take(other)
+    assert queue.pop_worst() is newest
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -91,6 +91,7 @@
 STAMP = Stamp('home', 1, 2, 3, 'scheduler')
 EVENTS = (
     decisions.Reserve(ID, HOME, 'w', 's', 't', 5, 6, (1, 2), 7, 90.0),
+    decisions.Reserve(ID, HOME, 'w', 's', 't', 5, 6, expected_tokens=4),
     decisions.Withdraw(ID),
     decisions.Progress(ID, 3, 40.0),
     decisions.Release(ID, decisions.Outcome.DONE, 3, 40.0, 50.0, 2),
