Let a nearly empty bucket serve large requests as well as small ones

Cause: a request passed only if the bucket held all its units, so small ones took what little came in, and a large one never found enough.

A bucket may be overdrawn by 0.2 of what operators put up with beyond the cap; a request passes as soon as it holds anything. To stay within the promise, the burst takes 0.1 of it (0.15 before) and a new owner starts with 0.125 (0.2), and makes no debts in its first window.

--- a/hornbeampulley/routing/_caps.py
+++ b/hornbeampulley/routing/_caps.py
@@ -6,11 +6,12 @@
 from hornbeampulley.clock import MS_PER_SECOND
 from hornbeampulley.routing._table import UsageCap
 
-# Shares of what operators put up with beyond a cap. The rest is left for
-# further changes of the bucket's owner and for hosts that can't reach it.
+# Shares of what operators put up with beyond a cap. Two new owners may start
+# a bucket within one window.
 RATE_SHARE: Final = 0.35
-BURST_SHARE: Final = 0.15
-START_SHARE: Final = 0.2
+BURST_SHARE: Final = 0.1
+DEBT_SHARE: Final = 0.2
+START_SHARE: Final = 0.125
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,6 +81,21 @@
             return START_SHARE * tolerance
         return cap.burst * self.start_share
 
+    def find_debt(self, cap: UsageCap) -> float:
+        """Return how far a bucket may be overdrawn.
+
+        Parameters
+        ----------
+        cap : UsageCap
+            As operators wrote it.
+
+        Returns
+        -------
+        float
+            Units.
+        """
+        return DEBT_SHARE * self._find_tolerance(cap)
+
     def _find_tolerance(self, cap: UsageCap) -> float:
         window_s = self.window_ms / MS_PER_SECOND
         allowed = cap.per_second * window_s + cap.burst
@@ -89,6 +105,12 @@
 class TokenBucket:
     """Units that a workspace may use now.
 
+    A request passes as soon as the bucket holds anything, and may leave a debt
+    that the next ones wait for. If each had to find all its units there, a
+    workspace over its cap would be served small requests only, since they
+    take what little there is. A new bucket makes no debts in its first window,
+    as an owner before may have made some.
+
     Parameters
     ----------
     cap : UsageCap
@@ -107,6 +129,8 @@
     ) -> None:
         self._settings = settings or CapSettings()
         self._cap = self._settings.widen(cap)
+        self._debt = self._settings.find_debt(cap)
+        self._debts_from_ms = now_ms + self._settings.window_ms
         self._units = self._settings.find_start(cap)
         self._filled_ms = now_ms
 
@@ -122,13 +146,14 @@
         """
         self._fill(now_ms)
         self._cap = self._settings.widen(cap)
+        self._debt = self._settings.find_debt(cap)
         self._units = min(self._units, self._cap.burst)
 
     def draw(self, units: float, now_ms: float) -> float:
-        """Take units out if the bucket is not overdrawn.
+        """Take units out if the bucket holds enough.
 
-        A request may overdraw it, so that one larger than the burst is
-        served too; the next one waits longer.
+        A request larger than the burst is served from a full bucket; the next
+        one waits longer.
 
         Parameters
         ----------
@@ -144,6 +169,8 @@
         """
         self._fill(now_ms)
         needed = min(units, max(self._cap.burst, 1))
+        if now_ms >= self._debts_from_ms:
+            needed = max(needed - self._debt, 0)
         if self._units >= needed:
             self._units -= units
             return 0
