Close a target's connection whose bytes never become an answer

Such a head, trailer, chunk extension, row of informational heads or event without end was read and kept until the time limit of the request: at 100 Mbit/s more than a host's memory, and the whole buffer was searched again with each part of an event.

A head, and a stretch in a body that is not part of its content, may be 64 KiB long; an event 1 MiB; a whole answer 4 MiB (16 before, a tenth of the memory of the smallest hosts). Beyond that the connection is closed and the request ends as if the target had broken off.

--- a/hornbeampulley/http1/_responses.py
+++ b/hornbeampulley/http1/_responses.py
@@ -10,6 +10,8 @@
 from hornbeampulley.http1._messages import Header, ResponseHead, find_header
 
 FIRST_FINAL_STATUS: Final = 200
+# Longest head, and longest stretch in a body that is not part of its content.
+MAX_SILENT_BYTES: Final = 1 << 16
 _NO_BODY: Final = frozenset((204, 304))
 
 
@@ -50,6 +52,7 @@
         self._headers: list[Header] = []
         self._is_informational = False
         self._ends_with_connection = False
+        self._silent_bytes = 0
 
     def feed(self, received: bytes) -> None:
         """Take the next bytes.
@@ -62,8 +65,10 @@
         Raises
         ------
         ResponseBrokenError
-            If they are not HTTP; parts before them can still be taken.
+            If they are not HTTP, or go on without a part of a response;
+            parts before them can still be taken.
         """
+        self._silent_bytes += len(received)
         try:
             self._parser.feed_data(received)
         except (
@@ -75,6 +80,12 @@
                 f'a target sent bytes that are not HTTP/1.1: {error}; '
                 'look at the log of the target',
             ) from error
+        if self._silent_bytes > MAX_SILENT_BYTES:
+            self.is_persistent = False
+            raise ResponseBrokenError(
+                f'a target sent {self._silent_bytes} bytes without an answer '
+                'in them; look at the log of the target',
+            )
 
     def end(self) -> None:
         """Note that the target has closed the connection.
@@ -117,15 +128,19 @@
         )
         self._ends_with_connection = not is_framed
         self.is_persistent = is_framed and self._parser.should_keep_alive()
-        self.parts.append(ResponseHead(status, headers))
+        self._add(ResponseHead(status, headers))
 
     def on_body(self, body: bytes) -> None:
         """Take a part of the body."""
-        self.parts.append(body)
+        self._add(body)
 
     def on_message_complete(self) -> None:
         """End a response."""
         self.is_idle = True
         if not self._is_informational:
             self._ends_with_connection = False
-            self.parts.append(Mark.END)
+            self._add(Mark.END)
+
+    def _add(self, part: Part) -> None:
+        self.parts.append(part)
+        self._silent_bytes = 0
--- a/hornbeampulley/node/_events.py
+++ b/hornbeampulley/node/_events.py
@@ -3,6 +3,9 @@
 import re
 from typing import Final
 
+from hornbeampulley.http1.errors import ResponseBrokenError
+
+MAX_EVENT_BYTES: Final = 1 << 20
 _EVENT_END: Final = re.compile(rb'\r?\n\r?\n')
 _EVENT_ID: Final = re.compile(rb'(?:^|\n)id:[ ]?([^\r\n]*)')
 
@@ -40,6 +43,11 @@
         -------
         bytes
             Unchanged; empty if no event has ended.
+
+        Raises
+        ------
+        ResponseBrokenError
+            If an event is too long, as it may have no end.
         """
         self._buffer += received
         end = 0
@@ -47,6 +55,12 @@
             self._note(self._buffer[end : match.end()])
             end = match.end()
         whole, self._buffer = self._buffer[:end], self._buffer[end:]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            self._buffer = b''
+            raise ResponseBrokenError(
+                f'an event of a stream is longer than {MAX_EVENT_BYTES} bytes; '
+                'look at the log of the target',
+            )
         return whole
 
     def reset(self) -> None:
--- a/hornbeampulley/node/_exchanges.py
+++ b/hornbeampulley/node/_exchanges.py
@@ -21,7 +21,7 @@
 from hornbeampulley.node.dialect import AnswerFacts, Dialect, Dispatch
 from hornbeampulley.routing import TargetRecord
 
-MAX_ANSWER_BYTES: Final = 16 << 20
+MAX_ANSWER_BYTES: Final = 4 << 20
 MAX_STRAY_ANSWERS: Final = 4
 # A stream that may go on elsewhere is given up on before its caller leaves.
 STALL_MS: Final = 1200.0
--- a/tests/test_http1_responses.py
+++ b/tests/test_http1_responses.py
@@ -53,3 +53,38 @@
     parser = ResponseParser()
     parser.feed(WHOLE + WHOLE)
     assert list(parser.parts).count(Mark.END) == 2
+
+
+HEAD = b'HTTP/1.1 200 OK\r\n'
+CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n'
+
+
+# Guards against targets whose bytes are no answer and never end.
+@pytest.mark.parametrize(
+    ('start', 'more'),
+    [
+        (HEAD, b'X: y\r\n'),
+        (HEAD + b'X: ', b'y'),
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+        (CHUNKED + b'0\r\n', b'X: y\r\n'),
+        (CHUNKED + b'2;x=', b'y'),
+    ],
+    ids=['headers', 'header', 'informational', 'trailers', 'chunk extension'],
+)
+def test_bytes_without_an_answer_are_not_read_for_ever(start, more):
+    parser = ResponseParser()
+    parser.feed(start)
+    received = 0
+    with pytest.raises(ResponseBrokenError):
+        while received < 1 << 20:
+            parser.feed(more * 1000)
+            received += len(more) * 1000
+    assert not parser.is_persistent
+
+
+def test_a_long_body_is_no_endless_head():
+    parser = ResponseParser()
+    parser.feed(HEAD + b'Content-Length: 1000000\r\n\r\n')
+    for _ in range(1000):
+        parser.feed(b'x' * 1000)
+    assert parser.parts[-1] is Mark.END
--- /dev/null
+++ b/tests/test_node_endless.py
@@ -0,0 +1,87 @@
+"""Targets whose bytes never end: the request ends, the node lives on."""
+
+import pytest
+import trio
+
+from standins.backend import SEAL
+from tests.nodes import BACKEND_PORT, run_nodes
+
+FIRST = b'HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n' + SEAL + b': s\r\n'
+BODY = FIRST + b'Transfer-Encoding: chunked\r\n\r\n'
+CHUNK = b'10000\r\n' + b'x' * 0x10000 + b'\r\n'
+# The bounds of heads, events and bodies, and what is in flight.
+MOST_BYTES = 16 << 20
+# The caller of the request waits for 4 s.
+MOST_SECONDS = 3
+
+
+class EndlessTarget:
+    """Answers each request with bytes until its caller closes."""
+
+    def __init__(self, start, more):
+        self.sent = 0
+        self.is_closed = trio.Event()
+        self._start = start
+        self._more = more
+
+    async def serve(self, address, port):
+        await trio.serve_tcp(self._answer, port, host=address)
+
+    async def _answer(self, stream):
+        request = b''
+        while b'\r\n\r\n' not in request:
+            part = await stream.receive_some()
+            if not part:
+                return
+            request += part
+        request_id = request.lower().partition(b'attempt-id: ')[2].split()[0]
+        try:
+            await stream.send_all(self._start.replace(b'%s', request_id))
+            while True:
+                await stream.send_all(self._more)
+                self.sent += len(self._more)
+        except trio.BrokenResourceError:
+            self.is_closed.set()
+
+
+def put_targets(fleet, service, start, more):
+    """Replace the backends of a service by one that never ends."""
+    target = EndlessTarget(start, more)
+    address = fleet.address(200)
+    fleet.nursery.start_soon(target.serve, address, BACKEND_PORT)
+    for number in (1, 2):
+        name = f'{service}-{number}'
+        entry = fleet.backends[name].describe(address, BACKEND_PORT)
+        fleet.store.put(f'servers/{name}', {**entry, 'sequence': 2, 'born': 2})
+    return target
+
+
+# Guards against targets whose bytes are no answer and never end.
+@pytest.mark.parametrize(
+    ('path', 'service', 'start', 'more'),
+    [
+        ('/once/a', 'ledger', FIRST, b'X: y\r\n' * 1000),
+        ('/once/a', 'ledger', BODY, CHUNK),
+        ('/stream/a', 'engines', FIRST, b'X: y\r\n' * 1000),
+        ('/stream/a', 'engines', BODY, CHUNK),
+    ],
+    ids=['head', 'body', 'head of a stream', 'event of a stream'],
+)
+def test_a_target_without_end_ends_only_its_own_request(
+    path,
+    service,
+    start,
+    more,
+):
+    async def scenario(fleet):
+        target = put_targets(fleet, service, start, more)
+        await trio.sleep(0.3)
+        with trio.fail_after(MOST_SECONDS):
+            status, head, body = await fleet.call(path, body=b'p')
+            await target.is_closed.wait()
+        assert status in {0, 502}
+        assert not body.endswith(b'0\r\n\r\n')
+        assert target.sent < MOST_BYTES
+        assert (await fleet.call('/none/a'))[0] == 404
+
+    run_nodes(scenario)
--- a/tests/test_node_events.py
+++ b/tests/test_node_events.py
@@ -1,9 +1,11 @@
 """Tests of the splitter of event streams."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hornbeampulley.node._events import EventSplitter
+from hornbeampulley.http1.errors import ResponseBrokenError
+from hornbeampulley.node._events import MAX_EVENT_BYTES, EventSplitter
 
 STREAM = b'id: 1\ndata: a\n\nweight-versions: 2\nid: 2\ndata: b\n\nid: 3\nda'
 
@@ -40,3 +42,13 @@
     splitter = EventSplitter()
     assert splitter.feed(b'id: 9\r\ndata: x\r\n\r\n')
     assert splitter.last_id == b'9'
+
+
+def test_an_event_without_end_is_not_kept():
+    splitter = EventSplitter()
+    splitter.feed(STREAM)
+    with pytest.raises(ResponseBrokenError):
+        for _ in range(2 * MAX_EVENT_BYTES // 1000):
+            splitter.feed(b'x' * 1000)
+    assert not splitter.rest
+    assert splitter.last_id == b'2'
