--- a/tests/test_core_properties.py
+++ b/tests/test_core_properties.py
@@ -114,6 +114,7 @@
         wait_ms=st.sampled_from([0, 0, 500, 5000]),
         objective_ms=st.sampled_from([0, 0, 50, 400]),
         begin_by_ms=st.sampled_from([0, 0, 300, 4000]),
+        expected_tokens=st.sampled_from([0, 5, 4000]),
         repeatable=st.booleans(),
     )
     def reserve(
