Learn the rate of output from what came after the first event

Cause: the time from the first event to the last was divided by all tokens but one, but the first event brings seven.

--- a/hornbeampulley/decisions/_cost.py
+++ b/hornbeampulley/decisions/_cost.py
@@ -256,8 +256,9 @@
         release: Release,
     ) -> None:
         streaming_ms = release.duration_ms - release.first_token_ms
-        if release.output_tokens > 1 and streaming_ms > 0:
-            sample = streaming_ms / (release.output_tokens - 1)
+        streamed = release.output_tokens - release.first_tokens
+        if streamed > 0 and streaming_ms > 0:
+            sample = streaming_ms / streamed
             pool_weight = self._weigh_pool()
             self._pool.step_ms = smooth(
                 self._pool.step_ms,
--- a/hornbeampulley/decisions/_messages.py
+++ b/hornbeampulley/decisions/_messages.py
@@ -134,6 +134,8 @@
     cached_tokens : int
         Prompt tokens that the engine says it found in its cache; -1 if the
         engine did not say.
+    first_tokens : int
+        Tokens that came with the first part of the answer.
     """
 
     request_id: str
@@ -142,6 +144,7 @@
     first_token_ms: float = 0
     duration_ms: float = 0
     cached_tokens: int = -1
+    first_tokens: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeampulley/node/_serving.py
+++ b/hornbeampulley/node/_serving.py
@@ -176,6 +176,7 @@
             tokens,
             attempt.first_ms,
             attempt.duration_ms,
+            first_tokens=call.event_tokens,
         ),
     )
 
--- a/hornbeampulley/wire/_events.py
+++ b/hornbeampulley/wire/_events.py
@@ -109,6 +109,7 @@
         round_ms(event.duration_ms),
         event.cached_tokens,
         write_stamp(stamp),
+        event.first_tokens,
     )
 
 
@@ -217,4 +218,5 @@
         float(message.first_token_ms),
         float(message.duration_ms),
         message.cached_tokens,
+        message.first_tokens or 1,
     )
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -77,6 +77,7 @@
   6: i32 duration_ms
   7: i32 cached_tokens
   8: optional Stamp stamp
+  9: optional i32 first_tokens
 }
 
 struct Lease {
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -55,3 +55,19 @@
     for _ in range(50):
         cost.learn(request, Release('r', Outcome.DONE, 0, 0, 15))
     assert cost.price(reserve) == pytest.approx(15, rel=0.2)
+
+
+# Guards against SHORT: answers of one event made targets seem twice as fast.
+def test_tokens_of_the_first_event_say_nothing_of_the_rate():
+    cost = CostModel()
+    step_ms = 16
+    for events in (1, 1, 2, 3) * 50:
+        reserve = make_reserve(prompt_tokens=1000)
+        request = Request(reserve, 0, 0, 1, target='one')
+        tokens = 7 * events
+        duration_ms = 100 + (tokens - 7) * step_ms + 0.1
+        done = Release('r', Outcome.DONE, tokens, 100, duration_ms, -1, 7)
+        cost.learn(request, done)
+    reserve = make_reserve(prompt_tokens=1, expected_tokens=1000)
+    expected_ms = cost.expect_ms('one', reserve, 0, 0)
+    assert expected_ms == pytest.approx(1000 * step_ms, rel=0.1)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -94,7 +94,7 @@
     decisions.Reserve(ID, HOME, 'w', 's', 't', 5, 6, expected_tokens=4),
     decisions.Withdraw(ID),
     decisions.Progress(ID, 3, 40.0),
-    decisions.Release(ID, decisions.Outcome.DONE, 3, 40.0, 50.0, 2),
+    decisions.Release(ID, decisions.Outcome.DONE, 3, 40.0, 50.0, 2, 7),
 )
 ACTIONS = (
     decisions.Lease(ID, HOME, 'target', 20.0, True, 1500.0),
