--- a/hornbeampulley/decisions/_fit.py
+++ b/hornbeampulley/decisions/_fit.py
@@ -80,7 +80,7 @@
         state: TargetState,
         now_ms: float,
     ) -> bool:
-        """Tell whether a target can serve a request in time, or as any other.
+        """Tell whether a target is fast enough for a request.
 
         Parameters
         ----------
@@ -94,7 +94,8 @@
         Returns
         -------
         bool
-            False if the request should wait for a faster target.
+            False if the request should wait for a faster target; true of the
+            best targets also when no target is in time.
         """
         reserve = request.reserve
         if not reserve.prompt_tokens:
