Refuse requests past their deadline after shedding the tiers below

A late request may be refused only after all lower tiers, and each one that became late shed just one of the several hundred requests below it. Change: once a request has waited until half a second past a deadline that it could have met, all that waits in lower tiers is shed; tiers are served in order, so that had no prospect either. Nodes withdraw requests at their deadline and do not get there.

--- a/hornbeampulley/decisions/_queue.py
+++ b/hornbeampulley/decisions/_queue.py
@@ -198,6 +198,16 @@
         rank = self.find_lowest_rank()
         return self._tiers[rank].list_late(now_ms) if rank >= 0 else []
 
+    def find_expired_rank(self, now_ms: float) -> int | None:
+        """Return the most urgent rank with a request past its deadline.
+
+        None if there is no such request.
+        """
+        for rank, tier in self._tiers.items():
+            if tier.has_expired(now_ms):
+                return rank
+        return None
+
     def list_departing(self, now_ms: float) -> list[Request]:
         """List late requests whose callers are about to disconnect."""
         return [
--- a/hornbeampulley/decisions/_shedding.py
+++ b/hornbeampulley/decisions/_shedding.py
@@ -43,11 +43,25 @@
             if queue.find_lowest_rank() > rank:
                 self._shed_one(Reason.SHED)
         self._refuse_late(queue.list_departing(now_ms))
+        self._shed_below_expired()
         late = queue.list_late(now_ms)
         while late:
             self._refuse_late(late)
             late = queue.list_late(now_ms)
 
+    def _shed_below_expired(self) -> None:
+        """Shed the tiers below a request that waited until its deadline.
+
+        Tiers are served in order, so what waits below it has no prospect of
+        being served, and it may be refused only after all of that.
+        """
+        queue = self._state.queue
+        rank = queue.find_expired_rank(self._state.now_ms)
+        if rank is None:
+            return
+        while queue.find_lowest_rank() > rank:
+            self._shed_one(Reason.SHED)
+
     def _refuse_late(self, requests: list[Request]) -> None:
         for request in requests:
             self._state.queue.remove(request)
--- a/hornbeampulley/decisions/_tiers.py
+++ b/hornbeampulley/decisions/_tiers.py
@@ -13,6 +13,8 @@
 
 # Time allowed for a refusal to reach a caller that is about to disconnect.
 REFUSAL_DELIVERY_MS: Final = 50.0
+# Homes withdraw what is past its deadline themselves, if they can.
+EXPIRY_MS: Final = 500.0
 
 
 class TierQueue:
@@ -69,6 +71,17 @@
         ]
         return overdue + list(self._late.values())
 
+    def has_expired(self, now_ms: float) -> bool:
+        """Tell whether a late request is `EXPIRY_MS` past its deadline.
+
+        Those whose deadline could never be met are not counted.
+        """
+        return any(
+            0 < request.reserve.deadline_ms < now_ms - EXPIRY_MS
+            for request in self._late.values()
+            if request.latest_start_ms >= request.arrived_ms
+        )
+
     def list_departing(self, now_ms: float) -> list[Request]:
         """List late and isolated requests whose callers will disconnect soon.
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -216,3 +216,18 @@
     assert pool.find_reason(waiting) is Reason.DEADLINE
     assert pool.find_reason(shed) is Reason.SHED
     assert pool.find_reason(kept) is None
+
+
+# Pattern: the top tier floods, and preempted requests of the middle one wait
+# until their deadline above a long queue of the lowest.
+def test_a_request_past_its_deadline_is_refused_once_lower_tiers_are_shed():
+    pool = Pool(targets=1, slots=1)
+    pool.reserve('gold')
+    late = pool.reserve('mid', deadline_ms=9000)
+    lower = [pool.reserve('low') for _ in range(20)]
+    pool.send(Tick(), wait_ms=9400 - pool.now_ms)
+    assert pool.find_reason(late) is None
+    pool.send(Tick(), wait_ms=200)
+    reasons = [pool.find_reason(request) for request in lower]
+    assert reasons == [Reason.SHED] * len(lower)
+    assert pool.find_reason(late) is Reason.DEADLINE
