Take numbers of the settings in any notation, and times with a unit

The template also wrote seconds as ms by adding three zeros, which makes 8000 of 8 but 8 of 8.0. Change: integers and numbers are read as decimals (56.0 and 1e3 are integers), retry_slack is a number, times take a unit (8s, 250ms), and the template writes it. The host's processor share and speed are settings now, not yet used. Tests failed before for each notation; nonsense still gets a remedy.

--- a/hornbeampulley/_settings_kinds.py
+++ b/hornbeampulley/_settings_kinds.py
@@ -1,6 +1,7 @@
 """Kinds of values in settings files, and their parsers."""
 
 import dataclasses
+import decimal
 import ipaddress
 import logging
 import re
@@ -13,6 +14,11 @@
 
 MAX_PORT: Final = 65_535
 NAME_PATTERN: Final = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
+_DECIMAL: Final = re.compile(
+    r'-?[0-9]{1,18}(\.[0-9]{1,40})?([eE][+-]?[0-9]{1,3})?',
+)
+_DURATION: Final = re.compile(r'(.*?)\s*(ms|s|)', re.DOTALL)
+_MS_PER_UNIT: Final = {'': 1, 'ms': 1, 's': 1000}
 
 
 class InvalidValueError(HornbeamError):
@@ -146,24 +152,43 @@
 
 @register_kind('integer', 'an integer from {minimum} to {maximum}')
 def parse_integer(text: str, rule: ValueRule) -> int:
-    """Parse an integer within bounds."""
-    if not re.fullmatch('-?[0-9]{1,18}', text):
+    """Parse an integer within bounds; ``56.0`` and ``1e3`` are integers too."""
+    number = _parse_decimal(text, 'an integer')
+    _check_range(number, rule)
+    if number != number.to_integral_value():
         raise InvalidValueError(f'{text!r} is not an integer')
-    number = int(text)
-    if not rule.minimum <= number <= rule.maximum:
-        raise InvalidValueError(f'{number} is out of range')
-    return number
+    return int(number)
 
 
 @register_kind('number', 'a number from {minimum} to {maximum}')
 def parse_number(text: str, rule: ValueRule) -> float:
     """Parse a decimal number within bounds."""
-    if not re.fullmatch(r'[0-9]{1,15}(\.[0-9]{1,9})?', text):
-        raise InvalidValueError(f'{text!r} is not a number')
-    number = float(text)
+    number = _parse_decimal(text, 'a number')
+    _check_range(number, rule)
+    return float(number)
+
+
+@register_kind(
+    'duration',
+    'a time from {minimum}ms to {maximum}ms, such as 250ms or 1.5s',
+)
+def parse_duration(text: str, rule: ValueRule) -> float:
+    """Parse a time with its unit into ms; without a unit it is in ms."""
+    number, unit = _DURATION.fullmatch(text).groups()
+    duration_ms = _parse_decimal(number, 'a time') * _MS_PER_UNIT[unit]
+    _check_range(duration_ms, rule)
+    return float(duration_ms)
+
+
+def _parse_decimal(text: str, kind: str) -> decimal.Decimal:
+    if not _DECIMAL.fullmatch(text):
+        raise InvalidValueError(f'{text!r} is not {kind}')
+    return decimal.Decimal(text)
+
+
+def _check_range(number: decimal.Decimal, rule: ValueRule) -> None:
     if not rule.minimum <= number <= rule.maximum:
         raise InvalidValueError(f'{number} is out of range')
-    return number
 
 
 @register_kind('level', 'debug, info, warning, error or critical')
--- a/hornbeampulley/node/_settings.py
+++ b/hornbeampulley/node/_settings.py
@@ -21,8 +21,8 @@
     return _checked_field(ValueRule('endpoint'))
 
 
-def _time_field(default: int) -> Any:
-    return _checked_field(ValueRule('integer', 0, MAX_TIME_MS), default)
+def _time_field(default: float, minimum: int = 0) -> Any:
+    return _checked_field(ValueRule('duration', minimum, MAX_TIME_MS), default)
 
 
 def _count_field(default: int) -> Any:
@@ -93,42 +93,61 @@
 
     Attributes
     ----------
-    drain_ms : int
+    drain_ms : float
         Time in ms after which a leaving target gets no new request.
-    grace_ms : int
+    grace_ms : float
         Time in ms from SIGTERM to SIGKILL.
-    resolve_ttl_ms : int
+    resolve_ttl_ms : float
         Longest time in ms for which callers cache a list of addresses.
     retry_ratio : float
         Retries allowed per request, over all nodes.
-    retry_window_ms : int
+    retry_window_ms : float
         Length of the window over which retries are counted, in ms.
-    retry_slack : int
+    retry_slack : float
         Retries allowed per window in addition to the ratio, over all nodes.
     cap_overage : float
         Accepted usage beyond a usage cap, as a share of the cap.
     cap_slack : float
         Further accepted usage beyond a usage cap, in units.
-    cap_window_ms : int
+    cap_window_ms : float
         Length of the window over which usage is measured, in ms.
     max_files : int
         Largest number of file descriptors that the process may open.
     """
 
-    drain_ms: int = _time_field(2000)
-    grace_ms: int = _time_field(8000)
-    resolve_ttl_ms: int = _time_field(2000)
+    drain_ms: float = _time_field(2000)
+    grace_ms: float = _time_field(8000)
+    resolve_ttl_ms: float = _time_field(2000)
     retry_ratio: float = _number_field(0.2)
-    retry_window_ms: int = _time_field(10_000)
-    retry_slack: int = _count_field(56)
+    retry_window_ms: float = _time_field(10_000)
+    retry_slack: float = _number_field(56)
     cap_overage: float = _number_field(0)
     cap_slack: float = _number_field(0)
-    cap_window_ms: int = _checked_field(
-        ValueRule('integer', 1, MAX_TIME_MS), 8000
-    )
+    cap_window_ms: float = _time_field(8000, minimum=1)
     max_files: int = _count_field(4096)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResourceSettings:
+    """Resources of the host that the node runs on.
+
+    Attributes
+    ----------
+    processor_share : float
+        Share of one core that the node may use.
+    processor_speed : float
+        Speed of that core, in multiples of the slowest kind of host.
+    """
+
+    processor_share: float = _number_field(1)
+    processor_speed: float = _number_field(1)
+
+    @property
+    def processor_capacity(self) -> float:
+        """Processor time per second, in cores of the slowest kind of host."""
+        return self.processor_share * self.processor_speed
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodeSettings:
     """All settings of a node; each attribute is a section of the file."""
@@ -138,6 +157,7 @@
     store: StoreSettings
     peers: SeedSettings
     bounds: BoundSettings
+    resources: ResourceSettings
     logs: LogSettings
 
 
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -12,6 +12,7 @@
 from hornbeampulley.node._settings import (
     BoundSettings,
     ListenSettings,
+    ResourceSettings,
     SeedSettings,
     StoreSettings,
 )
@@ -115,6 +116,7 @@
             StoreSettings(Endpoint(self.address(1), STORE_PORT)),
             SeedSettings((Endpoint(self.address(10), 8229),)),
             BoundSettings(**bounds),
+            ResourceSettings(),
             LogSettings(),
         )
         identity = Identity(f'{number:016x}', 1000 + number)
--- a/tests/test_node_settings.py
+++ b/tests/test_node_settings.py
@@ -31,7 +31,10 @@
     'bounds.retry_slack': '56',
     'bounds.quota_overage': '0.25',
     'bounds.quota_slack': '140000',
+    'bounds.quota_window_s': '8',
     'limits.max_fds': '4100',
+    'limits.cpu_share': '0.717',
+    'limits.cores': '3',
 }
 
 
@@ -79,3 +82,47 @@
     assert '[listen] callers' in message
     assert '[bounds] retry_ratio' in message
     assert 'write an IP address and a port' in message
+
+
+# A small deployment once ended every node at its start with a fraction as bound.
+@pytest.mark.parametrize(
+    ('key', 'text', 'expected'),
+    [
+        ('retry_slack', '35.833333333333336', 35.833333333333336),
+        ('retry_slack', '5.6e1', 56),
+        ('retry_ratio', '2.0000000000000001e-01', 0.2),
+        ('grace_ms', '8.0s', 8000),
+        ('grace_ms', '7.166666666666667s', 7166.666666666667),
+        ('drain_ms', '2000.0ms', 2000),
+        ('cap_window_ms', '8000', 8000),
+        ('max_files', '4100.0', 4100),
+    ],
+)
+def test_numbers_are_taken_in_any_notation(tmp_path, key, text, expected):
+    pattern = re.compile(f'^{key} = .*$', re.MULTILINE)
+    rendered = pattern.sub(f'{key} = {text}', render(FIELDS))
+    assert getattr(read(tmp_path, text=rendered).bounds, key) == expected
+
+
+@pytest.mark.parametrize(
+    ('key', 'text', 'remedy'),
+    [
+        ('max_files', '41.5', 'write an integer from 0'),
+        ('max_files', '1e999', 'write an integer from 0'),
+        ('retry_slack', 'nan', 'write a number from 0'),
+        ('retry_slack', '-1', 'write a number from 0'),
+        ('grace_ms', '8 hours', 'such as 250ms or 1.5s'),
+        ('grace_ms', '3601s', 'such as 250ms or 1.5s'),
+        ('cap_window_ms', '0s', 'such as 250ms or 1.5s'),
+    ],
+)
+def test_other_texts_are_refused_with_a_remedy(tmp_path, key, text, remedy):
+    pattern = re.compile(f'^{key} = .*$', re.MULTILINE)
+    rendered = pattern.sub(f'{key} = {text}', render(FIELDS))
+    with pytest.raises(SettingsError, match=remedy):
+        read(tmp_path, text=rendered)
+
+
+def test_the_capacity_of_a_host_is_share_times_speed(tmp_path):
+    capacity = read(tmp_path).resources.processor_capacity
+    assert capacity == pytest.approx(2.151)
