--- a/hornbeampulley/membership/__init__.py
+++ b/hornbeampulley/membership/__init__.py
@@ -84,6 +84,13 @@
     PeerPicker,
     choose_readers,
 )
+from hornbeampulley.membership._probing import (
+    AskToProbe,
+    Prober,
+    ProbeStep,
+    SendProbe,
+    Unanswered,
+)
 from hornbeampulley.membership._reading import (
     ReadingSettings,
 )
@@ -94,6 +101,12 @@
     rank_owners,
     split_into_shards,
 )
+from hornbeampulley.membership._roster import (
+    SUSPICION_MS,
+    HostCondition,
+    HostNews,
+    Roster,
+)
 from hornbeampulley.membership._scopes import (
     scopes,
 )
@@ -121,6 +134,15 @@
     'MAX_SHARD_TARGETS',
     'MAX_TICKET_BYTES',
     'SCOPE_HOSTS',
+    'SUSPICION_MS',
+    'AskToProbe',
+    'HostCondition',
+    'HostNews',
+    'ProbeStep',
+    'Prober',
+    'Roster',
+    'SendProbe',
+    'Unanswered',
     'Acquired',
     'Applied',
     'TicketBody',
--- a/hornbeampulley/membership/_directory.py
+++ b/hornbeampulley/membership/_directory.py
@@ -72,6 +72,9 @@
         there recently.
     region : str
         Group of availability zones; empty if there is only one region.
+    processor_capacity : float
+        Processor time per second that the host has, in cores of the slowest
+        kind of host.
     """
 
     host: str
@@ -82,6 +85,7 @@
     members: tuple[Member, ...] = ()
     ended: tuple[str, ...] = ()
     region: str = ''
+    processor_capacity: float = 1
 
     @property
     def key(self) -> int:
--- a/hornbeampulley/membership/_rendezvous.py
+++ b/hornbeampulley/membership/_rendezvous.py
@@ -3,7 +3,7 @@
 import dataclasses
 import math
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 import xxhash
@@ -59,20 +59,26 @@
     """Caches the ranking of the candidates for each key."""
 
     def __init__(self) -> None:
-        self._candidates: frozenset[str] = frozenset()
+        self._candidates: dict[str, int] = {}
         self._ranked: dict[str, tuple[str, ...]] = {}
 
-    def set_candidates(self, candidates: Iterable[str]) -> None:
+    def set_candidates(
+        self,
+        candidates: Iterable[str],
+        classes: Mapping[str, int] | None = None,
+    ) -> None:
         """Replace the candidates.
 
         Parameters
         ----------
         candidates : iterable of str
             Names of hosts or incarnations.
+        classes : mapping of str to int, optional
+            Class of each candidate; higher ones are ranked before lower ones.
         """
-        names = frozenset(candidates)
-        if names != self._candidates:
-            self._candidates = names
+        classed = {name: (classes or {}).get(name, 0) for name in candidates}
+        if classed != self._candidates:
+            self._candidates = classed
             self._ranked = {}
 
     def rank(self, key: str) -> tuple[str, ...]:
@@ -89,9 +95,13 @@
             The owner first, then its successors.
         """
         if key not in self._ranked:
-            self._ranked[key] = rank_owners(key, self._candidates)
+            ranked = rank_owners(key, self._candidates)
+            self._ranked[key] = tuple(sorted(ranked, key=self._order_class))
         return self._ranked[key]
 
+    def _order_class(self, name: str) -> int:
+        return -self._candidates[name]
+
 
 def split_into_shards(targets: Iterable[Target]) -> tuple[Shard, ...]:
     """Split pools into shards, along availability zones where possible.
--- a/hornbeampulley/node/_drain.py
+++ b/hornbeampulley/node/_drain.py
@@ -32,7 +32,7 @@
     """
     grace_ms = node.settings.bounds.grace_ms
     started_ms = node.clock.now()
-    node.membership.is_draining = True
+    node.membership.start_draining()
     node.options.is_ending = True
     await node.gossip.send_round()
     log_event(_log, 'drain_started', open=node.lease_client.open_count)
--- a/hornbeampulley/node/_endpoints.py
+++ b/hornbeampulley/node/_endpoints.py
@@ -6,7 +6,9 @@
 
 from hornbeampulley.http1 import Reply, Request
 from hornbeampulley.node._counters import Counters
-from hornbeampulley.node._membership import Membership, NodeAddress
+from hornbeampulley.node._entry_choice import choose_entries
+from hornbeampulley.node._membership import Membership
+from hornbeampulley.node.dialect import Dialect
 
 MAX_ADDRESSES: Final = 64
 _JSON: Final = ((b'content-type', b'application/json'),)
@@ -22,11 +24,19 @@
         Source of the live nodes.
     ttl_s : float
         Time in seconds for which callers may cache the answer.
+    dialect : Dialect
+        Reads where a caller is.
     """
 
-    def __init__(self, membership: Membership, ttl_s: float) -> None:
+    def __init__(
+        self,
+        membership: Membership,
+        ttl_s: float,
+        dialect: Dialect,
+    ) -> None:
         self._membership = membership
         self._ttl_s = ttl_s
+        self._dialect = dialect
 
     async def answer(self, request: Request, reply: Reply) -> None:
         """Answer with the addresses as JSON.
@@ -34,26 +44,31 @@
         Parameters
         ----------
         request : Request
-            Not used: every node serves every host.
+            Tells the zone of the caller. Its host is not used: every node
+            serves every host.
         reply : Reply
             Response to write.
         """
-        body = {'addresses': self.list_addresses(), 'ttl_s': self._ttl_s}
+        zone = self._dialect.read_zone(request)
+        body = {'addresses': self.list_addresses(zone), 'ttl_s': self._ttl_s}
         await reply.send(200, _JSON, json.dumps(body).encode())
 
-    def list_addresses(self) -> list[str]:
-        """List the addresses of the nodes that accept requests.
+    def list_addresses(self, availability_zone: str) -> list[str]:
+        """List the addresses of the nodes for the callers of a zone.
+
+        Parameters
+        ----------
+        availability_zone : str
+            Availability zone of the callers; empty if not known.
 
         Returns
         -------
         list of str
-            Addresses with ports; draining nodes are included only if there
-            are no others.
+            Addresses with ports.
         """
         live = self._membership.live
-        serving = [node for node in live if not node.is_draining]
-        chosen: tuple[NodeAddress, ...] | list[NodeAddress] = serving or live
-        return [str(node.callers) for node in chosen][:MAX_ADDRESSES]
+        chosen = choose_entries(live, availability_zone, MAX_ADDRESSES)
+        return [str(node.callers) for node in chosen]
 
 
 class ReadinessEndpoint:
--- a/hornbeampulley/node/_gossip.py
+++ b/hornbeampulley/node/_gossip.py
@@ -1,28 +1,52 @@
-"""Gossip protocol between nodes over UDP."""
+"""Gossip protocol between nodes over UDP.
 
+Datagrams carry probes and their acknowledgements, news of hosts, and the
+sender's position in reading the store. A node joins through a seed, which
+sends it all hosts; later on both compare digests now and then.
+"""
+
+import itertools
 import logging
 import random
-from collections.abc import Iterable
+from collections.abc import Callable
 from typing import Any, Final
 
 import trio
 
-from hornbeampulley.clock import to_seconds
+from hornbeampulley.clock import Clock, to_seconds
 from hornbeampulley.endpoints import Endpoint
 from hornbeampulley.errors import HornbeamError
 from hornbeampulley.logs import log_event
-from hornbeampulley.membership import DirectoryUpdate
+from hornbeampulley.membership import (
+    AskToProbe,
+    HostCondition,
+    HostNews,
+    SendProbe,
+)
 from hornbeampulley.node._membership import Membership
+from hornbeampulley.node._positions import PeerPositions
 from hornbeampulley.node._store_view import Position, StoreView
 from hornbeampulley.wire import (
     decode_body,
     encode_frame,
-    read_directory_update,
-    write_directory_update,
+    read_host_news,
+    write_host_news,
 )
 from hornbeampulley.wire.generated.peer import ttypes
 
+TICK_MS: Final = 100.0
 ROUND_MS: Final = 250.0
+# A changed position is sent in all rounds of this time, later with probes only.
+REPEAT_POSITION_MS: Final = 1500.0
+# Rounds sent at once after a change are at least this far apart.
+PROMPT_MS: Final = 30.0
+# Times after the start at which all hosts are compared, then an interval.
+FIRST_SYNCS_MS: Final = (1000.0, 2000.0, 4000.0)
+SYNC_MS: Final = 10_000.0
+MAX_NEWS: Final = 24
+MAX_SYNC_NEWS: Final = 60
+# Relayed probes of which an acknowledgement is awaited at the same time.
+MAX_RELAYED: Final = 100
 MAX_DATAGRAM: Final = 65_000
 _LENGTH_BYTES: Final = 4
 _MALFORMED: Final = (
@@ -36,18 +60,24 @@
 
 
 class Gossip:
-    """Sends the known nodes to a few peers every `ROUND_MS`.
+    """Exchanges datagrams with other nodes.
 
     Parameters
     ----------
     membership : Membership
-        Known nodes, sent and updated.
+        Known nodes and the failure detector.
     store_view : StoreView
         Its position is sent along.
+    positions : PeerPositions
+        Receives the positions of peers.
     endpoint : Endpoint
         Address and port of this node; all nodes use the same port.
+    clock : Clock
+        Monotonic clock.
     generator : random.Random
-        Chooses seeds.
+        Chooses seeds and peers.
+    open_socket : callable, optional
+        Opens a UDP socket with the interface of ``trio.socket``.
 
     Attributes
     ----------
@@ -59,49 +89,152 @@
         self,
         membership: Membership,
         store_view: StoreView,
+        positions: PeerPositions,
         endpoint: Endpoint,
+        clock: Clock,
         generator: random.Random,
+        open_socket: Callable[[], Any] | None = None,
     ) -> None:
+        self._open_socket = open_socket or _open_socket
         self.seeds: tuple[Endpoint, ...] = ()
         self._membership = membership
         self._store_view = store_view
+        self._positions = positions
         self._endpoint = endpoint
+        self._clock = clock
         self._generator = generator
         self._socket: trio.socket.SocketType | None = None
+        self._changed = trio.Event()
+        self._sent_position = Position()
+        self._position_changed_ms = clock.now()
+        self._round_ms = 0.0
+        self._syncs_ms = iter(
+            [clock.now() + delay_ms for delay_ms in FIRST_SYNCS_MS],
+        )
+        self._next_sync_ms = next(self._syncs_ms)
+        self._is_joined = False
+        self._helper = ''
+        # Addresses that wait for an acknowledgement of a relayed probe.
+        self._relayed: dict[int, tuple[str, int]] = {}
+        self._relay_numbers = itertools.count(-1, -1)
 
     async def run(self) -> None:
         """Gossip until cancelled."""
-        sock = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
+        sock = self._open_socket()
         with sock:
             await sock.bind((self._endpoint.address, self._endpoint.port))
             self._socket = sock
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive_all)
-                await self._send_rounds()
+                nursery.start_soon(self._announce_changes)
+                await self._run_ticks()
+
+    def announce(self) -> None:
+        """Send a round soon, as something has changed."""
+        if self._store_view.position != self._sent_position:
+            self._sent_position = self._store_view.position
+            self._position_changed_ms = self._clock.now()
+            self._changed.set()
 
     async def send_round(self) -> None:
-        """Renew the record of this host and send an update to some peers."""
-        self._membership.refresh()
-        update = write_directory_update(
-            self._membership.build_update(), frozenset()
-        )
-        for address in self._pick_addresses():
-            await self._send(address, update)
+        """Send the position and news of hosts to some peers."""
+        self._round_ms = self._clock.now()
+        for node in self._membership.pick_peers():
+            await self._send(node.peers.address)
 
-    async def _send_rounds(self) -> None:
+    async def _announce_changes(self) -> None:
         while True:
+            await self._changed.wait()
+            self._changed = trio.Event()
             await self.send_round()
-            await trio.sleep(to_seconds(ROUND_MS))
+            await trio.sleep(to_seconds(PROMPT_MS))
+
+    async def _run_ticks(self) -> None:
+        while True:
+            await self._tick()
+            await trio.sleep(to_seconds(TICK_MS))
+
+    async def _tick(self) -> None:
+        now_ms = self._clock.now()
+        for step in self._membership.detect_failures():
+            await self._send_step(step)
+        if now_ms - self._round_ms >= ROUND_MS:
+            if not self._is_joined:
+                await self._join()
+            if self._has_to_tell(now_ms):
+                await self.send_round()
+        if now_ms >= self._next_sync_ms:
+            self._schedule_sync(now_ms)
+            await self._sync()
+
+    def _has_to_tell(self, now_ms: float) -> bool:
+        changed_ms = now_ms - self._position_changed_ms
+        return (
+            changed_ms < REPEAT_POSITION_MS or self._membership.roster.has_news
+        )
+
+    async def _send_step(self, step: SendProbe | AskToProbe) -> None:
+        hosts = {node.host: node for node in self._membership.live}
+        if isinstance(step, SendProbe) and step.host in hosts:
+            address = hosts[step.host].peers.address
+            await self._send(address, ttypes.Probe(step.number))
+        elif step.host in hosts and step.helper in hosts:
+            await self._send(
+                hosts[step.helper].peers.address,
+                ttypes.ProbeRequest(
+                    step.number, hosts[step.host].peers.address
+                ),
+            )
+
+    async def _join(self) -> None:
+        """Ask a seed for all hosts; it learns of this one by that.
 
-    def _pick_addresses(self) -> set[str]:
-        picked = {node.peers.address for node in self._membership.pick_peers()}
-        known = {node.peers.address for node in self._membership.live}
-        unknown = [
-            seed.address for seed in self.seeds if seed.address not in known
+        A host that has sent something is asked as well: the seeds may be down.
+        """
+        self._round_ms = self._clock.now()
+        own = self._endpoint.address
+        known = {self._helper, *(seed.address for seed in self.seeds)}
+        addresses = sorted(known - {own, ''})
+        if addresses:
+            await self._request_sync(self._generator.choice(addresses))
+
+    def _schedule_sync(self, now_ms: float) -> None:
+        jitter_ms = SYNC_MS * self._generator.uniform(0.8, 1.2)
+        self._next_sync_ms = next(self._syncs_ms, now_ms + jitter_ms)
+
+    async def _sync(self) -> None:
+        """Compare all hosts with a live one, and look for a lost one."""
+        own = self._membership.incarnation
+        others = [
+            node.peers.address
+            for node in self._membership.live
+            if node.incarnation != own
         ]
-        if unknown:
-            picked.add(self._generator.choice(unknown))
-        return picked
+        if others:
+            await self._request_sync(self._generator.choice(others))
+        await self._contact_lost_host()
+
+    async def _contact_lost_host(self) -> None:
+        dead = self._membership.roster.list_records(HostCondition.DEAD)
+        if dead:
+            record = self._generator.choice(dead)
+            # The host refutes it if it is alive.
+            news = HostNews(record, HostCondition.DEAD)
+            await self._request_sync(record.address, news)
+            return
+        find = self._membership.find_by_address
+        lost = [seed.address for seed in self.seeds if not find(seed.address)]
+        if lost:
+            await self._request_sync(self._generator.choice(lost))
+
+    async def _request_sync(self, address: str, *news: HostNews) -> None:
+        roster = self._membership.roster
+        own = HostNews(roster.own)
+        await self._send(
+            address,
+            write_host_news((own, *news)),
+            ttypes.SyncRequest(roster.compute_digest()),
+        )
 
     async def _receive_all(self) -> None:
         while True:
@@ -122,6 +255,8 @@
     async def _handle_datagram(self, received: bytes, address: str) -> None:
         try:
             frame = decode_body(received[_LENGTH_BYTES:])
+            self._membership.record_heard()
+            self._helper = address
             for message in frame.messages:
                 await self._handle_message(message, address)
         except _MALFORMED as error:
@@ -135,42 +270,63 @@
 
     async def _handle_message(self, message: Any, address: str) -> None:
         match message:
-            case ttypes.DirectoryNews():
-                await self._handle_directory_update(message, address)
+            case ttypes.MembershipNews():
+                self._merge(message)
+            case ttypes.SyncRequest():
+                await self._answer_sync(message, address)
+            case ttypes.Probe():
+                await self._send(address, ttypes.ProbeAck(message.number))
+            case ttypes.ProbeAck():
+                await self._handle_ack(message.number)
+            case ttypes.ProbeRequest():
+                await self._relay_probe(message, address)
             case ttypes.Position():
-                self._membership.positions[address] = Position(
-                    message.routing_version,
-                    message.revision,
+                self._positions.record(
+                    address,
+                    Position(message.routing_version, message.revision),
+                    message.age_ms or 0,
                 )
 
-    async def _handle_directory_update(
-        self,
-        message: ttypes.DirectoryNews,
-        address: str,
-    ) -> None:
-        update = read_directory_update(message)
-        is_new = any(
-            not self._membership.has_host(record.host)
-            for record in update.records
+    def _merge(self, message: ttypes.MembershipNews) -> None:
+        is_sync = bool(message.is_sync)
+        self._is_joined = self._is_joined or is_sync
+        self._membership.merge(
+            read_host_news(message), is_passed_on=not is_sync
         )
-        missing = self._membership.apply_update(update)
-        if is_new:
-            self._membership.refresh()
-            full_update = self._membership.build_full_update()
-            await self._send(
-                address, write_directory_update(full_update, missing)
-            )
-        elif message.wanted or missing:
-            answer = DirectoryUpdate((), ())
-            if message.wanted:
-                answer = self._membership.build_update(message.wanted)
-            await self._send(address, write_directory_update(answer, missing))
 
-    async def _send(self, address: str, update: ttypes.DirectoryNews) -> None:
-        position = self._store_view.position
-        frame = encode_frame(
-            _make_messages(update, position),
-        )
+    async def _answer_sync(
+        self, message: ttypes.SyncRequest, address: str
+    ) -> None:
+        roster = self._membership.roster
+        news = roster.list_news()
+        if message.digest == roster.compute_digest():
+            news = (HostNews(roster.own),)
+        for start in range(0, len(news), MAX_SYNC_NEWS):
+            answer = write_host_news(news[start : start + MAX_SYNC_NEWS])
+            answer.is_sync = True
+            await self._send(address, answer)
+
+    async def _handle_ack(self, number: int) -> None:
+        relayed = self._relayed.pop(number, None)
+        if relayed is None:
+            self._membership.prober.acknowledge(number)
+            return
+        asker, asked_number = relayed
+        await self._send(asker, ttypes.ProbeAck(asked_number))
+
+    async def _relay_probe(
+        self, message: ttypes.ProbeRequest, address: str
+    ) -> None:
+        number = next(self._relay_numbers)
+        self._relayed[number] = (address, message.number)
+        if len(self._relayed) > MAX_RELAYED:
+            self._relayed.pop(next(iter(self._relayed)))
+        await self._send(message.address, ttypes.Probe(number))
+
+    async def _send(self, address: str, *messages: Any) -> None:
+        news = self._membership.roster.pick_news(MAX_NEWS)
+        extra = (write_host_news(news),) if news else ()
+        frame = encode_frame((*messages, *extra, self._make_position()))
         try:
             await self._socket.sendto(frame, (address, self._endpoint.port))
         except OSError as error:
@@ -182,15 +338,14 @@
                 error=error,
             )
 
-
-def _make_messages(
-    update: ttypes.DirectoryNews,
-    position: Position,
-) -> Iterable[Any]:
-    return (
-        update,
-        ttypes.Position(
+    def _make_position(self) -> ttypes.Position:
+        position = self._store_view.position
+        return ttypes.Position(
             revision=position.targets,
             routing_version=position.routing,
-        ),
-    )
+            age_ms=round(self._positions.age_ms),
+        )
+
+
+def _open_socket() -> trio.socket.SocketType:
+    return trio.socket.socket(type=trio.socket.SOCK_DGRAM)
--- a/hornbeampulley/node/_lease_client.py
+++ b/hornbeampulley/node/_lease_client.py
@@ -3,21 +3,19 @@
 import dataclasses
 import itertools
 import logging
-from collections.abc import Iterable
 from typing import Any, Final
 
 from hornbeampulley import decisions
 from hornbeampulley.clock import Clock
 from hornbeampulley.identity import RequestId, SessionStamp
 from hornbeampulley.logs import log_event
-from hornbeampulley.node._membership import Membership
 from hornbeampulley.node._mesh import Mesh
+from hornbeampulley.node._owners import OwnerFinder
 from hornbeampulley.node._reservations import Reservation
 from hornbeampulley.node._scheduling import Scheduling
 from hornbeampulley.wire.generated.peer import ttypes
 from hornbeampulley.wire.scheduling import write_event, write_reserve
 
-STANDBYS: Final = 1
 _NO_STAMP: Final = SessionStamp('', 0, 0, 0, '')
 _log = logging.getLogger(__name__)
 
@@ -27,12 +25,13 @@
 
     The owner of a pool is the highest-ranked node that can be reached; this
     node acts as the owner if no other can. If the owner changes, the open
-    reservations move to the new one.
+    reservations move to the new one. While a link to an owner is being
+    opened, reservations wait without an owner.
 
     Parameters
     ----------
-    membership : Membership
-        Ranks the candidates for an owner.
+    owners : OwnerFinder
+        Finds the owner of a pool.
     mesh : Mesh
         Links to the other nodes.
     scheduling : Scheduling
@@ -43,12 +42,12 @@
 
     def __init__(
         self,
-        membership: Membership,
+        owners: OwnerFinder,
         mesh: Mesh,
         scheduling: Scheduling,
         clock: Clock,
     ) -> None:
-        self._membership = membership
+        self._finder = owners
         self._mesh = mesh
         self._scheduling = scheduling
         self._clock = clock
@@ -59,7 +58,7 @@
     @property
     def own_incarnation(self) -> str:
         """Incarnation of this node."""
-        return self._membership.incarnation
+        return self._finder.own_incarnation
 
     @property
     def open_count(self) -> int:
@@ -97,7 +96,8 @@
         """
         reservation = Reservation(event, opened_ms)
         self._reservations[event.request_id] = reservation
-        self._announce(reservation, self._find_owner(reservation.pool))
+        owner = self._find_owner(reservation.pool, is_used=True)
+        self._announce(reservation, owner)
         return reservation
 
     def report_progress(
@@ -225,30 +225,13 @@
                 return
         reservation.decided.set()
 
-    def update_owners(self, pools: Iterable[str]) -> None:
-        """Determine the owners of the pools, and move requests to new owners.
-
-        Parameters
-        ----------
-        pools : iterable of str
-            Names of all pools.
-        """
-        for pool in pools:
-            self._find_owner(pool)
-            self._keep_standbys(pool)
+    def update_owners(self) -> None:
+        """Keep links to the owners, and move requests to new owners."""
+        self._finder.keep_links()
         self._move_to_current_owners()
 
-    def handle_link_ready(self, incarnation: str) -> None:
-        """Move requests to a scheduler to which a link has been opened.
-
-        Parameters
-        ----------
-        incarnation : str
-            Incarnation of the scheduler.
-        """
-        for pool, owner in tuple(self._owners.items()):
-            if owner != incarnation:
-                self._find_owner(pool)
+    def handle_link_ready(self) -> None:
+        """Move requests to a scheduler to which a link has been opened."""
         self._move_to_current_owners()
 
     def handle_scheduler_lost(self, incarnation: str) -> None:
@@ -265,12 +248,17 @@
                 self._announce(reservation, owner)
 
     def _move_to_current_owners(self) -> None:
+        pools = {one.pool for one in self._reservations.values()}
+        owners = {pool: self._find_owner(pool) for pool in pools}
         for reservation in tuple(self._reservations.values()):
-            owner = self._find_owner(reservation.pool)
-            if owner != reservation.owner:
+            owner = owners[reservation.pool]
+            if owner and owner != reservation.owner:
                 self._move(reservation, owner)
 
     def _move(self, reservation: Reservation, owner: str) -> None:
+        if not reservation.owner:
+            self._announce(reservation, owner)
+            return
         request_id = reservation.reserve.request_id
         if reservation.lease is None:
             self._send_to_owner(reservation, decisions.Withdraw(request_id))
@@ -291,31 +279,20 @@
         )
         self._reservations[reservation.reserve.request_id] = reservation
 
-    def _find_owner(self, pool: str) -> str:
-        owner = self._choose_owner(pool)
-        if self._owners.get(pool) != owner:
+    def _find_owner(self, pool: str, *, is_used: bool = False) -> str:
+        """Find the owner of a pool; empty while a link is being opened."""
+        key = f'pool/{pool}'
+        find = self._finder.use if is_used else self._finder.find
+        owner = find(key) or ''
+        if owner and self._owners.get(pool) != owner:
             log_event(_log, 'owner_chosen', pool=pool, owner=owner)
             self._owners[pool] = owner
         return owner
 
-    def _choose_owner(self, pool: str) -> str:
-        ranked = self._membership.rank_owners(f'pool/{pool}')
-        for candidate in ranked:
-            if candidate == self.own_incarnation:
-                return candidate
-            if self._mesh.get_link(candidate) is not None:
-                return candidate
-        return self.own_incarnation
-
-    def _keep_standbys(self, pool: str) -> None:
-        """Keep links open to the nodes next in rank as owners of a pool."""
-        ranked = self._membership.rank_owners(f'pool/{pool}')
-        for candidate in ranked[: STANDBYS + 1]:
-            if candidate != self.own_incarnation:
-                self._mesh.get_link(candidate)
-
     def _announce(self, reservation: Reservation, owner: str) -> None:
         reservation.owner = owner
+        if not owner:
+            return
         now_ms = self._clock.now()
         event = dataclasses.replace(
             reservation.reserve,
@@ -330,6 +307,8 @@
         self._send_event(reservation.owner, event)
 
     def _send_event(self, owner: str, event: decisions.Event) -> None:
+        if not owner:
+            return
         if owner == self.own_incarnation:
             self._scheduling.handle_event(event)
             return
--- a/hornbeampulley/node/_membership.py
+++ b/hornbeampulley/node/_membership.py
@@ -1,6 +1,7 @@
 """Membership of live nodes, and the ranking of owners among them."""
 
 import dataclasses
+import math
 import random
 from collections.abc import Iterable
 from typing import Final
@@ -8,19 +9,26 @@
 from hornbeampulley.clock import Clock
 from hornbeampulley.endpoints import Endpoint
 from hornbeampulley.membership import (
-    Directory,
-    DirectoryUpdate,
+    SUSPICION_MS,
+    HostCondition,
+    HostNews,
     HostRecord,
     Member,
     Peer,
-    PeerPicker,
+    Prober,
+    ProbeStep,
     Ranking,
     Role,
+    Roster,
+    Unanswered,
+    choose_readers,
 )
-from hornbeampulley.node._store_view import Position
 
-LIVE_MS: Final = 1500.0
-FANOUT: Final = 3
+# Peers that get a round of gossip: most of them in the own availability zone,
+# where bytes cost least, and one anywhere.
+NEARBY_FANOUT: Final = 2
+DISTANT_FANOUT: Final = 1
+MIN_CAPACITY: Final = 0.001
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,6 +45,10 @@
         Endpoints for requests of callers and for links of peers.
     is_draining : bool
         Whether it is shutting down.
+    is_suspect : bool
+        Whether it has not answered lately.
+    processor_capacity : float
+        Processor time per second of its host, in cores of the slowest kind.
     """
 
     incarnation: str
@@ -45,6 +57,8 @@
     callers: Endpoint
     peers: Endpoint
     is_draining: bool
+    is_suspect: bool = False
+    processor_capacity: float = 1
 
 
 class Membership:
@@ -61,10 +75,10 @@
 
     Attributes
     ----------
-    is_draining : bool
-        Whether this node is shutting down.
-    positions : dict
-        Last store position received from each host, by IP address.
+    roster : Roster
+        All hosts and their conditions.
+    prober : Prober
+        Failure detector.
     """
 
     def __init__(
@@ -73,117 +87,97 @@
         clock: Clock,
         generator: random.Random,
     ) -> None:
-        self.is_draining = False
-        self.positions: dict[str, Position] = {}
+        self.roster = Roster(own)
+        self.prober = Prober(generator)
         self._member = own.members[0]
         self._clock = clock
         self._generator = generator
-        self._directory = Directory(own, clock.now())
-        self._picker = PeerPicker(_make_peer(own), generator)
         self._ranking = Ranking()
+        self._seen_changes = -1
         self._live: tuple[NodeAddress, ...] = ()
-        self.refresh()
+        self._by_incarnation: dict[str, NodeAddress] = {}
+        self._by_address: dict[str, NodeAddress] = {}
 
     @property
     def incarnation(self) -> str:
         """Incarnation of this node: the name of its current run."""
         return self._member.incarnation
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether this node is shutting down."""
+        return self._member.draining
+
     @property
     def live(self) -> tuple[NodeAddress, ...]:
         """Live nodes ordered by host, including this node."""
+        self._update()
         return self._live
 
-    def refresh(self) -> None:
-        """Renew the record of this host and update the list of live nodes."""
-        now_ms = self._clock.now()
-        member = dataclasses.replace(
-            self._member,
-            draining=self.is_draining,
-        )
-        self._directory.renew_own_record((member,), now_ms)
-        records = self._directory.list_live(now_ms, LIVE_MS)
-        self._live = tuple(
-            _make_node_address(record) for record in records if record.members
-        )
-        self._picker.set_peers(_make_peer(record) for record in records)
-        self._ranking.set_candidates(
-            node.incarnation for node in self._live if not node.is_draining
-        )
-
-    def build_update(self, wanted: Iterable[int] = ()) -> DirectoryUpdate:
-        """Compose the periodic update for a peer.
-
-        Parameters
-        ----------
-        wanted : iterable of int
-            Keys of the records that the peer has requested in full.
-
-        Returns
-        -------
-        DirectoryUpdate
-            Update about all live hosts.
-        """
-        return self._directory.build_update(wanted, self._clock.now())
-
-    def build_full_update(self) -> DirectoryUpdate:
-        """Compose the full update for a new peer.
-
-        Returns
-        -------
-        DirectoryUpdate
-            Update with the records of all live hosts.
-        """
-        return self._directory.build_full_update(self._clock.now())
+    def start_draining(self) -> None:
+        """Publish that this node is shutting down."""
+        self._member = dataclasses.replace(self._member, draining=True)
+        self.roster.update_own((self._member,), self._clock.now())
 
-    def apply_update(self, update: DirectoryUpdate) -> frozenset[int]:
-        """Merge an update from a peer.
+    def merge(
+        self, news: Iterable[HostNews], *, is_passed_on: bool = True
+    ) -> None:
+        """Merge news of hosts from a peer.
 
         Parameters
         ----------
-        update : DirectoryUpdate
-            Received update.
-
-        Returns
-        -------
-        frozenset of int
-            Keys of unknown records, to be requested from the peer.
+        news : iterable of HostNews
+            Received news.
+        is_passed_on : bool
+            Whether other peers are told of what has changed.
         """
         now_ms = self._clock.now()
-        for record in update.records:
-            self._directory.supersede_earlier_run(record, now_ms)
-            self._directory.merge(record, now_ms)
-        return frozenset(
-            pulse.key
-            for pulse in update.pulses
-            if not self._directory.merge_pulse(pulse, now_ms)
-        )
+        for one in news:
+            self.roster.merge(one, now_ms, is_passed_on=is_passed_on)
 
-    def has_host(self, host: str) -> bool:
-        """Return whether a host is known, live or not.
+    def record_heard(self) -> None:
+        """Record that a datagram has come from a peer."""
+        now_ms = self._clock.now()
+        if self.prober.is_isolated(now_ms):
+            self.roster.drop_private_views(now_ms)
+        self.prober.record_heard(now_ms)
 
-        Parameters
-        ----------
-        host : str
-            Name of the host.
+    def detect_failures(self) -> list[ProbeStep]:
+        """Probe the next host, and give up hosts that do not answer.
 
         Returns
         -------
-        bool
-            True if the host is known.
+        list of SendProbe or AskToProbe
+            Probes to send.
         """
-        return self._directory.has_host(host)
+        now_ms = self._clock.now()
+        self.roster.extend_suspicions(self.prober.measure_pause(now_ms))
+        others = [node.host for node in self.live if not self._is_own(node)]
+        steps = self.prober.tick(others, now_ms)
+        is_private = self.prober.is_isolated(now_ms)
+        for unanswered in steps:
+            if isinstance(unanswered, Unanswered):
+                self.roster.suspect(
+                    unanswered.host, now_ms, is_private=is_private
+                )
+        self.roster.expire(now_ms, SUSPICION_MS * self.prober.patience)
+        return [step for step in steps if not isinstance(step, Unanswered)]
 
     def pick_peers(self) -> list[NodeAddress]:
-        """Pick the peers for the next gossip round.
+        """Pick the peers for the next round of gossip.
 
         Returns
         -------
         list of NodeAddress
-            Up to `FANOUT` live nodes.
+            Distinct live nodes, most of them in the own availability zone.
         """
-        hosts = frozenset(self._picker.pick(FANOUT))
-        return [node for node in self._live if node.host in hosts]
+        others = [node for node in self.live if not self._is_own(node)]
+        zone = self.roster.own.availability_zone
+        near = [node for node in others if node.availability_zone == zone]
+        picked = self._sample(near, NEARBY_FANOUT)
+        rest = [node for node in others if node not in picked]
+        missing = NEARBY_FANOUT + DISTANT_FANOUT - len(picked)
+        return picked + self._sample(rest, missing)
 
     def find(self, incarnation: str) -> NodeAddress | None:
         """Find a live node.
@@ -198,13 +192,27 @@
         NodeAddress or None
             None if the node is not live.
         """
-        for node in self._live:
-            if node.incarnation == incarnation:
-                return node
-        return None
+        self._update()
+        return self._by_incarnation.get(incarnation)
+
+    def find_by_address(self, address: str) -> NodeAddress | None:
+        """Find a live node.
+
+        Parameters
+        ----------
+        address : str
+            IP address of its host.
+
+        Returns
+        -------
+        NodeAddress or None
+            None if there is no live node at the address.
+        """
+        self._update()
+        return self._by_address.get(address)
 
     def rank_owners(self, key: str) -> tuple[str, ...]:
-        """Rank the live nodes as owners of a key.
+        """Rank the live nodes as owners of a key, the strongest hosts first.
 
         Parameters
         ----------
@@ -216,8 +224,59 @@
         tuple of str
             Incarnations, the owner first.
         """
+        self._update()
         return self._ranking.rank(key) or (self.incarnation,)
 
+    def is_reader(self, readers: int) -> bool:
+        """Tell whether this host is one of those that read the store.
+
+        Parameters
+        ----------
+        readers : int
+            Number of readers, in different availability zones if possible.
+
+        Returns
+        -------
+        bool
+            True if it is; all hosts that know the same hosts agree.
+        """
+        peers = (
+            Peer(node.host, node.availability_zone)
+            for node in self.live
+            if not (node.is_draining or node.is_suspect)
+        )
+        return self.roster.own.host in choose_readers(peers, readers)
+
+    def _update(self) -> None:
+        if self.roster.changes == self._seen_changes:
+            return
+        self._seen_changes = self.roster.changes
+        records = self.roster.list_records(HostCondition.ALIVE)
+        suspects = self.roster.list_records(HostCondition.SUSPECT)
+        nodes = [_make_node_address(one) for one in records if one.members]
+        nodes.extend(
+            dataclasses.replace(_make_node_address(one), is_suspect=True)
+            for one in suspects
+            if one.members
+        )
+        self._live = tuple(sorted(nodes, key=_get_host))
+        self._by_incarnation = {node.incarnation: node for node in nodes}
+        self._by_address = {node.peers.address: node for node in nodes}
+        classes = {
+            node.incarnation: _get_capacity_class(node)
+            for node in nodes
+            if not node.is_draining
+        }
+        self._ranking.set_candidates(classes, classes)
+
+    def _is_own(self, node: NodeAddress) -> bool:
+        return node.host == self.roster.own.host
+
+    def _sample(
+        self, nodes: list[NodeAddress], count: int
+    ) -> list[NodeAddress]:
+        return self._generator.sample(nodes, min(count, len(nodes)))
+
 
 def make_host_record(
     host: str,
@@ -226,6 +285,7 @@
     member: Member,
     address: str,
     started_ms: int,
+    processor_capacity: float = 1,
 ) -> HostRecord:
     """Make the record of this host.
 
@@ -239,6 +299,8 @@
         IP address of the host.
     started_ms : int
         Wall time of the start of this run, in ms.
+    processor_capacity : float
+        Processor time per second, in cores of the slowest kind of host.
 
     Returns
     -------
@@ -252,6 +314,7 @@
         started_ms,
         members=(member,),
         region=region,
+        processor_capacity=processor_capacity,
     )
 
 
@@ -277,10 +340,6 @@
     return Member(Role.ENTRY, incarnation, caller_port, peer_port)
 
 
-def _make_peer(record: HostRecord) -> Peer:
-    return Peer(record.host, record.availability_zone, record.region)
-
-
 def _make_node_address(record: HostRecord) -> NodeAddress:
     member = record.members[0]
     return NodeAddress(
@@ -290,4 +349,14 @@
         Endpoint(record.address, member.caller_port),
         Endpoint(record.address, member.peer_port),
         member.draining,
+        processor_capacity=record.processor_capacity,
     )
+
+
+def _get_host(node: NodeAddress) -> str:
+    return node.host
+
+
+def _get_capacity_class(node: NodeAddress) -> int:
+    """Return a class that differs by one where the capacity is doubled."""
+    return math.floor(math.log2(max(node.processor_capacity, MIN_CAPACITY)))
--- a/hornbeampulley/node/_mesh.py
+++ b/hornbeampulley/node/_mesh.py
@@ -2,7 +2,6 @@
 
 import functools
 import logging
-import random
 from collections.abc import Callable
 from typing import Any, Final, Protocol
 
@@ -15,7 +14,11 @@
 from hornbeampulley.wire import Link, LinkTiming, open_stream
 from hornbeampulley.wire.generated.peer import ttypes
 
-LINK_TIMING: Final = LinkTiming(heartbeat_ms=150, silence_ms=500)
+LINK_TIMING: Final = LinkTiming(
+    heartbeat_ms=150,
+    silence_ms=500,
+    idle_heartbeat_ms=1000,
+)
 RETRY_MS: Final = 300.0
 UNUSED_MS: Final = 5000.0
 _log = logging.getLogger(__name__)
@@ -62,7 +65,7 @@
         self._clock = clock
         self._nursery = nursery
         self._links: dict[str, Link] = {}
-        self._opening: set[str] = set()
+        self._opened_ms: dict[str, float] = {}
         self._failed_ms: dict[str, float] = {}
         self._used_ms: dict[str, float] = {}
 
@@ -92,18 +95,56 @@
         node = self._membership.find(incarnation)
         failed_ms = self._failed_ms.get(incarnation)
         is_paused = failed_ms is not None and now_ms - failed_ms < RETRY_MS
-        if node is None or incarnation in self._opening or is_paused:
+        if node is None or incarnation in self._opened_ms or is_paused:
             return None
-        self._opening.add(incarnation)
+        self._opened_ms[incarnation] = now_ms
         self._nursery.start_soon(self._open, node)
         return None
 
+    def has_link(self, incarnation: str) -> bool:
+        """Tell whether a link to a node is ready, without opening one.
+
+        Parameters
+        ----------
+        incarnation : str
+            Incarnation of the node.
+
+        Returns
+        -------
+        bool
+            True if it is ready.
+        """
+        link = self._links.get(incarnation)
+        return link is not None and not link.is_closed
+
+    def is_opening(self, incarnation: str, within_ms: float) -> bool:
+        """Tell whether a link is being opened, and may be ready soon.
+
+        Parameters
+        ----------
+        incarnation : str
+            Incarnation of the node.
+        within_ms : float
+            Time in ms after which it is not expected any more.
+
+        Returns
+        -------
+        bool
+            False also if the link is ready.
+        """
+        opened_ms = self._opened_ms.get(incarnation)
+        if opened_ms is None or incarnation in self._links:
+            return False
+        return self._clock.now() - opened_ms < within_ms
+
     def sweep(self) -> None:
         """Close the links that were not used for `UNUSED_MS`."""
         now_ms = self._clock.now()
         for incarnation, link in tuple(self._links.items()):
             if now_ms - self._used_ms.get(incarnation, 0) > UNUSED_MS:
                 link.close()
+        for moments_ms in (self._used_ms, self._failed_ms):
+            _drop_older(moments_ms, now_ms - UNUSED_MS)
 
     async def accept(self, stream: trio.SocketStream) -> None:
         """Serve a link that a peer has opened.
@@ -129,11 +170,10 @@
                 self._make_hello().address,
             )
         except OSError as error:
+            self._opened_ms.pop(incarnation, None)
             self._failed_ms[incarnation] = self._clock.now()
             log_event(_log, 'link_failed', peer=node.host, error=error)
             return
-        finally:
-            self._opening.discard(incarnation)
         link = Link(stream, self._make_hello(), timing=LINK_TIMING)
         handle = functools.partial(self._receive, incarnation)
         try:
@@ -147,6 +187,7 @@
                 log_event(_log, 'link_misdirected', peer=message.host)
                 link.close()
                 return
+            self._opened_ms.pop(incarnation, None)
             self._links[incarnation] = link
             log_event(_log, 'link_opened', peer=message.host)
             self.handler.on_link_ready(link)
@@ -154,6 +195,7 @@
         self.handler.receive(link, message)
 
     def _lose(self, incarnation: str, link: Link, node: NodeAddress) -> None:
+        self._opened_ms.pop(incarnation, None)
         self._failed_ms[incarnation] = self._clock.now()
         if self._links.get(incarnation) is link:
             self._links.pop(incarnation)
@@ -179,17 +221,7 @@
     await trio.serve_tcp(mesh.accept, endpoint.port, host=endpoint.address)
 
 
-def make_generator(seed: str) -> random.Random:
-    """Make a random generator for this run.
-
-    Parameters
-    ----------
-    seed : str
-        Name of the run.
-
-    Returns
-    -------
-    random.Random
-        Generator seeded with the name.
-    """
-    return random.Random(seed)
+def _drop_older(moments_ms: dict[str, float], limit_ms: float) -> None:
+    old = [name for name in moments_ms if moments_ms[name] < limit_ms]
+    for name in old:
+        moments_ms.pop(name)
--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -23,6 +23,7 @@
 from hornbeampulley.membership import HostRecord
 from hornbeampulley.node._adapters import Adapter, Identity
 from hornbeampulley.node._calls import Call
+from hornbeampulley.node._catch_up import CatchUp
 from hornbeampulley.node._counters import Counters
 from hornbeampulley.node._endpoints import (
     DirectoryEndpoint,
@@ -39,8 +40,15 @@
     make_member,
 )
 from hornbeampulley.node._mesh import Mesh, serve_peers
+from hornbeampulley.node._owners import OwnerFinder
 from hornbeampulley.node._peers import PeerMessageHandler
-from hornbeampulley.node._reading import make_readers
+from hornbeampulley.node._positions import PeerPositions
+from hornbeampulley.node._reader_election import ReaderElection
+from hornbeampulley.node._reading import (
+    CHOSEN_READER_WAIT_MS,
+    WAIT_MS,
+    make_readers,
+)
 from hornbeampulley.node._repeating import repeat
 from hornbeampulley.node._scheduling import Scheduling
 from hornbeampulley.node._sending import Sender
@@ -57,7 +65,6 @@
 
 TICK_MS: Final = 50.0
 SWEEP_MS: Final = 250.0
-BEHIND_MS: Final = 400.0
 RESOLVE_TTL_MS: Final = 2000
 ROLE: Final = 'node'
 _log = logging.getLogger(__name__)
@@ -112,8 +119,7 @@
             max_connections=max(settings.bounds.max_files // 2, 16),
         )
         self._configured_changes = -1
-        self.store_view.on_change = self._configure
-        self._behind_since_ms: float | None = None
+        self.store_view.on_change = self._follow_store
 
     @property
     def is_ready(self) -> bool:
@@ -129,6 +135,7 @@
         start = self._nursery.start_soon
         start(self.gossip.run)
         for reader in self.readers:
+            reader.set_active(is_active=False)
             start(reader.run)
         start(serve_peers, self.mesh, listen.peers)
         start(repeat, self._tick, TICK_MS)
@@ -136,7 +143,11 @@
         self._serve(listen.callers, self.options)
         ttl_ms = min(self.settings.bounds.resolve_ttl_ms, RESOLVE_TTL_MS)
         ttl_s = to_seconds(ttl_ms)
-        directory = DirectoryEndpoint(self.membership, ttl_s)
+        directory = DirectoryEndpoint(
+            self.membership,
+            ttl_s,
+            self.home.dialect,
+        )
         readiness = ReadinessEndpoint(lambda: self.is_ready)
         self._serve(listen.directory, ServerOptions(directory.answer))
         self._serve(listen.readiness, ServerOptions(readiness.answer))
@@ -179,14 +190,16 @@
             self.scheduling, self.store_view, self.clock
         )
         self.mesh.handler = self._message_handler
+        owners = OwnerFinder(self.membership, self.mesh, self.clock)
         self.lease_client = LeaseClient(
-            self.membership,
+            owners,
             self.mesh,
             self.scheduling,
             self.clock,
         )
         self.caps = UsageCapClient(
             self.membership,
+            owners,
             self.mesh,
             self.scheduling,
             self.clock,
@@ -202,14 +215,33 @@
             self.store_view,
             (decoder.routing_prefix, decoder.targets_prefix),
             self._generator,
+            self.clock,
         )
+        self._positions = PeerPositions(self.store_view, self.clock)
+        self._election = ReaderElection(
+            self.membership,
+            self._positions,
+            self.clock,
+            self._generator,
+        )
+        self._catch_up = CatchUp(
+            self.membership,
+            self.mesh,
+            self._positions,
+            self._message_handler.request_items,
+            self.clock,
+        )
+        self._positions.on_ahead = self._fetch_newer
+        self._message_handler.on_ready = self._fetch_newer
         self.gossip = Gossip(
             self.membership,
             self.store_view,
+            self._positions,
             Endpoint(
                 self.settings.host.address,
                 self.settings.listen.gossip_port,
             ),
+            self.clock,
             self._generator,
         )
         self.gossip.seeds = self.settings.peers.seeds
@@ -258,6 +290,7 @@
             member,
             host.address,
             self._identity.started_ms,
+            self.settings.resources.processor_capacity,
         )
 
     def _make_hello(self) -> ttypes.Hello:
@@ -304,16 +337,38 @@
         self._configure()
         self.scheduling.tick()
         self._message_handler.recover()
-        table = self.store_view.table
-        if table is not None:
-            self.lease_client.update_owners(table.pools)
-            self.caps.keep_links()
+        self.lease_client.update_owners()
 
     def _sweep(self) -> None:
         self.connections.close_stale()
         self.store_view.sweep()
         self.mesh.sweep()
-        self._catch_up()
+        self._update_readers()
+        self._fetch_newer()
+
+    def _follow_store(self) -> None:
+        self._configure()
+        self.gossip.announce()
+
+    def _update_readers(self) -> None:
+        is_reader = self._election.is_reader()
+        self._catch_up.is_reader = is_reader
+        reads_everywhere = self._election.reads_everywhere
+        for reader in self.readers:
+            reader.wait_ms = (
+                WAIT_MS if reads_everywhere else CHOSEN_READER_WAIT_MS
+            )
+            reader.set_active(is_active=is_reader)
+        if all(one.is_reached for one in self.readers):
+            self._positions.confirm(
+                min(one.confirmed_ms for one in self.readers)
+            )
+
+    def _fetch_newer(self) -> None:
+        """Request items from a peer that is ahead in reading the store."""
+        if self._catch_up.run() and self._catch_up.is_reader:
+            for reader in self.readers:
+                reader.retry_now()
 
     def _configure(self) -> None:
         """Configure the scheduler if routing or targets have changed."""
@@ -332,31 +387,3 @@
             ),
             store_view.targets.list_draining(),
         )
-
-    def _catch_up(self) -> None:
-        """Request items from a peer that is ahead in reading the store."""
-        ahead = self._find_peer_ahead()
-        now_ms = self.clock.now()
-        if ahead is None:
-            self._behind_since_ms = None
-            return
-        if self._behind_since_ms is None:
-            self._behind_since_ms = now_ms
-        if now_ms - self._behind_since_ms < BEHIND_MS:
-            return
-        link = self.mesh.get_link(ahead)
-        if link is not None:
-            self._behind_since_ms = now_ms
-            self._message_handler.request_items(link)
-            for reader in self.readers:
-                reader.retry_now()
-
-    def _find_peer_ahead(self) -> str | None:
-        own = self.store_view.position
-        for node in self.membership.live:
-            other = self.membership.positions.get(node.peers.address)
-            if other is None or node.incarnation == self._identity.incarnation:
-                continue
-            if other.routing > own.routing or other.targets > own.targets:
-                return node.incarnation
-        return None
--- a/hornbeampulley/node/_peers.py
+++ b/hornbeampulley/node/_peers.py
@@ -1,6 +1,7 @@
 """Handles the messages that nodes exchange on links."""
 
 import logging
+from collections.abc import Callable
 from typing import Any, Final
 
 from hornbeampulley import decisions
@@ -34,6 +35,11 @@
         Routing table and targets.
     clock : Clock
         Monotonic clock.
+
+    Attributes
+    ----------
+    on_ready : callable
+        Called when a link opened by this node is ready.
     """
 
     def __init__(
@@ -44,6 +50,7 @@
     ) -> None:
         self.lease_client: LeaseClient | None = None
         self.caps: UsageCapClient | None = None
+        self.on_ready: Callable[[], None] = _do_nothing
         self._scheduling = scheduling
         self._store_view = store_view
         self._clock = clock
@@ -86,7 +93,8 @@
         link : Link
             Link that this node has opened to a scheduler.
         """
-        self.lease_client.handle_link_ready(link.peer.incarnation)
+        self.lease_client.handle_link_ready()
+        self.on_ready()
 
     def on_link_lost(self, link: Link) -> None:
         """Handle the loss of a link to a home or to a scheduler.
@@ -213,6 +221,10 @@
         )
 
 
+def _do_nothing() -> None:
+    """Default of `PeerMessageHandler.on_ready`."""
+
+
 def _write_item(item: StoredItem) -> ttypes.StoredItem:
     return ttypes.StoredItem(
         item.key,
--- /dev/null
+++ b/hornbeampulley/node/_positions.py
@@ -0,0 +1,94 @@
+"""Which peers have read more of the store, and how fresh that is."""
+
+from collections.abc import Callable
+from typing import Final
+
+from hornbeampulley.clock import Clock
+from hornbeampulley.node._store_view import Position, StoreView
+
+# Positions of this many peers that are ahead are kept.
+MAX_AHEAD: Final = 8
+
+
+class PeerPositions:
+    """Positions of peers that are ahead of this node in reading the store.
+
+    Parameters
+    ----------
+    store_view : StoreView
+        What this node has read or received.
+    clock : Clock
+        Monotonic clock.
+
+    Attributes
+    ----------
+    on_ahead : callable
+        Called when a peer that is ahead has told its position.
+    """
+
+    def __init__(self, store_view: StoreView, clock: Clock) -> None:
+        self.on_ahead: Callable[[], None] = _do_nothing
+        self._store_view = store_view
+        self._clock = clock
+        self._ahead: dict[str, Position] = {}
+        self._confirmed_ms = clock.now()
+
+    @property
+    def age_ms(self) -> float:
+        """Time since a reader is known to have been up to date, in ms."""
+        return self._clock.now() - self._confirmed_ms
+
+    def confirm(self, moment_ms: float) -> None:
+        """Record that this node was up to date with the store.
+
+        Parameters
+        ----------
+        moment_ms : float
+            Time of the store's answer, in ms.
+        """
+        self._confirmed_ms = max(self._confirmed_ms, moment_ms)
+
+    def record(self, address: str, position: Position, age_ms: float) -> None:
+        """Record the position of a peer.
+
+        Parameters
+        ----------
+        address : str
+            IP address of the peer.
+        position : Position
+            What it has read or received.
+        age_ms : float
+            Time since it knows that a reader was up to date, in ms.
+        """
+        sent_ms = self._clock.now() - max(age_ms, 0)
+        self._confirmed_ms = max(self._confirmed_ms, sent_ms)
+        self._ahead.pop(address, None)
+        if not self._is_ahead(position):
+            return
+        self._ahead[address] = position
+        if len(self._ahead) > MAX_AHEAD:
+            self._ahead.pop(next(iter(self._ahead)))
+        self.on_ahead()
+
+    def list_ahead(self) -> list[str]:
+        """List the peers that are ahead, those heard last first.
+
+        Returns
+        -------
+        list of str
+            Their IP addresses.
+        """
+        self._ahead = {
+            address: position
+            for address, position in self._ahead.items()
+            if self._is_ahead(position)
+        }
+        return list(reversed(self._ahead))
+
+    def _is_ahead(self, position: Position) -> bool:
+        own = self._store_view.position
+        return position.routing > own.routing or position.targets > own.targets
+
+
+def _do_nothing() -> None:
+    """Default of `PeerPositions.on_ahead`."""
--- /dev/null
+++ b/hornbeampulley/node/_reader_election.py
@@ -0,0 +1,72 @@
+"""Chooses the hosts that read the store; the others learn from them."""
+
+import random
+from typing import Final
+
+from hornbeampulley.clock import Clock
+from hornbeampulley.node._membership import Membership
+from hornbeampulley.node._positions import PeerPositions
+
+# Up to this many hosts all read the store.
+ALL_READ_HOSTS: Final = 16
+READERS: Final = 4
+# Time after the start in which a host rather learns from its peers.
+JOIN_MS: Final = 600.0
+# A host reads the store itself if no reader was up to date for this long.
+STALE_MS: Final = 5000.0
+MAX_JITTER_MS: Final = 1000.0
+# Afterwards it reads for at least this long, so that it need not list again.
+KEEP_READING_MS: Final = 5000.0
+
+
+class ReaderElection:
+    """Decides whether this host reads the store.
+
+    Parameters
+    ----------
+    membership : Membership
+        Live nodes.
+    positions : PeerPositions
+        Tells how fresh the view of the store is.
+    clock : Clock
+        Monotonic clock.
+    generator : random.Random
+        Spreads the moments at which hosts begin to read.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        positions: PeerPositions,
+        clock: Clock,
+        generator: random.Random,
+    ) -> None:
+        self._membership = membership
+        self._positions = positions
+        self._clock = clock
+        self._started_ms = clock.now()
+        self._stale_ms = STALE_MS + generator.uniform(0, MAX_JITTER_MS)
+        self._reads_until_ms = 0.0
+
+    @property
+    def reads_everywhere(self) -> bool:
+        """Whether there are so few hosts that all of them read."""
+        return len(self._membership.live) <= ALL_READ_HOSTS
+
+    def is_reader(self) -> bool:
+        """Tell whether this host has to read the store now.
+
+        Returns
+        -------
+        bool
+            True for a chosen reader, and for a host that knows of none that
+            is up to date.
+        """
+        now_ms = self._clock.now()
+        if self._positions.age_ms > self._stale_ms:
+            self._reads_until_ms = now_ms + KEEP_READING_MS
+        if now_ms < self._reads_until_ms:
+            return True
+        if self.reads_everywhere:
+            return now_ms - self._started_ms >= JOIN_MS
+        return self._membership.is_reader(READERS)
--- a/hornbeampulley/node/_reading.py
+++ b/hornbeampulley/node/_reading.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from hornbeampulley.clock import to_seconds
+from hornbeampulley.clock import Clock, to_seconds
 from hornbeampulley.logs import log_event
 from hornbeampulley.node._store_view import StoreView
 from hornbeampulley.node.stored import (
@@ -16,6 +16,8 @@
 )
 
 WAIT_MS: Final = 8000
+# Shorter where few hosts read, since the others rely on these being up to date.
+CHOSEN_READER_WAIT_MS: Final = 3000
 PAUSE_MS: Final = 150.0
 MAX_PAUSE_MS: Final = 1000.0
 SOURCE: Final = 'store'
@@ -38,11 +40,17 @@
     generator : random.Random
         Jitter for the pauses, which spreads the calls of the hosts after an
         outage.
+    clock : Clock
+        Monotonic clock.
 
     Attributes
     ----------
     is_reached : bool
         Whether the last call succeeded.
+    confirmed_ms : float
+        Time of the last answer of the store, in ms.
+    wait_ms : int
+        Time for which the store may hold a call without changes.
     """
 
     def __init__(
@@ -53,8 +61,12 @@
         *,
         is_targets: bool,
         generator: random.Random,
+        clock: Clock,
     ) -> None:
+        self._clock = clock
         self.is_reached = False
+        self.confirmed_ms = 0.0
+        self.wait_ms = WAIT_MS
         self._store = store
         self._store_view = store_view
         self._prefix = prefix
@@ -63,6 +75,32 @@
         self._revision: int | None = None
         self._failures = 0
         self._call_scope = trio.CancelScope()
+        self._is_active = True
+        self._activated = trio.Event()
+
+    def set_active(self, *, is_active: bool) -> None:
+        """Start or stop to read.
+
+        Parameters
+        ----------
+        is_active : bool
+            Whether to read. A reader that starts goes on from what peers have
+            told meanwhile.
+        """
+        if is_active == self._is_active:
+            return
+        self._is_active = is_active
+        log_event(
+            _log, 'reading_changed', prefix=self._prefix, active=is_active
+        )
+        if is_active:
+            self._resume_position()
+            self._activated.set()
+            return
+        self._activated = trio.Event()
+        self.is_reached = False
+        self._failures = 0
+        self.retry_now()
 
     def retry_now(self) -> None:
         """Cancel the call in progress and read again at once."""
@@ -71,6 +109,8 @@
     async def run(self) -> None:
         """Read until cancelled."""
         while True:
+            if not self._is_active:
+                await self._activated.wait()
             with trio.CancelScope() as scope:
                 self._call_scope = scope
                 await self._read_or_pause()
@@ -100,7 +140,7 @@
         changes = await self._store.watch(
             self._prefix,
             self._revision,
-            WAIT_MS,
+            self.wait_ms,
         )
         self._store_view.apply_items(changes.items, SOURCE)
         self._revision = max(self._revision, changes.revision)
@@ -117,7 +157,14 @@
             self._store_view.apply_items(changes.items, SOURCE)
         self._revision = changes.revision
 
+    def _resume_position(self) -> None:
+        position = self._store_view.position
+        known = position.targets if self._is_targets else position.routing
+        if known:
+            self._revision = max(known, self._revision or 0)
+
     def _record_success(self) -> None:
+        self.confirmed_ms = self._clock.now()
         if not self.is_reached:
             log_event(
                 _log,
@@ -155,6 +202,7 @@
     store_view: StoreView,
     prefixes: tuple[str, str],
     generator: random.Random,
+    clock: Clock,
 ) -> tuple[PrefixReader, PrefixReader]:
     """Make the readers of the routing table and the targets.
 
@@ -168,6 +216,8 @@
         Key prefixes of the routing table and of the targets.
     generator : random.Random
         Jitter for the pauses.
+    clock : Clock
+        Monotonic clock.
 
     Returns
     -------
@@ -182,6 +232,7 @@
             routing,
             is_targets=False,
             generator=generator,
+            clock=clock,
         ),
         PrefixReader(
             store,
@@ -189,5 +240,6 @@
             targets,
             is_targets=True,
             generator=generator,
+            clock=clock,
         ),
     )
--- a/hornbeampulley/node/_store_view.py
+++ b/hornbeampulley/node/_store_view.py
@@ -128,12 +128,14 @@
         held_ms = self._outage_grace_until_ms - self._clock.now()
         for item in newer:
             self._apply_item(item, source, held_ms)
+            self._advance_past(item)
         self.on_change()
 
     def apply_relayed_items(self, items: Iterable[StoredItem]) -> None:
         """Apply items that a peer has read.
 
-        A removal is held back for as long as the peer holds it back.
+        A removal is held back for as long as the peer holds it back. The
+        position does not advance, since items may still be missing.
 
         Parameters
         ----------
@@ -244,10 +246,8 @@
     ) -> None:
         self._items[item.key] = _KeptItem(item, self._clock.now())
         if item.key == self._decoder.routing_prefix:
-            self._routing_revision = max(self._routing_revision, item.revision)
             self._apply_table(item, source)
             return
-        self._targets_revision = max(self._targets_revision, item.revision)
         if item.is_deleted:
             self._apply_removal(item, source, held_ms)
             return
@@ -258,6 +258,12 @@
         self._held_removals.pop(item.key, None)
         self._apply_record(record, item, source)
 
+    def _advance_past(self, item: StoredItem) -> None:
+        if item.key == self._decoder.routing_prefix:
+            self._routing_revision = max(self._routing_revision, item.revision)
+        else:
+            self._targets_revision = max(self._targets_revision, item.revision)
+
     def _apply_table(self, item: StoredItem, source: str) -> None:
         table = self._decoder.read_routing(item)
         if table is None:
--- a/hornbeampulley/node/_usage_cap_client.py
+++ b/hornbeampulley/node/_usage_cap_client.py
@@ -11,12 +11,14 @@
 from hornbeampulley.logs import log_event
 from hornbeampulley.node._membership import Membership
 from hornbeampulley.node._mesh import Mesh
+from hornbeampulley.node._owners import OwnerFinder
 from hornbeampulley.node._scheduling import Scheduling
 from hornbeampulley.routing import CapSettings, TokenBucket, UsageCap
 from hornbeampulley.wire import Link
 from hornbeampulley.wire.generated.peer import ttypes
 
 GRANT_TIMEOUT_MS: Final = 150.0
+OWNER_POLL_MS: Final = 5.0
 HOSTS_PER_GROUP: Final = 32
 # Small, since all hosts may lose the owner of a cap at the same time and then
 # each start a bucket of their own.
@@ -34,7 +36,9 @@
     Parameters
     ----------
     membership : Membership
-        Ranks the candidates for an owner.
+        Number of live nodes.
+    owners : OwnerFinder
+        Finds the owner of a group.
     mesh : Mesh
         Links to the other nodes.
     scheduling : Scheduling
@@ -46,11 +50,13 @@
     def __init__(
         self,
         membership: Membership,
+        owners: OwnerFinder,
         mesh: Mesh,
         scheduling: Scheduling,
         clock: Clock,
     ) -> None:
         self._membership = membership
+        self._finder = owners
         self._mesh = mesh
         self._scheduling = scheduling
         self._clock = clock
@@ -81,10 +87,10 @@
         float
             0 if granted, otherwise the time in ms until the draw can succeed.
         """
-        owner = self._get_cap_owner(workspace)
+        owner = await self._wait_for_owner(workspace)
         if owner == self.own_incarnation:
             return self._scheduling.draw(workspace, units)
-        link = self._mesh.get_link(owner)
+        link = self._mesh.get_link(owner) if owner else None
         if link is not None:
             wait_ms = await self._request_draw(link, workspace, units)
             if wait_ms is not None:
@@ -102,11 +108,11 @@
         units : float
             Units that the request had drawn.
         """
-        owner = self._get_cap_owner(workspace)
+        owner = self._finder.find(self._make_key(workspace))
         if owner == self.own_incarnation:
             self._scheduling.refund(workspace, units)
             return
-        link = self._mesh.get_link(owner)
+        link = self._mesh.get_link(owner) if owner else None
         if link is not None:
             link.send(ttypes.Refund(workspace, units))
 
@@ -123,26 +129,18 @@
             self._grants[message.number] = float(message.wait_ms)
             event.set()
 
-    def keep_links(self) -> None:
-        """Keep links open to the nodes that own the usage caps."""
-        for group in range(self._count_groups()):
-            self._get_group_owner(group)
-
-    def _get_cap_owner(self, workspace: str) -> str:
-        group = sum(workspace.encode()) % self._count_groups()
-        return self._get_group_owner(group)
-
-    def _count_groups(self) -> int:
-        return len(self._membership.live) // HOSTS_PER_GROUP + 1
-
-    def _get_group_owner(self, group: int) -> str:
-        for candidate in self._membership.rank_owners(f'caps/{group}'):
-            if (
-                candidate == self.own_incarnation
-                or self._mesh.get_link(candidate) is not None
-            ):
-                return candidate
-        return self.own_incarnation
+    def _make_key(self, workspace: str) -> str:
+        groups = len(self._membership.live) // HOSTS_PER_GROUP + 1
+        return f'caps/{sum(workspace.encode()) % groups}'
+
+    async def _wait_for_owner(self, workspace: str) -> str | None:
+        key = self._make_key(workspace)
+        owner = self._finder.use(key)
+        with trio.move_on_after(to_seconds(GRANT_TIMEOUT_MS)):
+            while owner is None:
+                await trio.sleep(to_seconds(OWNER_POLL_MS))
+                owner = self._finder.find(key)
+        return owner
 
     async def _request_draw(
         self,
--- a/hornbeampulley/node/dialect.py
+++ b/hornbeampulley/node/dialect.py
@@ -117,6 +117,9 @@
     def read_call(self, request: Request) -> RequestMetadata:
         """Read the headers of a caller's request."""
 
+    def read_zone(self, request: Request) -> str:
+        """Read the availability zone of a caller that asks for addresses."""
+
     def make_request(self, request: Request, dispatch: Dispatch) -> Request:
         """Make the request to a target."""
 
--- a/hornbeampulley/platform/_headers.py
+++ b/hornbeampulley/platform/_headers.py
@@ -3,6 +3,7 @@
 import re
 from collections.abc import Iterator
 from typing import Final
+from urllib.parse import parse_qs, urlsplit
 
 from hornbeampulley.http1 import (
     Header,
@@ -31,6 +32,7 @@
 NOT_RUN: Final = b'not-executed'
 # Running requests, waiting requests and slots.
 LOAD: Final = b'server-load'
+ZONE: Final = 'zone'
 EVENT_STREAM: Final = b'text/event-stream'
 OTHER_TARGET: Final = 421
 
@@ -89,6 +91,22 @@
             resumes_after=find_header(headers, LAST_EVENT),
         )
 
+    def read_zone(self, request: Request) -> str:
+        """Read the availability zone of a caller that asks for addresses.
+
+        Parameters
+        ----------
+        request : Request
+            Request for addresses.
+
+        Returns
+        -------
+        str
+            Name of the zone; empty if it is not given.
+        """
+        query = urlsplit(request.target.decode('latin-1')).query
+        return parse_qs(query).get(ZONE, [''])[0]
+
     def make_request(self, request: Request, dispatch: Dispatch) -> Request:
         """Make the request to a server.
 
--- a/hornbeampulley/wire/__init__.py
+++ b/hornbeampulley/wire/__init__.py
@@ -18,8 +18,10 @@
 from hornbeampulley.wire._queries import Querier
 from hornbeampulley.wire._records import (
     read_directory_update,
+    read_host_news,
     read_record,
     write_directory_update,
+    write_host_news,
     write_record,
 )
 from hornbeampulley.wire._reports import (
@@ -60,6 +62,7 @@
     'encode_frame',
     'open_stream',
     'read_directory_update',
+    'read_host_news',
     'read_peer_message',
     'read_process_report',
     'read_record',
@@ -68,6 +71,7 @@
     'serve_links',
     'write_directory_update',
     'write_error',
+    'write_host_news',
     'write_peer_message',
     'write_record',
     'write_report',
--- a/hornbeampulley/wire/_links.py
+++ b/hornbeampulley/wire/_links.py
@@ -43,12 +43,18 @@
         Time between heartbeats.
     silence_ms : float
         Time without any message after which a link is closed.
+    idle_heartbeat_ms : float
+        Time between heartbeats while nothing else is sent; 0 if it is the
+        same. The time allowed for silence grows with it.
     """
 
     heartbeat_ms: float = HEARTBEAT_MS
     silence_ms: float = SILENCE_MS
+    idle_heartbeat_ms: float = 0
 
 
+# Time without other messages after which a link counts as idle.
+IDLE_AFTER_MS: Final = 2000.0
 FAST_TIMING: Final = LinkTiming()
 SLOW_TIMING: Final = LinkTiming(heartbeat_ms=1000, silence_ms=3500)
 
@@ -103,6 +109,10 @@
         self.last_received_ms = self._clock.now()
         self._queue: list[Any] = [hello]
         self._wakeup = trio.Event()
+        self._activated = trio.Event()
+        self._used_ms = self._clock.now()
+        self._active_since_ms = self._clock.now()
+        self._promised_ms = timing.heartbeat_ms
         self._cancel_scope = trio.CancelScope()
 
     @property
@@ -111,12 +121,24 @@
         return self._cancel_scope.cancel_called
 
     @property
-    def is_silent(self) -> bool:
-        """Whether nothing has arrived from the peer within the timeout."""
+    def is_idle(self) -> bool:
+        """Whether only heartbeats were sent and received lately."""
         return (
-            self._clock.now() - self.last_received_ms >= self._timing.silence_ms
+            self._timing.idle_heartbeat_ms > 0
+            and self._clock.now() - self._used_ms >= IDLE_AFTER_MS
         )
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether nothing has arrived from the peer within the timeout."""
+        now_ms = self._clock.now()
+        if self.is_idle:
+            allowed = self._promised_ms / self._timing.heartbeat_ms
+            allowed_ms = self._timing.silence_ms * max(allowed, 1)
+            return now_ms - self.last_received_ms >= allowed_ms
+        heard_ms = max(self.last_received_ms, self._active_since_ms)
+        return now_ms - heard_ms >= self._timing.silence_ms
+
     def send(self, *messages: Any) -> None:
         """Queue messages to send; never blocks.
 
@@ -126,6 +148,10 @@
             Messages to send. The link is closed if more than
             `MAX_QUEUED_MESSAGES` wait, as the peer reads too slowly.
         """
+        self._record_use()
+        self._enqueue(*messages)
+
+    def _enqueue(self, *messages: Any) -> None:
         self._queue.extend(messages)
         self._wakeup.set()
         if len(self._queue) > MAX_QUEUED_MESSAGES:
@@ -179,8 +205,7 @@
         if self._hybrid is not None and frame.hlc:
             self._hybrid.observe(Timestamp.unpack(frame.hlc))
         for message in frame.messages:
-            if isinstance(message, ttypes.Hello):
-                self.peer = message
+            self._follow(message)
             if self.peer is None:
                 raise WireError(
                     'a peer sent a message before its hello; it is not of '
@@ -188,6 +213,24 @@
                 )
             handle(self, message)
 
+    def _follow(self, message: Any) -> None:
+        """Update the state of the link by a message of the peer."""
+        match message:
+            case ttypes.Hello():
+                self.peer = message
+            case ttypes.Heartbeat():
+                usual_ms = self._timing.heartbeat_ms
+                self._promised_ms = message.interval_ms or usual_ms
+            case _:
+                self._record_use()
+
+    def _record_use(self) -> None:
+        now_ms = self._clock.now()
+        if self.is_idle:
+            self._active_since_ms = now_ms
+            self._activated.set()
+        self._used_ms = now_ms
+
     async def _transmit(self) -> None:
         try:
             while True:
@@ -212,8 +255,15 @@
     async def _send_heartbeats(self) -> None:
         self._wakeup.set()
         while not self.is_silent:
-            self.send(self._make_heartbeat(self))
-            await trio.sleep(to_seconds(self._timing.heartbeat_ms))
+            self._activated = trio.Event()
+            heartbeat = self._make_heartbeat(self)
+            interval_ms = self._timing.heartbeat_ms
+            if self.is_idle:
+                interval_ms = self._timing.idle_heartbeat_ms
+                heartbeat.interval_ms = round(interval_ms)
+            self._enqueue(heartbeat)
+            with trio.move_on_after(to_seconds(interval_ms)):
+                await self._activated.wait()
         log_event(_log, 'link_silent')
         self.close()
 
--- a/hornbeampulley/wire/_records.py
+++ b/hornbeampulley/wire/_records.py
@@ -1,8 +1,12 @@
 """Converts records of the host directory to and from thrift structs."""
 
+from collections.abc import Iterable
+
 from hornbeampulley.errors import WireError
 from hornbeampulley.membership import (
     DirectoryUpdate,
+    HostCondition,
+    HostNews,
     HostRecord,
     Member,
     Pulse,
@@ -33,6 +37,7 @@
         [_write_member(member) for member in record.members],
         list(record.ended),
         record.region,
+        record.processor_capacity,
     )
 
 
@@ -64,6 +69,7 @@
             tuple(_read_member(member) for member in message.members),
             tuple(message.ended),
             message.region or '',
+            message.processor_capacity or 1,
         )
     except (TypeError, ValueError) as error:
         raise WireError(
@@ -118,6 +124,57 @@
     )
 
 
+def write_host_news(news: Iterable[HostNews]) -> ttypes.MembershipNews:
+    """Convert news of hosts to their thrift struct.
+
+    Parameters
+    ----------
+    news : iterable of HostNews
+        News to send.
+
+    Returns
+    -------
+    ttypes.MembershipNews
+        Struct to send.
+    """
+    return ttypes.MembershipNews(
+        [
+            ttypes.HostNews(write_record(one.record), one.condition.value)
+            for one in news
+        ],
+    )
+
+
+def read_host_news(message: ttypes.MembershipNews) -> tuple[HostNews, ...]:
+    """Convert a received thrift struct to news of hosts.
+
+    Parameters
+    ----------
+    message : ttypes.MembershipNews
+        Received struct.
+
+    Returns
+    -------
+    tuple of HostNews
+        News for the roster.
+
+    Raises
+    ------
+    WireError
+        If a field is missing or has an invalid value.
+    """
+    try:
+        return tuple(
+            HostNews(read_record(one.record), HostCondition(one.state))
+            for one in message.news
+        )
+    except (AttributeError, TypeError, ValueError) as error:
+        raise WireError(
+            'a peer sent malformed news of a host; restart it with the '
+            'version that runs here',
+        ) from error
+
+
 def _write_member(member: Member) -> ttypes.Member:
     return ttypes.Member(
         member.role.value,
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -30,6 +30,8 @@
   3: optional Stamp stamp
   4: i32 session
   5: i64 number
+  // Time until the next heartbeat at the latest; the usual one if not set.
+  6: optional i32 interval_ms
 }
 
 struct Reserve {
@@ -144,6 +146,7 @@
   6: list<Member> members
   7: list<string> ended
   8: string region
+  9: optional double processor_capacity
 }
 
 struct TicketStamp {
@@ -180,6 +183,32 @@
   3: list<i64> wanted
 }
 
+// State of a host: alive, suspected or dead, by place.
+struct HostNews {
+  1: HostRecord record
+  2: i32 state
+}
+
+// Between nodes: hosts whose state or record has changed.
+struct MembershipNews {
+  1: list<HostNews> news
+  // Whether it answers a SyncRequest; it is not passed on then.
+  2: optional bool is_sync
+}
+
+// Asks for all hosts unless the receiver's digest of them is the same.
+struct SyncRequest { 1: i64 digest }
+
+struct Probe { 1: i64 number }
+
+struct ProbeAck { 1: i64 number }
+
+// Asks the receiver to probe a host that has not acknowledged a probe.
+struct ProbeRequest {
+  1: i64 number
+  2: string address
+}
+
 // Between agents, about tickets and the host list.
 struct TicketNotice {
   1: i64 serial
@@ -261,6 +290,8 @@
 struct Position {
   1: i64 revision
   2: i64 routing_version
+  // Time since a host that reads the store was last up to date, ms.
+  3: optional i32 age_ms
 }
 
 union Message {
@@ -292,6 +323,11 @@
   26: Refund refund
   27: StoredItems stored_items
   28: Position position
+  29: MembershipNews membership_news
+  30: SyncRequest sync_request
+  31: Probe probe
+  32: ProbeAck probe_ack
+  33: ProbeRequest probe_request
 }
 
 struct Frame {
--- a/tests/test_node_reading.py
+++ b/tests/test_node_reading.py
@@ -72,6 +72,7 @@
             store_view,
             ('op/config', 'servers/'),
             random.Random(1),
+            clock,
         )
         async with trio.open_nursery() as nursery:
             for reader in readers:
