Place requests where the parts of their prompts were read

What callers saw: long prompts of a session prefilled anew on another server. Cause: the node read the parts that a caller names but passed no block hashes to the scheduler, so its index of cached prefixes stayed empty. Change: each part becomes blocks of 512 tokens, named by part and place; tokens beyond the parts become blocks that no other prompt shares. The cache of a target is as large as its engine's memory.

--- a/hornbeampulley/node/_serving.py
+++ b/hornbeampulley/node/_serving.py
@@ -13,6 +13,7 @@
 from hornbeampulley.node._exchanges import Attempt
 from hornbeampulley.node._home import Home
 from hornbeampulley.node._lease_client import Reservation
+from hornbeampulley.node._prefixes import make_block_hashes
 from hornbeampulley.routing import get_service_name, get_tier_name
 
 MAX_RESENDS: Final = 4
@@ -211,6 +212,7 @@
         tier=get_tier_name(call.rank),
         prompt_tokens=metadata.prompt_tokens if call.is_model else 0,
         output_tokens=metadata.output_tokens if call.is_model else 0,
+        block_hashes=make_block_hashes(metadata) if call.is_model else (),
         fingerprint=_make_fingerprint(call),
         deadline_ms=call.ends_ms,
         objective_ms=_get_objective_deadline(call),
--- a/hornbeampulley/routing/__init__.py
+++ b/hornbeampulley/routing/__init__.py
@@ -19,12 +19,14 @@
     TargetTable,
 )
 from hornbeampulley.routing._translation import (
+    BLOCK_TOKENS,
     get_service_name,
     get_tier_name,
     make_configuration,
 )
 
 __all__ = (
+    'BLOCK_TOKENS',
     'CallKind',
     'CapSettings',
     'EngineSpec',
--- a/hornbeampulley/routing/_translation.py
+++ b/hornbeampulley/routing/_translation.py
@@ -1,6 +1,7 @@
 """Translates routing table and targets into a scheduler configuration."""
 
 from collections.abc import Iterable, Iterator
+from typing import Final
 
 from hornbeampulley.configuration import (
     ANY,
@@ -15,6 +16,8 @@
 from hornbeampulley.routing._table import CallKind, RoutingTable
 from hornbeampulley.routing._targets import TargetRecord
 
+# Length of the blocks in which cached prefixes are matched.
+BLOCK_TOKENS: Final = 512
 TIER_FLOOR = 0.1
 ANONYMOUS = 'anonymous'
 
@@ -120,4 +123,11 @@
         record.availability_zone,
         _find_kind(table, record.pool),
         record.slots,
+        cache_blocks=_count_cache_blocks(table, record.pool),
     )
+
+
+def _count_cache_blocks(table: RoutingTable, pool: str) -> int:
+    spec = table.pools.get(pool)
+    engine = spec.engine if spec is not None else None
+    return engine.memory_tokens // BLOCK_TOKENS if engine is not None else 0
