Let a restarted host rely on fresh peers only

It counted its own start as fresh news, so a host that restarted beside a peer cut off from the store used that peer's view for five seconds without reading. Change: nothing is fresh before a peer has said so; after 1.5 s without, the host reads itself.

--- a/hornbeampulley/node/_positions.py
+++ b/hornbeampulley/node/_positions.py
@@ -1,5 +1,6 @@
 """Which peers have read more of the store, and how fresh that is."""
 
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -8,6 +9,7 @@
 
 # Positions of this many peers that are ahead are kept.
 MAX_AHEAD: Final = 8
+MAX_AGE_MS: Final = 3_600_000.0
 
 
 class PeerPositions:
@@ -31,12 +33,15 @@
         self._store_view = store_view
         self._clock = clock
         self._ahead: dict[str, Position] = {}
-        self._confirmed_ms = clock.now()
+        self._confirmed_ms = -math.inf
 
     @property
     def age_ms(self) -> float:
-        """Time since a reader is known to have been up to date, in ms."""
-        return self._clock.now() - self._confirmed_ms
+        """Time since a reader is known to have been up to date, in ms.
+
+        At most `MAX_AGE_MS`, also if none is known.
+        """
+        return min(self._clock.now() - self._confirmed_ms, MAX_AGE_MS)
 
     def confirm(self, moment_ms: float) -> None:
         """Record that this node was up to date with the store.
--- a/hornbeampulley/node/_reader_election.py
+++ b/hornbeampulley/node/_reader_election.py
@@ -10,8 +10,10 @@
 # Up to this many hosts all read the store.
 ALL_READ_HOSTS: Final = 16
 READERS: Final = 4
-# Time after the start in which a host rather learns from its peers.
+# Times after the start for which a host waits to hear of the others, and then
+# of what the readers among them have read.
 JOIN_MS: Final = 600.0
+FIRST_NEWS_MS: Final = 900.0
 # A host reads the store itself if no reader was up to date for this long.
 STALE_MS: Final = 5000.0
 MAX_JITTER_MS: Final = 1000.0
@@ -63,10 +65,15 @@
             is up to date.
         """
         now_ms = self._clock.now()
-        if self._positions.age_ms > self._stale_ms:
-            self._reads_until_ms = now_ms + KEEP_READING_MS
-        if now_ms < self._reads_until_ms:
+        if now_ms < self._started_ms + JOIN_MS:
+            return False
+        if self.reads_everywhere or self._has_to_help_itself(now_ms):
             return True
-        if self.reads_everywhere:
-            return now_ms - self._started_ms >= JOIN_MS
         return self._membership.is_reader(READERS)
+
+    def _has_to_help_itself(self, now_ms: float) -> bool:
+        """Tell whether to read although others are chosen for it."""
+        has_waited = now_ms >= self._started_ms + JOIN_MS + FIRST_NEWS_MS
+        if has_waited and self._positions.age_ms > self._stale_ms:
+            self._reads_until_ms = now_ms + KEEP_READING_MS
+        return now_ms < self._reads_until_ms
