Abandon a resumable stream that sends bytes but no events

Change: the limit counts from the last whole event. The test fails before; a second one shows that a sound stream with 900 ms between events is not cut. Streams that can not be resumed end at their time limit, as before.

--- a/hornbeampulley/node/_exchanges.py
+++ b/hornbeampulley/node/_exchanges.py
@@ -104,6 +104,7 @@
         self._on_first_part = on_first_part
         self._sent_ms = 0.0
         self._first_ms = 0.0
+        self._event_ms = 0.0
         self._events = 0
         self._may_have_run_before = call.may_have_run
 
@@ -251,7 +252,8 @@
         stall_ms = self._get_stall_limit()
         if not stall_ms:
             return await connection.read_body()
-        with trio.move_on_after(to_seconds(stall_ms)):
+        left_ms = self._event_ms + stall_ms - self._clock.now()
+        with trio.move_on_after(to_seconds(max(left_ms, 0))):
             return await connection.read_body()
         raise ResponseBrokenError(
             f'no event of a stream for {stall_ms:.0f} ms; '
@@ -273,6 +275,7 @@
     ) -> None:
         call = self._call
         now_ms = self._clock.now()
+        self._event_ms = now_ms
         if not self._first_ms:
             self._first_ms = max(now_ms - self._sent_ms, 1)
             self._on_first_part(self._first_ms)
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -17,6 +17,8 @@
 SEAL: Final = b'server-seal'
 FIRST_FAILURE: Final = 400
 
+TRICKLE_MS: Final = 300.0
+
 
 @dataclasses.dataclass(slots=True)
 class Behaviour:
@@ -31,6 +33,9 @@
     breaks_after : int
         Number of events after which a stream breaks off in the middle of
         the next event; -1 to disable.
+    trickles_after : int
+        Number of events after which a stream stalls and sends one byte of the
+        next event each `TRICKLE_MS`, without end; -1 to disable.
     is_full : bool
         Whether requests are rejected with status 503 as not executed.
     status : int
@@ -45,6 +50,7 @@
     events: int = 3
     pause_ms: float = 1
     breaks_after: int = -1
+    trickles_after: int = -1
     is_full: bool = False
     status: int = 200
     is_cut_short: bool = False
@@ -163,5 +169,13 @@
             if number == self.behaviour.breaks_after + 1:
                 await reply.write(b'id: %d\nda' % number)
                 return
+            if number == self.behaviour.trickles_after + 1:
+                await _trickle(reply)
             await reply.write(b'id: %d\ndata: t%d\n\n' % (number, number))
         await reply.finish()
+
+
+async def _trickle(reply: Reply) -> None:
+    while True:
+        await reply.write(b':')
+        await trio.sleep(TRICKLE_MS / 1000)
--- a/tests/test_node_streams.py
+++ b/tests/test_node_streams.py
@@ -57,6 +57,40 @@
     run_nodes(scenario)
 
 
+# Operators' point: a stalled stream that sent a byte now and then never ended.
+def test_a_stream_that_sends_bytes_but_no_events_goes_on_elsewhere():
+    async def scenario(fleet):
+        engines = [fleet.backends[f'engines-{number}'] for number in (1, 2)]
+        for engine in engines:
+            engine.behaviour.trickles_after = 1
+        answers = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call_and_record, fleet, '/stream/a', answers)
+            await wait_until(lambda: count_runs(fleet) == 1)
+            for engine in engines:
+                if not engine.runs:
+                    engine.behaviour.trickles_after = -1
+        ((status, _, body),) = answers
+        assert status == 200
+        assert unchunk(body) == b''.join(EVENTS)
+        assert count_runs(fleet) == 2
+
+    run_nodes(scenario)
+
+
+# Operators' point: slow but sound streams were cut.
+def test_a_slow_but_sound_stream_is_not_cut():
+    async def scenario(fleet):
+        for number in (1, 2):
+            fleet.backends[f'engines-{number}'].behaviour.pause_ms = 900
+        status, _, body = await fleet.call('/stream/a', body=b'p')
+        assert status == 200
+        assert unchunk(body) == b''.join(EVENTS)
+        assert count_runs(fleet) == 1
+
+    run_nodes(scenario)
+
+
 def test_a_caller_that_leaves_frees_its_target():
     async def scenario(fleet):
         for name in ('engines-1', 'engines-2'):
