--- a/tests/test_node_store_view.py
+++ b/tests/test_node_store_view.py
@@ -154,6 +154,15 @@
     assert sorted(store_view.targets.records) == ['b', 'c']
 
 
+# A link lost between two batches of items once left a gap that nobody closed.
+def test_the_position_does_not_pass_items_that_a_peer_has_not_sent_yet():
+    view = make()
+    view.apply_relayed_items([server('t', 9)])
+    assert view.position == Position()
+    view.advance_position(Position(0, 9))
+    assert view.position == Position(0, 9)
+
+
 def test_a_peer_gets_the_items_that_it_has_not_applied():
     store_view = make()
     store_view.apply_items(
