--- a/bench/hosts.py
+++ b/bench/hosts.py
@@ -15,11 +15,8 @@
 from hornbeampulley.clock import Clock
 from hornbeampulley.endpoints import Endpoint
 from hornbeampulley.node._gossip import Gossip
-from hornbeampulley.node._membership import (
-    Membership,
-    make_host_record,
-    make_member,
-)
+from hornbeampulley.node._host_records import make_host_record, make_member
+from hornbeampulley.node._membership import Membership
 from hornbeampulley.node._positions import PeerPositions
 from hornbeampulley.node._store_view import StoreView
 from hornbeampulley.platform._documents import PlatformDecoder
--- a/hornbeampulley/membership/_directory.py
+++ b/hornbeampulley/membership/_directory.py
@@ -301,34 +301,6 @@
         """
         return host in self._entries
 
-    def supersede_earlier_run(self, record: HostRecord, now_ms: float) -> bool:
-        """Supersede a record of the own host that another run of it published.
-
-        Peers would keep that record in place of the own one if it is not
-        older, as happens if the wall clock was set back between the runs. The
-        own record therefore gets a later start.
-
-        Parameters
-        ----------
-        record : HostRecord
-            Record received from a peer.
-        now_ms : float
-            The current time, in ms.
-
-        Returns
-        -------
-        bool
-            Whether the own record was changed.
-        """
-        own = self.own
-        is_other_run = _list_incarnations(record) != _list_incarnations(own)
-        if record.host != self._own_host or not is_other_run:
-            return False
-        if record.started_ms < own.started_ms:
-            return False
-        renewed = dataclasses.replace(own, started_ms=record.started_ms + 1)
-        return self._put(renewed, now_ms)
-
     def list_live(
         self,
         now_ms: float,
@@ -377,10 +349,6 @@
         return changed
 
 
-def _list_incarnations(record: HostRecord) -> list[str]:
-    return [member.incarnation for member in record.members]
-
-
 def _get_significant_fields(record: HostRecord) -> tuple[object, ...]:
     members = tuple(
         dataclasses.replace(member, load=member.load // LOAD_STEP)
--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -33,12 +33,9 @@
 from hornbeampulley.node._filters import answer_call
 from hornbeampulley.node._gossip import Gossip
 from hornbeampulley.node._home import Home
+from hornbeampulley.node._host_records import make_host_record, make_member
 from hornbeampulley.node._lease_client import LeaseClient
-from hornbeampulley.node._membership import (
-    Membership,
-    make_host_record,
-    make_member,
-)
+from hornbeampulley.node._membership import Membership
 from hornbeampulley.node._mesh import Mesh, serve_peers
 from hornbeampulley.node._owners import OwnerFinder
 from hornbeampulley.node._peers import PeerMessageHandler
--- a/tests/test_node_membership.py
+++ b/tests/test_node_membership.py
@@ -3,11 +3,8 @@
 import random
 
 from hornbeampulley.clock import ManualClock
-from hornbeampulley.node._membership import (
-    Membership,
-    make_host_record,
-    make_member,
-)
+from hornbeampulley.node._host_records import make_host_record, make_member
+from hornbeampulley.node._membership import Membership
 
 
 def make(number, clock, started_ms=1000, zone='z', capacity=1):
