--- a/hornbeampulley/node/_membership.py
+++ b/hornbeampulley/node/_membership.py
@@ -1,6 +1,7 @@
 """Membership of live nodes, and the ranking of owners among them."""
 
 import dataclasses
+import logging
 import math
 import random
 from collections.abc import Iterable
@@ -8,6 +9,7 @@
 
 from hornbeampulley.clock import Clock
 from hornbeampulley.endpoints import Endpoint
+from hornbeampulley.logs import log_event
 from hornbeampulley.membership import (
     SUSPICION_MS,
     HostCondition,
@@ -27,6 +29,7 @@
 NEARBY_FANOUT: Final = 2
 DISTANT_FANOUT: Final = 1
 MIN_CAPACITY: Final = 0.001
+_log = logging.getLogger(__name__)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -152,13 +155,12 @@
         self.roster.extend_suspicions(self.prober.measure_pause(now_ms))
         others = [node.host for node in self.live if not self._is_own(node)]
         steps = self.prober.tick(others, now_ms)
-        is_private = self.prober.is_isolated(now_ms)
         for unanswered in steps:
             if isinstance(unanswered, Unanswered):
-                self.roster.suspect(
-                    unanswered.host, now_ms, is_private=is_private
-                )
-        self.roster.expire(now_ms, SUSPICION_MS * self.prober.patience)
+                self._suspect(unanswered.host, now_ms)
+        allowed_ms = SUSPICION_MS * self.prober.patience
+        for record in self.roster.expire(now_ms, allowed_ms):
+            log_event(_log, 'host_dead', peer=record.host)
         return [step for step in steps if not isinstance(step, Unanswered)]
 
     def pick_peers(self) -> list[NodeAddress]:
@@ -245,6 +247,17 @@
         )
         return self.roster.own.host in choose_readers(peers, readers)
 
+    def _suspect(self, host: str, now_ms: float) -> None:
+        is_isolated = self.prober.is_isolated(now_ms)
+        if self.roster.suspect(host, now_ms, is_private=is_isolated):
+            log_event(
+                _log,
+                'host_suspected',
+                peer=host,
+                isolated=is_isolated,
+                patience=round(self.prober.patience, 1),
+            )
+
     def _update(self) -> None:
         if self.roster.changes == self._seen_changes:
             return
--- a/tests/test_node_membership.py
+++ b/tests/test_node_membership.py
@@ -121,7 +121,8 @@
         assert len(near) >= 2
 
 
-def test_a_restarted_host_hears_again_from_those_it_had_given_up():
+def test_a_restarted_host_hears_again_from_those_it_had_given_up(caplog):
+    caplog.set_level('INFO')
     clock = ManualClock()
     first, second = make(1, clock), make(2, clock)
     exchange_news(first, second)
@@ -129,5 +130,7 @@
         clock.advance(100)
         first.detect_failures()
     assert list_hosts(first) == ['host-1']
+    events = [record.message for record in caplog.records]
+    assert events == ['host_suspected', 'host_dead']
     first.record_heard()
     assert list_hosts(first) == ['host-1', 'host-2']
