Refuse versions out of range; forget probes of a time without contact

Starts and versions beyond 2^62 are refused where news is decoded. - A host that heard again after being cut off suspected, for all to hear, the hosts that it had probed meanwhile. Such probes are forgotten. - A peer that tells no age counted as up to date. It now tells nothing.

--- a/hornbeampulley/membership/_probing.py
+++ b/hornbeampulley/membership/_probing.py
@@ -122,7 +122,12 @@
         return now_ms - self._last_heard_ms > ISOLATED_MS
 
     def record_heard(self, now_ms: float) -> None:
-        """Record that a datagram has come from a peer."""
+        """Record that a datagram has come from a peer.
+
+        Probes sent while this host was cut off say nothing about the others.
+        """
+        if self.is_isolated(now_ms):
+            self._pending.clear()
         self._last_heard_ms = now_ms
 
     def measure_pause(self, now_ms: float) -> float:
--- a/hornbeampulley/node/_gossip.py
+++ b/hornbeampulley/node/_gossip.py
@@ -284,7 +284,7 @@
                 self._positions.record(
                     address,
                     Position(message.routing_version, message.revision),
-                    message.age_ms or 0,
+                    message.age_ms,
                 )
 
     def _merge(self, message: ttypes.MembershipNews) -> None:
--- a/hornbeampulley/node/_positions.py
+++ b/hornbeampulley/node/_positions.py
@@ -53,7 +53,9 @@
         """
         self._confirmed_ms = max(self._confirmed_ms, moment_ms)
 
-    def record(self, address: str, position: Position, age_ms: float) -> None:
+    def record(
+        self, address: str, position: Position, age_ms: float | None
+    ) -> None:
         """Record the position of a peer.
 
         Parameters
@@ -62,11 +64,13 @@
             IP address of the peer.
         position : Position
             What it has read or received.
-        age_ms : float
-            Time since it knows that a reader was up to date, in ms.
+        age_ms : float or None
+            Time since it knows that a reader was up to date, in ms; None if
+            it has not told.
         """
-        sent_ms = self._clock.now() - max(age_ms, 0)
-        self._confirmed_ms = max(self._confirmed_ms, sent_ms)
+        if age_ms is not None:
+            sent_ms = self._clock.now() - max(age_ms, 0)
+            self._confirmed_ms = max(self._confirmed_ms, sent_ms)
         self._ahead.pop(address, None)
         if not self._is_ahead(position):
             return
--- a/hornbeampulley/wire/_records.py
+++ b/hornbeampulley/wire/_records.py
@@ -1,6 +1,7 @@
 """Converts records of the host directory to and from thrift structs."""
 
 from collections.abc import Iterable
+from typing import Final
 
 from hornbeampulley.errors import WireError
 from hornbeampulley.membership import (
@@ -14,6 +15,9 @@
 )
 from hornbeampulley.wire.generated.peer import ttypes
 
+# Leaves room to raise a version and to encode it in 64 bits.
+MAX_ORDER: Final = 1 << 62
+
 
 def write_record(record: HostRecord) -> ttypes.HostRecord:
     """Convert a host record to its thrift struct.
@@ -164,7 +168,7 @@
         If a field is missing or has an invalid value.
     """
     try:
-        return tuple(
+        news = tuple(
             HostNews(read_record(one.record), HostCondition(one.state))
             for one in message.news
         )
@@ -173,6 +177,17 @@
             'a peer sent malformed news of a host; restart it with the '
             'version that runs here',
         ) from error
+    for one in news:
+        _check_order(one)
+    return news
+
+
+def _check_order(news: HostNews) -> None:
+    if not all(0 <= number <= MAX_ORDER for number in news.order):
+        raise WireError(
+            f'a peer sent news of {news.record.host} with a start or version '
+            'out of range; check the clock of that host',
+        )
 
 
 def _write_member(member: Member) -> ttypes.Member:
--- a/tests/test_node_reader_election.py
+++ b/tests/test_node_reader_election.py
@@ -5,7 +5,7 @@
 import pytest
 
 from hornbeampulley.clock import ManualClock
-from hornbeampulley.node._positions import PeerPositions
+from hornbeampulley.node._positions import MAX_AGE_MS, PeerPositions
 from hornbeampulley.node._reader_election import (
     ALL_READ_HOSTS,
     READERS,
@@ -95,3 +95,9 @@
     assert side.positions.list_ahead() == [PEER]
     side.positions._store_view.advance_position(Position(0, 7))
     assert side.positions.list_ahead() == []
+
+
+def test_a_peer_that_tells_no_age_is_not_taken_for_fresh(many):
+    _clock, (side, *_) = many
+    side.positions.record(PEER, Position(), None)
+    assert side.positions.age_ms == MAX_AGE_MS
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -74,3 +74,13 @@
     prober.record_heard(500)
     assert not prober.is_isolated(1400)
     assert prober.is_isolated(1600)
+
+
+# Operators' point: peers of a host that had been cut off were given up.
+def test_a_host_that_hears_again_suspects_nobody_for_its_own_silence():
+    prober = Prober(random.Random(1))
+    prober.record_heard(100)
+    run(prober, 2300)
+    prober.record_heard(2300)
+    steps = run(prober, 3000, answered=HOSTS, start_ms=2300)
+    assert count(steps, Unanswered) == 0
