--- a/hornbeampulley/node/_exchanges.py
+++ b/hornbeampulley/node/_exchanges.py
@@ -18,6 +18,7 @@
 from hornbeampulley.http1.errors import ResponseBrokenError
 from hornbeampulley.logs import log_event
 from hornbeampulley.node._calls import Answer, Call
+from hornbeampulley.node._store_view import TargetNotice
 from hornbeampulley.node.dialect import Dialect, Dispatch, ResponseMetadata
 from hornbeampulley.routing import TargetRecord
 
@@ -109,9 +110,27 @@
         self._may_have_run_before = call.may_have_run
 
     async def run(
-        self, connection: Connection, target: TargetRecord
+        self,
+        connection: Connection,
+        target: TargetRecord,
+        notice: TargetNotice,
     ) -> Attempt:
-        """Send the request; forward a streamed response, or return it."""
+        """Send the request; forward a streamed response, or return it.
+
+        Parameters
+        ----------
+        connection : Connection
+            Connection to the target.
+        target : TargetRecord
+            Target that gets the request.
+        notice : TargetNotice
+            Latest knowledge about the target, for the log.
+
+        Returns
+        -------
+        Attempt
+            Result of the attempt.
+        """
         call = self._call
         self._sent_ms = self._clock.now()
         dispatch = Dispatch(
@@ -131,6 +150,8 @@
             address=target.endpoint,
             waited_ms=round(self._sent_ms - call.arrived_ms),
             limit_ms=round(dispatch.time_limit_ms),
+            target_state=notice.state,
+            target_age_ms=round(notice.age_ms),
             reused=connection.uses > 0,
         )
         result: list[Attempt] = []
--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -251,6 +251,7 @@
         )
         sender = Sender(
             self.connections,
+            self.store_view,
             adapter.dialect,
             self.clock,
             self.lease_client.report_target,
--- a/hornbeampulley/node/_sending.py
+++ b/hornbeampulley/node/_sending.py
@@ -14,6 +14,7 @@
 from hornbeampulley.http1.errors import NotConnectedError, ResponseBrokenError
 from hornbeampulley.node._calls import Call
 from hornbeampulley.node._exchanges import Attempt, Exchange
+from hornbeampulley.node._store_view import StoreView
 from hornbeampulley.node.dialect import Dialect
 from hornbeampulley.routing import TargetRecord
 
@@ -28,6 +29,8 @@
     ----------
     connections : ConnectionPool
         Pool of connections to targets.
+    store_view : StoreView
+        Tells whether a target leaves.
     dialect : Dialect
         Reads and writes the headers.
     clock : Clock
@@ -44,11 +47,13 @@
     def __init__(
         self,
         connections: ConnectionPool,
+        store_view: StoreView,
         dialect: Dialect,
         clock: Clock,
         report: Callable[..., None],
     ) -> None:
         self._connections = connections
+        self._store_view = store_view
         self._dialect = dialect
         self.clock = clock
         self._report = report
@@ -97,7 +102,8 @@
         target: TargetRecord,
     ) -> Attempt:
         try:
-            attempt = await exchange.run(connection, target)
+            notice = self._store_view.get_notice(target)
+            attempt = await exchange.run(connection, target, notice)
         except ResponseBrokenError as error:
             return await self._classify_failure(exchange, target, error)
         metadata = exchange.metadata
--- a/hornbeampulley/node/_store_view.py
+++ b/hornbeampulley/node/_store_view.py
@@ -11,7 +11,12 @@
 from hornbeampulley.clock import Clock
 from hornbeampulley.logs import log_event
 from hornbeampulley.node.stored import Decoder, StoredItem
-from hornbeampulley.routing import RoutingTable, TargetRecord, TargetTable
+from hornbeampulley.routing import (
+    RoutingTable,
+    TargetRecord,
+    TargetState,
+    TargetTable,
+)
 
 TOMBSTONE_MS: Final = 60_000.0
 # Items that expired during an outage of the store are written again within
@@ -21,6 +26,7 @@
 MASS_LOSS_SHARE: Final = 0.34
 MASS_LOSS_COUNT: Final = 2
 PEER: Final = 'peer'
+GONE: Final = 'gone'
 _log = logging.getLogger(__name__)
 
 
@@ -38,6 +44,27 @@
     targets: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetNotice:
+    """Latest knowledge about one run of a target.
+
+    Attributes
+    ----------
+    state : str
+        Value of a `TargetState`; `GONE` if the run is no longer registered.
+    age_ms : float
+        Time since the node learned this, in ms.
+    """
+
+    state: str
+    age_ms: float
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the target gets new requests."""
+        return self.state == TargetState.READY.value
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _KeptItem:
     item: StoredItem
@@ -176,6 +203,26 @@
         ]
         self.apply_items((*listed, *removed), source)
 
+    def get_notice(self, record: TargetRecord) -> TargetNotice:
+        """Return what is known now about a target that was looked up before.
+
+        Parameters
+        ----------
+        record : TargetRecord
+            Record of the run of the target.
+
+        Returns
+        -------
+        TargetNotice
+            State of that run, and since when it is known.
+        """
+        known = self.targets.records.get(record.name)
+        is_same_run = known is not None and known.born_ms == record.born_ms
+        state = known.state.value if is_same_run else GONE
+        kept = self._items.get(f'{self._decoder.targets_prefix}{record.name}')
+        taken_ms = kept.taken_ms if kept else 0
+        return TargetNotice(state, self._clock.now() - taken_ms)
+
     def list_newer(self, position: Position) -> Iterator[StoredItem]:
         """List the items that a peer has not applied.
 
