--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -1,9 +1,11 @@
 """End-to-end tests over the users' protocol, on loopback."""
 
+import json
+
 import trio
 
 from hornbeampulley.http1 import find_header
-from hornbeampulley.node.stored import StoreUnavailableError
+from hornbeampulley.node.stored import StoredItem, StoreUnavailableError
 from standins.metadata import KEY_OF_CONFIG
 from tests.nodes import (
     EVENTS,
@@ -257,3 +259,26 @@
             for node in fleet.nodes
         ),
     )
+
+
+# DRAIN: a home used a lease for a target of which it knew, unlike the owner of
+# the pool, that it leaves.
+def test_a_lease_of_an_owner_that_is_behind_reaches_no_leaving_target():
+    async def scenario(fleet):
+        await fleet.call('/look/a')
+        owner = fleet.nodes[0].lease_client._find_owner('ledger')
+        homes = [node.membership.incarnation for node in fleet.nodes]
+        number = int(homes[0] == owner)
+        fleet.backends['ledger-1'].runs.clear()
+        entry = fleet.backends['ledger-1'].describe(fleet.address(102), 8306)
+        content = json.dumps(entry | {'state': 'draining'}).encode()
+        fleet.nodes[number].store_view.apply_relayed_items(
+            [StoredItem('servers/ledger-1', content, 1 << 40)],
+        )
+        for attempt in range(8):
+            request_id = b'r%d' % attempt
+            answer = await fleet.call('/look/a', number, request_id=request_id)
+            assert answer[0] == 200
+        assert not fleet.backends['ledger-1'].runs
+
+    run_nodes(scenario, count=2)
--- a/tests/test_node_store_view.py
+++ b/tests/test_node_store_view.py
@@ -9,30 +9,13 @@
 from hornbeampulley.node._store_view import Position, StoreView
 from hornbeampulley.node.stored import StoredItem
 from hornbeampulley.platform._documents import PlatformDecoder
-
-ENTRY = {
-    'service': 'p',
-    'address': '10.0.0.1:80',
-    'zone': 'z',
-    'slots': 4,
-    'state': 'ready',
-    'born': 7,
-}
+from tests.stored import gone, server
 
 
 def make(clock=None):
     return StoreView(PlatformDecoder(), clock or ManualClock())
 
 
-def server(name, revision, **changes):
-    content = json.dumps(ENTRY | changes).encode()
-    return StoredItem(f'servers/{name}', content, revision)
-
-
-def gone(name, revision):
-    return StoredItem(f'servers/{name}', b'', revision, is_deleted=True)
-
-
 def config(version, revision):
     document = {'version': version, 'routes': [], 'services': []}
     return StoredItem('op/config', json.dumps(document).encode(), revision)
