Send nothing to a target that the home itself knows to leave

What callers saw: nothing; the users saw a request reach a target after its drain_ms. Cause: whether a target leaves was judged once, by the pool's owner when it granted the lease, and used later by the home, after the lease's way, up to 700 ms of opening a connection, and whatever time the owner was behind (check at grant, use at dispatch).

--- a/hornbeampulley/node/_sending.py
+++ b/hornbeampulley/node/_sending.py
@@ -1,5 +1,6 @@
 """Sends requests to targets over pooled connections."""
 
+import logging
 from collections.abc import Callable
 from typing import Final
 
@@ -12,14 +13,16 @@
     open_connection,
 )
 from hornbeampulley.http1.errors import NotConnectedError, ResponseBrokenError
+from hornbeampulley.logs import log_event
 from hornbeampulley.node._calls import Call
 from hornbeampulley.node._exchanges import Attempt, Exchange
-from hornbeampulley.node._store_view import StoreView
+from hornbeampulley.node._store_view import StoreView, TargetNotice
 from hornbeampulley.node.dialect import Dialect
 from hornbeampulley.routing import TargetRecord
 
 # Short timeout, since the caller of a broken stream waits for it to resume.
 _PROBE_SETTINGS: Final = ConnectionSettings(connect_timeout_ms=250)
+_log = logging.getLogger(__name__)
 
 
 class Sender:
@@ -64,7 +67,7 @@
         target: TargetRecord,
         on_first_part: Callable[[float], None],
     ) -> Attempt:
-        """Send a request to a target.
+        """Send a request to a target, unless it is known to leave.
 
         Parameters
         ----------
@@ -80,6 +83,9 @@
         Attempt
             Result of the attempt.
         """
+        notice = self._store_view.get_notice(target)
+        if not notice.is_open:
+            return _reject_leaving(call, target, notice)
         try:
             connection = await self._connections.acquire(
                 target.name, target.endpoint
@@ -88,9 +94,14 @@
             self._connections.close_idle(target.name)
             self._report(target.name, None, is_down=True)
             return Attempt(Outcome.NOT_SENT, f'not connected: {error}')
+        # The target may have begun to leave while the connection was opened.
+        notice = self._store_view.get_notice(target)
+        if not notice.is_open:
+            connection.close()
+            return _reject_leaving(call, target, notice)
         exchange = Exchange(self._dialect, self.clock, call, on_first_part)
         try:
-            return await self._run(exchange, connection, target)
+            return await self._run(exchange, connection, target, notice)
         finally:
             if not exchange.is_connection_returned:
                 connection.close()
@@ -100,9 +111,9 @@
         exchange: Exchange,
         connection: Connection,
         target: TargetRecord,
+        notice: TargetNotice,
     ) -> Attempt:
         try:
-            notice = self._store_view.get_notice(target)
             attempt = await exchange.run(connection, target, notice)
         except ResponseBrokenError as error:
             return await self._classify_failure(exchange, target, error)
@@ -135,3 +146,17 @@
         else:
             probe.close()
         return exchange.make_attempt(outcome, f'broken: {error}')
+
+
+def _reject_leaving(
+    call: Call, target: TargetRecord, notice: TargetNotice
+) -> Attempt:
+    log_event(
+        _log,
+        'target_leaving',
+        request=call.name,
+        target=target.name,
+        target_state=notice.state,
+        target_age_ms=round(notice.age_ms),
+    )
+    return Attempt(Outcome.NOT_SENT, f'the target is {notice.state}')
