Hold removals back only after the store itself was away

Some targets leave without saying so; their entry is removed, and removals are held for 1.8 s after an outage of the store. One failed call counted as an outage, so a removal was held for 1.8 s from the moment at which the loss of one connection was noticed, which for a silent one is up to 3 s late: more than drain_ms after the store's acknowledgement, at a host that counts as in touch. An outage now is a second failed call in a row, the retry on a new connection. Cost: after an outage of which a host notices one failure only, entries that lapsed are not held back; the loss of a third of them at once still counts as an outage.

--- a/hornbeampulley/node/_reading.py
+++ b/hornbeampulley/node/_reading.py
@@ -20,6 +20,8 @@
 CHOSEN_READER_WAIT_MS: Final = 3000
 PAUSE_MS: Final = 150.0
 MAX_PAUSE_MS: Final = 1000.0
+# After one failed call only its connection may have been lost.
+OUTAGE_FAILURES: Final = 2
 SOURCE: Final = 'store'
 _log = logging.getLogger(__name__)
 
@@ -173,8 +175,7 @@
                 revision=self._revision,
                 failures=self._failures,
             )
-            if self._failures:
-                self._store_view.record_outage()
+            self._record_outage()
         self.is_reached = True
         self._failures = 0
 
@@ -190,12 +191,17 @@
                 error=error,
             )
         self.is_reached = False
-        self._store_view.record_outage()
+        self._record_outage()
         pause_ms = min(PAUSE_MS * self._failures, MAX_PAUSE_MS)
         await trio.sleep(
             to_seconds(pause_ms * self._generator.uniform(0.5, 1)),
         )
 
+    def _record_outage(self) -> None:
+        """Let removals be held back if the store has been away."""
+        if self._failures >= OUTAGE_FAILURES:
+            self._store_view.record_outage()
+
 
 def make_readers(
     store: Store,
--- a/tests/test_node_reading.py
+++ b/tests/test_node_reading.py
@@ -149,3 +149,40 @@
         assert list_known(store_view) == ['b', 'c']
 
     run(mock_run, scenario)
+
+
+def lose_connection(store, name):
+    """Break one call; the next ones tell of a removal."""
+    store.names.pop(name)
+    store.revision = 9
+    store.removed = [
+        StoredItem(f'servers/{name}', b'', 9, is_deleted=True),
+    ]
+    store.error = StoreUnavailableError('cut; ask again')
+
+
+# DRAIN: a removal was held back 1.8 s from the moment at which the loss of one
+# connection was noticed, though the store had never been away.
+def test_a_removal_is_not_held_back_after_the_loss_of_one_connection(mock_run):
+    async def scenario(store, store_view, readers):
+        lose_connection(store, 'a')
+        await trio.sleep(0.1)
+        store.error = None
+        await trio.sleep(0.4)
+        assert list_known(store_view) == ['b', 'c']
+
+    run(mock_run, scenario)
+
+
+def test_a_removal_is_held_back_after_an_outage_of_the_store(mock_run):
+    async def scenario(store, store_view, readers):
+        lose_connection(store, 'a')
+        await trio.sleep(1.5)
+        store.error = None
+        await trio.sleep(1)
+        assert list_known(store_view) == ['a', 'b', 'c']
+        await trio.sleep(1)
+        store_view.apply_overdue_removals()
+        assert list_known(store_view) == ['b', 'c']
+
+    run(mock_run, scenario)
