--- a/hornbeampulley/node/_serving.py
+++ b/hornbeampulley/node/_serving.py
@@ -23,6 +23,7 @@
 FIRST_EVENT_MARGIN_MS: Final = 200.0
 # A second attempt is made only if at least this much time is left.
 MIN_LEFT_MS: Final = 50.0
+MAX_LOGGED_PARTS: Final = 16
 # Statuses that promise a caller that its request was not executed. A target
 # that uses one without rejecting the request is not trusted with that.
 _NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
@@ -189,6 +190,7 @@
 
 
 def _log_end(call: Call, reservation: Reservation, attempt: Attempt) -> None:
+    is_crash = attempt.outcome is decisions.Outcome.CRASHED
     log_event(
         _log,
         'lease_ended',
@@ -199,9 +201,16 @@
         events=attempt.events or None,
         first_ms=round(attempt.first_ms) or None,
         took_ms=round(attempt.duration_ms) or None,
+        parts=_describe_parts(call) if is_crash else None,
     )
 
 
+def _describe_parts(call: Call) -> str:
+    """List the parts of the prompt, for the log."""
+    parts = call.metadata.parts[:MAX_LOGGED_PARTS]
+    return ','.join(f'{part.name:x}:{part.tokens}' for part in parts)
+
+
 def _make_reserve(home: Home, call: Call) -> decisions.Reserve:
     metadata = call.metadata
     return decisions.Reserve(
