--- a/standins/backend.py
+++ b/standins/backend.py
@@ -18,6 +18,7 @@
 FIRST_FAILURE: Final = 400
 
 TRICKLE_MS: Final = 300.0
+RESTART_MS: Final = 100.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -45,6 +46,9 @@
         Whether plain answers end before their ``Content-Length``.
     has_stray_answer : bool
         Whether an answer with the id of another request is sent first.
+    deadly_part : bytes
+        Id of a part of prompts that crashes the backend when it begins to
+        answer; empty to disable.
     """
 
     events: int = 3
@@ -55,6 +59,7 @@
     status: int = 200
     is_cut_short: bool = False
     has_stray_answer: bool = False
+    deadly_part: bytes = b''
 
 
 class Backend:
@@ -77,6 +82,8 @@
         Ids of requests cancelled because the client disconnected.
     seen : list of Request
         All requests in order of arrival.
+    crashes : int
+        How often it has crashed.
     """
 
     def __init__(self, name: str, service: str) -> None:
@@ -86,6 +93,8 @@
         self.runs: Counter[bytes] = Counter()
         self.cancelled: list[bytes] = []
         self.seen: list[Request] = []
+        self.crashes = 0
+        self._process = trio.CancelScope()
 
     def describe(self, address: str, port: int) -> dict[str, Any]:
         """Return its record in the metadata store."""
@@ -102,8 +111,11 @@
         }
 
     async def serve(self, address: str, port: int) -> None:
-        """Answer requests until cancelled."""
-        await serve_http(address, port, ServerOptions(self.answer))
+        """Answer requests until cancelled; start again after a crash."""
+        while True:
+            with trio.CancelScope() as self._process:
+                await serve_http(address, port, ServerOptions(self.answer))
+            await trio.sleep(RESTART_MS / 1000)
 
     async def answer(self, request: Request, reply: Reply) -> None:
         """Answer one request."""
@@ -127,6 +139,10 @@
     ) -> None:
         seal = (SEAL, self.name.encode())
         headers = [(b'attempt-id', request_id), seal]
+        parts = find_header(request.headers, b'prompt-prefix') or b''
+        if self.behaviour.deadly_part in _list_ids(parts):
+            self.crashes += 1
+            self._process.cancel()
         try:
             is_stream = request.path.startswith(b'/stream/')
             if is_stream and self.behaviour.status < FIRST_FAILURE:
@@ -175,6 +191,10 @@
         await reply.finish()
 
 
+def _list_ids(parts: bytes) -> list[bytes]:
+    return [part.partition(b':')[0] for part in parts.split(b',') if part]
+
+
 async def _trickle(reply: Reply) -> None:
     while True:
         await reply.write(b':')
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -253,3 +253,11 @@
         whole += rest[:length]
         body = rest[length + 2 :]
     return whole
+
+
+def start_crashing(fleet, part):
+    """Let the engines crash on a part of prompts and return them."""
+    engines = [fleet.backends[f'engines-{number}'] for number in (1, 2)]
+    for engine in engines:
+        engine.behaviour.deadly_part = part
+    return engines
