--- a/standins/backend.py
+++ b/standins/backend.py
@@ -113,7 +113,8 @@
     async def serve(self, address: str, port: int) -> None:
         """Answer requests until cancelled; start again after a crash."""
         while True:
-            with trio.CancelScope() as self._process:
+            self._process = trio.CancelScope()
+            with self._process:
                 await serve_http(address, port, ServerOptions(self.answer))
             await trio.sleep(RESTART_MS / 1000)
 
