--- a/hornbeampulley/decisions/__init__.py
+++ b/hornbeampulley/decisions/__init__.py
@@ -1,32 +1,34 @@
 """The decision core: a pure state machine from events to actions."""
 
+from hornbeampulley.decisions._actions import (
+    Action,
+    Lease,
+    Preempt,
+    Reason,
+    Refuse,
+    Warn,
+)
 from hornbeampulley.decisions._baselines import (
     FifoTiers,
     LeastLoad,
     RoundRobin,
 )
 from hornbeampulley.decisions._core import Core
-from hornbeampulley.decisions._messages import (
-    Action,
+from hornbeampulley.decisions._events import (
     CacheEvent,
     Configure,
     Event,
     HomeLost,
-    Lease,
     LoadReport,
     Outcome,
-    Preempt,
     Progress,
     Quarantine,
-    Reason,
-    Refuse,
     Release,
     Reserve,
     TakeoverEnded,
     TargetDown,
     TargetsLeaving,
     Tick,
-    Warn,
     Withdraw,
 )
 from hornbeampulley.decisions._policies import Policy, policies
--- a/hornbeampulley/decisions/_baselines.py
+++ b/hornbeampulley/decisions/_baselines.py
@@ -5,12 +5,14 @@
 from typing import Final
 
 from hornbeampulley.configuration import Configuration, Target, Tier
-from hornbeampulley.decisions._messages import (
+from hornbeampulley.decisions._actions import (
     Action,
+    Lease,
+)
+from hornbeampulley.decisions._events import (
     Configure,
     Event,
     HomeLost,
-    Lease,
     LoadReport,
     Outcome,
     Release,
--- a/hornbeampulley/decisions/_completion.py
+++ b/hornbeampulley/decisions/_completion.py
@@ -2,10 +2,12 @@
 
 from typing import Final
 
-from hornbeampulley.decisions._messages import (
+from hornbeampulley.decisions._actions import (
+    Reason,
+)
+from hornbeampulley.decisions._events import (
     Outcome,
     Progress,
-    Reason,
     Release,
 )
 from hornbeampulley.decisions._preemption import Preemptor
--- a/hornbeampulley/decisions/_core.py
+++ b/hornbeampulley/decisions/_core.py
@@ -5,14 +5,14 @@
 from collections.abc import Callable
 from typing import Any, Final
 
+from hornbeampulley.decisions._actions import (
+    Action,
+    Reason,
+)
 from hornbeampulley.decisions._completion import Completion, mark_running
 from hornbeampulley.decisions._cost import CostModel
 from hornbeampulley.decisions._dispatch import Dispatcher
-from hornbeampulley.decisions._feasibility import FeasibilityChecker
-from hornbeampulley.decisions._fleet import Fleet
-from hornbeampulley.decisions._isolation import Isolation
-from hornbeampulley.decisions._messages import (
-    Action,
+from hornbeampulley.decisions._events import (
     CacheEvent,
     Configure,
     Event,
@@ -20,7 +20,6 @@
     LoadReport,
     Progress,
     Quarantine,
-    Reason,
     Release,
     Reserve,
     TakeoverEnded,
@@ -29,6 +28,9 @@
     Tick,
     Withdraw,
 )
+from hornbeampulley.decisions._feasibility import FeasibilityChecker
+from hornbeampulley.decisions._fleet import Fleet
+from hornbeampulley.decisions._isolation import Isolation
 from hornbeampulley.decisions._policies import policies
 from hornbeampulley.decisions._preemption import Preemptor
 from hornbeampulley.decisions._requests import Request
--- a/hornbeampulley/decisions/_dispatch.py
+++ b/hornbeampulley/decisions/_dispatch.py
@@ -2,8 +2,14 @@
 
 from typing import Final, NamedTuple
 
+from hornbeampulley.decisions._actions import (
+    Lease,
+    Reason,
+)
+from hornbeampulley.decisions._events import (
+    Reserve,
+)
 from hornbeampulley.decisions._isolation import Isolation
-from hornbeampulley.decisions._messages import Lease, Reason, Reserve
 from hornbeampulley.decisions._placement import PrefixMatch
 from hornbeampulley.decisions._requests import Request, Stage
 from hornbeampulley.decisions._state import State
--- a/hornbeampulley/decisions/_policies.py
+++ b/hornbeampulley/decisions/_policies.py
@@ -3,7 +3,12 @@
 from collections.abc import Callable
 from typing import Final, Protocol
 
-from hornbeampulley.decisions._messages import Action, Event
+from hornbeampulley.decisions._actions import (
+    Action,
+)
+from hornbeampulley.decisions._events import (
+    Event,
+)
 from hornbeampulley.registry import Registry
 
 
--- a/hornbeampulley/decisions/_preemption.py
+++ b/hornbeampulley/decisions/_preemption.py
@@ -2,7 +2,9 @@
 
 from typing import Final
 
-from hornbeampulley.decisions._messages import Preempt
+from hornbeampulley.decisions._actions import (
+    Preempt,
+)
 from hornbeampulley.decisions._requests import Request
 from hornbeampulley.decisions._state import State
 from hornbeampulley.decisions._targets import TargetState
--- a/hornbeampulley/decisions/_requests.py
+++ b/hornbeampulley/decisions/_requests.py
@@ -3,7 +3,9 @@
 import dataclasses
 import enum
 
-from hornbeampulley.decisions._messages import Reserve
+from hornbeampulley.decisions._events import (
+    Reserve,
+)
 
 
 class Stage(enum.Enum):
--- a/hornbeampulley/decisions/_state.py
+++ b/hornbeampulley/decisions/_state.py
@@ -5,12 +5,17 @@
 from typing import Final
 
 from hornbeampulley.configuration import Configuration
+from hornbeampulley.decisions._actions import (
+    Action,
+    Reason,
+    Refuse,
+    Warn,
+)
 from hornbeampulley.decisions._cost import CostModel
 from hornbeampulley.decisions._drain import DrainRate
 from hornbeampulley.decisions._feasibility import FeasibilityChecker
 from hornbeampulley.decisions._fleet import Fleet
 from hornbeampulley.decisions._history import History
-from hornbeampulley.decisions._messages import Action, Reason, Refuse, Warn
 from hornbeampulley.decisions._pending_retries import PendingRetries
 from hornbeampulley.decisions._placement import PrefixIndex
 from hornbeampulley.decisions._quarantine import QuarantineList
