Quarantine the part of prompts that crashes targets

What callers saw: requests of one kind crashed target after target; their answers and those of all others on these targets broke off (users: BUDGET). Cause: contents were compared whole, and no two requests with the part are alike. Class: a repeat is recognized by being equal in everything, not by what does the harm. Ruled out: crashes not seen as such (all attempts end as crashed and the target is taken down), loss of the findings with the owner (none changed), repeats by the home (no id twice without an event). Now the owner of the pool counts crashes by part, clears the parts of each prompt on which an answer begins, and quarantines a part after two crashes under different prompts; homes keep that and tell the next owner.

--- a/hornbeampulley/decisions/_actions.py
+++ b/hornbeampulley/decisions/_actions.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from hornbeampulley.decisions._events import PartQuarantine
+
 
 class Reason(enum.Enum):
     """Why a request was refused."""
@@ -118,4 +120,4 @@
     subject: str
 
 
-Action = Lease | Refuse | Preempt | Warn
+Action = Lease | Refuse | Preempt | Warn | PartQuarantine
--- a/hornbeampulley/decisions/_completion.py
+++ b/hornbeampulley/decisions/_completion.py
@@ -42,6 +42,7 @@
         request = self._state.request_table.find(event.request_id)
         if request is None or request.is_waiting:
             return
+        self._record_begun(request)
         request.output_tokens = max(event.output_tokens, request.output_tokens)
         self._sample_first_token(request, event.first_token_ms)
 
@@ -50,8 +51,12 @@
         request = self._state.request_table.find(event.request_id)
         if request is None or request.is_waiting:
             return
+        if event.first_token_ms or event.outcome is Outcome.DONE:
+            self._record_begun(request)
         if event.outcome is Outcome.CRASHED:
             self.handle_crash(request.target, request)
+        elif event.outcome is Outcome.CANCELLED and request.crash_counted:
+            self._state.deadly_parts.retract(request.reserve.prompt_parts)
         self._state.fleet.finish(request)
         self._state.record_decision(request, 'release', event.outcome.value)
         if event.outcome is Outcome.NOT_SENT:
@@ -101,6 +106,7 @@
         if quarantined:
             self._state.warn('quarantined', str(quarantined))
             self.refuse_quarantined(quarantined)
+        self._count_parts(target_name, newly_counted)
         self._preempt_copies(fingerprints)
 
     def refuse_quarantined(self, fingerprint: int) -> None:
@@ -111,6 +117,13 @@
                 self._state.queue.remove(request)
                 self._state.refuse(request, Reason.QUARANTINED)
 
+    def refuse_with_part(self, part: int) -> None:
+        """Refuse all waiting requests whose prompts have a part."""
+        for request in self._state.request_table:
+            if request.is_waiting and part in request.reserve.prompt_parts[:-1]:
+                self._state.queue.remove(request)
+                self._state.refuse(request, Reason.QUARANTINED)
+
     def check_overdue(self) -> None:
         """Record slow samples for targets whose oldest request is overdue."""
         for target in self._state.fleet:
@@ -138,6 +151,27 @@
         self._state.index.clear(target.name)
         self._state.fleet.mark_changed(target)
 
+    def _count_parts(self, target: str, requests: list[Request]) -> None:
+        """Count a crash against the prompts without an answer so far."""
+        quarantines = self._state.deadly_parts.record_crash(
+            target,
+            [one.reserve.prompt_parts for one in requests if not one.has_begun],
+            self._state.now_ms,
+        )
+        self._state.actions.extend(quarantines)
+        for quarantine in quarantines:
+            self.refuse_with_part(quarantine.part)
+
+    def _record_begun(self, request: Request) -> None:
+        if not request.has_begun:
+            request.has_begun = True
+            self._state.actions.extend(
+                self._state.deadly_parts.record_begun(
+                    request.reserve.prompt_parts,
+                    self._state.now_ms,
+                ),
+            )
+
     def _preempt_copies(self, fingerprints: set[int]) -> None:
         """Preempt requests with these contents on all other targets.
 
--- a/hornbeampulley/decisions/_core.py
+++ b/hornbeampulley/decisions/_core.py
@@ -18,6 +18,7 @@
     Event,
     HomeLost,
     LoadReport,
+    PartQuarantine,
     Progress,
     Quarantine,
     Release,
@@ -103,6 +104,7 @@
             HomeLost: self._drop_home,
             TakeoverEnded: self._end_takeover,
             Quarantine: self._apply_quarantine,
+            PartQuarantine: self._apply_part_quarantine,
             Tick: self._tick,
         }
 
@@ -191,8 +193,11 @@
 
     def _admit(self, request: Request) -> None:
         reserve = request.reserve
-        if self._state.quarantine.is_quarantined(reserve.fingerprint):
-            self._state.refuse(request, Reason.QUARANTINED)
+        state = self._state
+        if state.quarantine.is_quarantined(reserve.fingerprint):
+            state.refuse(request, Reason.QUARANTINED)
+        elif not state.deadly_parts.admit(reserve.prompt_parts, state.now_ms):
+            state.refuse(request, Reason.QUARANTINED)
         elif self._state.request_table.is_key_taken(
             reserve, self._state.now_ms
         ):
@@ -251,6 +256,11 @@
             self._state.quarantine.add(event.fingerprint)
             self._completion.refuse_quarantined(event.fingerprint)
 
+    def _apply_part_quarantine(self, event: PartQuarantine) -> None:
+        self._state.deadly_parts.apply(event, self._state.now_ms)
+        if event.period_ms:
+            self._completion.refuse_with_part(event.part)
+
     def _tick(self, _: Tick) -> None:
         self._state.drain.advance(self._state.now_ms)
         self._completion.check_overdue()
--- a/hornbeampulley/decisions/_events.py
+++ b/hornbeampulley/decisions/_events.py
@@ -63,6 +63,9 @@
         other.
     expected_tokens : int
         Output length in tokens hinted by the caller; 0 if not given.
+    prompt_parts : tuple of int
+        Ids of the parts of the prompt, in order, the last of which is the
+        request's own; empty if the caller names none or its answer has begun.
     """
 
     request_id: str
@@ -83,6 +86,7 @@
     begin_by_ms: float = 0
     avoided: str = ''
     expected_tokens: int = 0
+    prompt_parts: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -233,6 +237,28 @@
     fingerprint: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartQuarantine:
+    """Requests with a part of a prompt are refused, as it crashes targets.
+
+    A core decides it, and learns it from other schedulers.
+
+    Attributes
+    ----------
+    part : int
+        Id of the part.
+    left_ms : float
+        Time in ms until one request with it is let through.
+    period_ms : float
+        The whole time, which grows with each crash; 0 if the quarantine is
+        lifted.
+    """
+
+    part: int
+    left_ms: float = 0
+    period_ms: float = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick:
     """A periodic event, sent a few times a second, that advances the time."""
@@ -251,5 +277,6 @@
     | HomeLost
     | TakeoverEnded
     | Quarantine
+    | PartQuarantine
     | Tick
 )
--- a/hornbeampulley/decisions/_requests.py
+++ b/hornbeampulley/decisions/_requests.py
@@ -55,6 +55,8 @@
         Prompt tokens in the target's cache by the latest information.
     output_tokens : int
         Output tokens produced so far.
+    has_begun : bool
+        Whether its target has begun to answer.
     resume : bool
         Whether it was preempted before.
     preemptible : bool
@@ -82,6 +84,7 @@
     expected_cached: int = 0
     cached_tokens: int = 0
     output_tokens: int = 0
+    has_begun: bool = False
     resume: bool = False
     preemptible: bool = False
     preempting: bool = False
--- a/hornbeampulley/decisions/_state.py
+++ b/hornbeampulley/decisions/_state.py
@@ -12,6 +12,7 @@
     Warn,
 )
 from hornbeampulley.decisions._cost import CostModel
+from hornbeampulley.decisions._deadly_parts import DeadlyParts
 from hornbeampulley.decisions._drain import DrainRate
 from hornbeampulley.decisions._feasibility import FeasibilityChecker
 from hornbeampulley.decisions._fleet import Fleet
@@ -59,6 +60,8 @@
         Remaining retries of each workspace.
     quarantine : QuarantineList
         Suspect and quarantined contents.
+    deadly_parts : DeadlyParts
+        Suspect and quarantined parts of prompts.
     drain : DrainRate
         Rate at which the pool completes work.
     pending_retries : PendingRetries
@@ -87,6 +90,7 @@
     quarantine: QuarantineList = dataclasses.field(
         default_factory=QuarantineList,
     )
+    deadly_parts: DeadlyParts = dataclasses.field(default_factory=DeadlyParts)
     drain: DrainRate = dataclasses.field(default_factory=DrainRate)
     pending_retries: PendingRetries = dataclasses.field(
         default_factory=PendingRetries
@@ -134,8 +138,11 @@
         return request.latest_start_ms - self.now_ms
 
     def _estimate_retry_delay(self, request: Request, reason: Reason) -> float:
-        if reason in {Reason.QUARANTINED, Reason.DUPLICATE_KEY}:
+        if reason is Reason.DUPLICATE_KEY:
             return 0
+        if reason is Reason.QUARANTINED:
+            parts = request.reserve.prompt_parts
+            return self.deadly_parts.get_time_left(parts, self.now_ms)
         work_ms = (
             self.queue.sum_work(request.rank)
             + self.pending_retries.sum_work(request.rank, self.now_ms)
--- a/hornbeampulley/node/_peers.py
+++ b/hornbeampulley/node/_peers.py
@@ -8,6 +8,7 @@
 from hornbeampulley.clock import Clock
 from hornbeampulley.logs import log_event
 from hornbeampulley.node._lease_client import LeaseClient
+from hornbeampulley.node._quarantines import PoolQuarantine
 from hornbeampulley.node._scheduling import Scheduling
 from hornbeampulley.node._store_view import Position, StoreView
 from hornbeampulley.node._usage_cap_client import UsageCapClient
@@ -17,7 +18,9 @@
 from hornbeampulley.wire.scheduling import (
     read_action,
     read_event,
+    read_part_quarantine,
     write_action,
+    write_part_quarantine,
 )
 
 MAX_ITEMS: Final = 200
@@ -56,6 +59,7 @@
         self._clock = clock
         self._homes: dict[str, Link] = {}
         self._replaced: set[Link] = set()
+        scheduling.quarantines.on_change = self._broadcast
 
     def receive(self, link: Link, message: Any) -> None:
         """Handle a message of a peer.
@@ -82,6 +86,11 @@
                 self.caps.handle_grant(message)
             case ttypes.StoredItems():
                 self._apply_items(message, peer)
+            case ttypes.PartQuarantine():
+                decision = read_part_quarantine(message)
+                self._scheduling.apply_quarantine(
+                    PoolQuarantine(message.pool, decision), peer
+                )
             case _:
                 self._serve(link, message)
 
@@ -93,6 +102,8 @@
         link : Link
             Link that this node has opened to a scheduler.
         """
+        # An owner that has not met the parts that crash targets learns them.
+        self._send_quarantines(link)
         self.lease_client.handle_link_ready()
         self.on_ready()
 
@@ -170,6 +181,17 @@
             self._scheduling.remove_home(peer)
             old.close()
         self._homes[peer] = link
+        self._send_quarantines(link)
+
+    def _send_quarantines(self, link: Link) -> None:
+        for known in tuple(self._scheduling.quarantines.list_all()):
+            link.send(write_part_quarantine(known.pool, known.decision))
+
+    def _broadcast(self, quarantine: PoolQuarantine) -> None:
+        """Tell all homes of a quarantine that this node has decided."""
+        message = write_part_quarantine(quarantine.pool, quarantine.decision)
+        for link in self._homes.values():
+            link.send(message)
 
     def _serve(self, link: Link, message: Any) -> None:
         """Handle a message from a home to the scheduler of this node."""
--- /dev/null
+++ b/hornbeampulley/node/_quarantines.py
@@ -0,0 +1,124 @@
+"""Quarantined parts of prompts that a node knows of, for all pools.
+
+Each node keeps what the owner of a pool has decided, and tells the next owner,
+so that a decision outlives the owner that made it.
+"""
+
+import dataclasses
+import logging
+from collections.abc import Callable, Iterator
+from typing import Final
+
+from hornbeampulley.clock import Clock
+from hornbeampulley.decisions import PartQuarantine
+from hornbeampulley.logs import log_event
+
+# Beyond this many the oldest is dropped.
+MAX_QUARANTINES: Final = 256
+_log = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolQuarantine:
+    """A quarantined part of the prompts for one pool.
+
+    Attributes
+    ----------
+    pool : str
+        Name of the pool.
+    decision : PartQuarantine
+        The decision; its time left counts from when it was made or received.
+    """
+
+    pool: str
+    decision: PartQuarantine
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Kept:
+    decision: PartQuarantine
+    kept_ms: float
+
+
+class QuarantineStore:
+    """Keeps the latest decision for each part, and tells of new ones.
+
+    Parameters
+    ----------
+    clock : Clock
+        Monotonic clock.
+
+    Attributes
+    ----------
+    on_change : callable
+        Called with each `PoolQuarantine` that this node's scheduler decides.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.on_change: Callable[[PoolQuarantine], None] = _do_nothing
+        self._clock = clock
+        self._kept: dict[tuple[str, int], _Kept] = {}
+
+    def decide(self, quarantine: PoolQuarantine) -> None:
+        """Keep a decision of this node's scheduler and tell the homes.
+
+        Parameters
+        ----------
+        quarantine : PoolQuarantine
+            The decision.
+        """
+        self.keep(quarantine, 'own')
+        self.on_change(quarantine)
+
+    def keep(self, quarantine: PoolQuarantine, source: str) -> None:
+        """Keep a decision in place of an earlier one on the same part.
+
+        Parameters
+        ----------
+        quarantine : PoolQuarantine
+            The decision.
+        source : str
+            Incarnation of the node that told it, for the log.
+        """
+        decision = quarantine.decision
+        key = (quarantine.pool, decision.part)
+        self._kept.pop(key, None)
+        if decision.period_ms:
+            self._kept[key] = _Kept(decision, self._clock.now())
+        if len(self._kept) > MAX_QUARANTINES:
+            self._kept.pop(next(iter(self._kept)))
+        log_event(
+            _log,
+            'part_quarantined' if decision.period_ms else 'part_released',
+            severity=logging.WARNING,
+            pool=quarantine.pool,
+            part=f'{decision.part:x}',
+            left_ms=round(decision.left_ms) or None,
+            source=source,
+        )
+
+    def list_all(self, pool: str = '') -> Iterator[PoolQuarantine]:
+        """List the decisions with the time that is left now.
+
+        Parameters
+        ----------
+        pool : str
+            Name of a pool; empty for all pools.
+
+        Yields
+        ------
+        PoolQuarantine
+            Decisions in force, oldest first.
+        """
+        now_ms = self._clock.now()
+        for (name, _), kept in self._kept.items():
+            if pool in {'', name}:
+                left_ms = kept.decision.left_ms - (now_ms - kept.kept_ms)
+                yield PoolQuarantine(
+                    name,
+                    dataclasses.replace(kept.decision, left_ms=max(left_ms, 0)),
+                )
+
+
+def _do_nothing(_: PoolQuarantine) -> None:
+    """Default of `QuarantineStore.on_change`."""
--- a/hornbeampulley/node/_scheduling.py
+++ b/hornbeampulley/node/_scheduling.py
@@ -8,6 +8,7 @@
 from hornbeampulley.clock import Clock
 from hornbeampulley.configuration import Configuration
 from hornbeampulley.logs import log_event
+from hornbeampulley.node._quarantines import PoolQuarantine, QuarantineStore
 from hornbeampulley.routing import CapSettings, RoutingTable, TokenBucket
 
 TAKEOVER_MS: Final = 300.0
@@ -47,6 +48,8 @@
     has_failed : bool
         Whether a core has failed, so that homes have to announce their
         requests again.
+    quarantines : QuarantineStore
+        Quarantined parts of prompts, by any scheduler.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
     ) -> None:
         self._caps = caps or CapSettings()
         self.has_failed = False
+        self.quarantines = QuarantineStore(clock)
         self._clock = clock
         self._send = send
         self._pools: dict[str, _Pool] = {}
@@ -135,6 +139,21 @@
         if pool in self._pools:
             self._handle(self._pools[pool], event)
 
+    def apply_quarantine(self, quarantine: PoolQuarantine, source: str) -> None:
+        """Apply the quarantine of a part that another node has told.
+
+        Parameters
+        ----------
+        quarantine : PoolQuarantine
+            The decision.
+        source : str
+            Incarnation of that node.
+        """
+        self.quarantines.keep(quarantine, source)
+        pool = self._pools.get(quarantine.pool)
+        if pool is not None:
+            self._handle(pool, quarantine.decision)
+
     def find_target_pool(self, target: str) -> str:
         """Return the pool of a target.
 
@@ -232,6 +251,8 @@
             self._pools[name] = pool
             log_event(_log, 'pool_opened', pool=name)
             self._configure_pool(pool)
+            for known in tuple(self.quarantines.list_all(name)):
+                self._handle(pool, known.decision)
         pool.used_ms = self._clock.now()
         return pool
 
@@ -250,7 +271,7 @@
             self._discard_pool(pool)
             return
         for action in actions:
-            self._execute(action)
+            self._execute(pool, action)
 
     def _discard_pool(self, pool: _Pool) -> None:
         self._pools.pop(pool.name, None)
@@ -261,7 +282,10 @@
         }
         self.has_failed = True
 
-    def _execute(self, action: decisions.Action) -> None:
+    def _execute(self, pool: _Pool, action: decisions.Action) -> None:
+        if isinstance(action, decisions.PartQuarantine):
+            self.quarantines.decide(PoolQuarantine(pool.name, action))
+            return
         if isinstance(action, decisions.Warn):
             log_event(_log, action.event, subject=action.subject)
             return
--- a/hornbeampulley/node/_serving.py
+++ b/hornbeampulley/node/_serving.py
@@ -15,6 +15,7 @@
 from hornbeampulley.node._lease_client import Reservation
 from hornbeampulley.node._prefixes import make_block_hashes
 from hornbeampulley.routing import get_service_name, get_tier_name
+from hornbeampulley.wire.scheduling import PART_MASK
 
 MAX_RESENDS: Final = 4
 RETRY_MS: Final = 200.0
@@ -24,6 +25,7 @@
 # A second attempt is made only if at least this much time is left.
 MIN_LEFT_MS: Final = 50.0
 MAX_LOGGED_PARTS: Final = 16
+MAX_SUSPECT_PARTS: Final = 32
 # Statuses that promise a caller that its request was not executed. A target
 # that uses one without rejecting the request is not trusted with that.
 _NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
@@ -230,9 +232,19 @@
         repeatable=False,
         avoided=call.last_target,
         expected_tokens=_get_expected_tokens(call),
+        prompt_parts=_list_suspect_parts(call),
     )
 
 
+def _list_suspect_parts(call: Call) -> tuple[int, ...]:
+    """List the parts that may crash a target; none if its answer has begun."""
+    if call.events.count or not call.is_model:
+        return ()
+    ids = [part.name & PART_MASK for part in call.metadata.parts]
+    # The last one is the request's own and only tells prompts apart.
+    return tuple(ids[: MAX_SUSPECT_PARTS - 1] + ids[-1:])
+
+
 def _get_expected_tokens(call: Call) -> int:
     """Return the output tokens still expected; 0 without a length hint."""
     hinted = call.metadata.hinted_tokens if call.is_model else 0
--- a/hornbeampulley/wire/_events.py
+++ b/hornbeampulley/wire/_events.py
@@ -9,10 +9,12 @@
     CONVERSION_ERRORS,
     make_malformed_error,
     pack_hashes,
+    pack_parts,
     read_request_id,
     round_up_ms,
     split_id,
     unpack_hashes,
+    unpack_parts,
     write_stamp,
 )
 from hornbeampulley.wire.generated.peer import ttypes
@@ -69,6 +71,7 @@
         objective_in_ms=_convert_to_duration(event.objective_ms, now_ms),
         begin_by_in_ms=_convert_to_duration(event.begin_by_ms, now_ms),
         expected_tokens=event.expected_tokens,
+        prompt_parts=pack_parts(event.prompt_parts),
     )
 
 
@@ -115,6 +118,62 @@
     )
 
 
+def write_part_quarantine(
+    pool: str, event: decisions.PartQuarantine
+) -> ttypes.PartQuarantine:
+    """Convert the quarantine of a part of prompts to a message.
+
+    Parameters
+    ----------
+    pool : str
+        Name of the pool.
+    event : PartQuarantine
+        The decision.
+
+    Returns
+    -------
+    ttypes.PartQuarantine
+        Message to send.
+    """
+    return ttypes.PartQuarantine(
+        pool,
+        pack_parts((event.part,)),
+        round_up_ms(event.left_ms),
+        round_up_ms(event.period_ms),
+    )
+
+
+def read_part_quarantine(
+    message: ttypes.PartQuarantine,
+) -> decisions.PartQuarantine:
+    """Convert a message to the quarantine of a part of prompts.
+
+    Parameters
+    ----------
+    message : ttypes.PartQuarantine
+        Received message.
+
+    Returns
+    -------
+    PartQuarantine
+        The decision.
+
+    Raises
+    ------
+    WireError
+        If a field is missing or has an invalid value.
+    """
+    try:
+        part = unpack_parts(message.part)[0]
+        return decisions.PartQuarantine(
+            part,
+            float(message.left_ms),
+            float(message.period_ms),
+        )
+    except CONVERSION_ERRORS as error:
+        raise make_malformed_error(message) from error
+
+
 def read_event(
     message: Any,
     home: str,
@@ -173,6 +232,7 @@
         begin_by_ms=_convert_to_moment(message.begin_by_in_ms, now_ms),
         avoided=message.avoided or '',
         expected_tokens=message.expected_tokens or 0,
+        prompt_parts=unpack_parts(message.prompt_parts or b''),
     )
 
 
--- a/hornbeampulley/wire/_parts.py
+++ b/hornbeampulley/wire/_parts.py
@@ -20,7 +20,11 @@
 CONVERSION_ERRORS: Final = (TypeError, ValueError, IndexError, struct.error)
 """Errors that the conversion of a malformed message raises."""
 
+PART_MASK: Final = (1 << 64) - 1
+"""Ids of parts of prompts are sent as unsigned 64-bit numbers."""
+
 _HASH: Final = 'I'
+_PART: Final = 'Q'
 
 
 def write_stamp(stamp: SessionStamp | None) -> ttypes.Stamp | None:
@@ -116,6 +120,17 @@
     return struct.unpack(f'>{count}{_HASH}', packed)
 
 
+def pack_parts(parts: tuple[int, ...]) -> bytes:
+    """Pack ids of parts of prompts into big-endian bytes."""
+    return struct.pack(f'>{len(parts)}{_PART}', *parts)
+
+
+def unpack_parts(packed: bytes) -> tuple[int, ...]:
+    """Unpack ids packed by ``pack_parts``."""
+    count = len(packed) // struct.calcsize(f'>{_PART}')
+    return struct.unpack(f'>{count}{_PART}', packed)
+
+
 def make_malformed_error(message: Any) -> WireError:
     """Build the error for a message with missing or wrong fields."""
     return WireError(
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -55,6 +55,8 @@
   18: i32 objective_in_ms
   19: i32 begin_by_in_ms
   20: optional i32 expected_tokens
+  // Ids of the parts of the prompt, packed.
+  21: optional binary prompt_parts
 }
 
 struct Withdraw {
@@ -113,6 +115,15 @@
 
 struct Quarantine { 1: i64 fingerprint }
 
+// Between the owner of a pool and its homes: requests with a part of a prompt
+// are refused. A period of 0 lifts it.
+struct PartQuarantine {
+  1: string pool
+  2: binary part
+  3: i32 left_ms
+  4: i32 period_ms
+}
+
 struct FateQuery {
   1: string request_id
   2: string asker
@@ -328,6 +339,7 @@
   31: Probe probe
   32: ProbeAck probe_ack
   33: ProbeRequest probe_request
+  34: PartQuarantine part_quarantine
 }
 
 struct Frame {
--- a/hornbeampulley/wire/scheduling.py
+++ b/hornbeampulley/wire/scheduling.py
@@ -5,10 +5,17 @@
 """
 
 from hornbeampulley.wire._actions import read_action, write_action
-from hornbeampulley.wire._events import read_event, write_event, write_reserve
+from hornbeampulley.wire._events import (
+    read_event,
+    read_part_quarantine,
+    write_event,
+    write_part_quarantine,
+    write_reserve,
+)
 from hornbeampulley.wire._parts import (
     FINGERPRINT_MASK,
     HASH_MASK,
+    PART_MASK,
     read_request_id,
     read_stamp,
     write_stamp,
@@ -17,12 +24,15 @@
 __all__ = (
     'FINGERPRINT_MASK',
     'HASH_MASK',
+    'PART_MASK',
     'read_action',
     'read_event',
+    'read_part_quarantine',
     'read_request_id',
     'read_stamp',
     'write_action',
     'write_event',
+    'write_part_quarantine',
     'write_reserve',
     'write_stamp',
 )
--- a/tests/pools.py
+++ b/tests/pools.py
@@ -69,8 +69,16 @@
         self.send(event)
         return event.request_id
 
-    def release(self, request_id, outcome=Outcome.DONE, duration_ms=1000):
-        return self.send(Release(request_id, outcome, 50, 30, duration_ms))
+    def release(
+        self,
+        request_id,
+        outcome=Outcome.DONE,
+        duration_ms=1000,
+        first_token_ms=30,
+    ):
+        return self.send(
+            Release(request_id, outcome, 50, first_token_ms, duration_ms)
+        )
 
     def find(self, kind, request_id):
         return [
--- /dev/null
+++ b/tests/test_deadly_parts.py
@@ -0,0 +1,181 @@
+"""Tests of finding the part of prompts that crashes targets.
+
+Pattern: requests that share one part crash each target that begins to answer
+them, among sound requests that share all their other parts.
+"""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hornbeampulley.decisions import Outcome, PartQuarantine, Progress, Reason
+from hornbeampulley.decisions._deadly_parts import (
+    FIRST_PERIOD_MS,
+    PERIOD_FACTOR,
+    RECENT_MS,
+    DeadlyParts,
+)
+from tests.pools import Pool
+
+CALLER, DEADLY, SOUND = 1, 2, 3
+
+
+def make_prompt(part, own):
+    return (CALLER, part, own)
+
+
+def crash(parts, own, target='t', now_ms=0):
+    return parts.record_crash(target, [make_prompt(DEADLY, own)], now_ms)
+
+
+def find(parts):
+    """Crash two targets with sound answers between and return the verdict."""
+    crash(parts, 10)
+    parts.record_begun(make_prompt(SOUND, 11), 100)
+    return crash(parts, 12, 'u', 200)
+
+
+def test_a_part_of_two_prompts_that_crashed_is_refused():
+    parts = DeadlyParts()
+    assert [one.part for one in find(parts)] == [DEADLY]
+    assert not parts.admit(make_prompt(DEADLY, 13), 300)
+    assert parts.admit(make_prompt(SOUND, 14), 300)
+
+
+def test_repeats_of_one_prompt_do_not_accuse_its_parts():
+    parts = DeadlyParts()
+    crash(parts, 10)
+    parts.record_begun(make_prompt(SOUND, 11), 100)
+    assert not crash(parts, 10, 'u')
+    assert parts.admit(make_prompt(DEADLY, 13), 300)
+
+
+def test_targets_that_end_together_count_once():
+    parts = DeadlyParts()
+    for number in range(6):
+        assert not crash(parts, number, f't{number}')
+    assert parts.admit(make_prompt(DEADLY, 13), 300)
+
+
+def test_a_target_that_crashes_again_counts_though_nothing_was_answered():
+    parts = DeadlyParts()
+    crash(parts, 10)
+    assert crash(parts, 11)
+
+
+def test_the_last_part_in_the_prompt_explains_the_crashes():
+    parts = DeadlyParts()
+    crash(parts, 10)
+    parts.record_begun((9, 99), 100)
+    assert [one.part for one in crash(parts, 12, 'u')] == [DEADLY]
+    assert parts.admit(make_prompt(SOUND, 14), 300)
+    # The crashes that the deadly part explains count no longer.
+    parts.record_begun((9, 99), 400)
+    assert not parts.record_crash('v', [make_prompt(SOUND, 15)], 500)
+
+
+def test_a_part_on_which_answers_began_of_late_needs_another_crash():
+    parts = DeadlyParts()
+    parts.record_begun(make_prompt(DEADLY, 9), 0)
+    assert not find(parts)
+    parts.record_begun((9, 99), 300)
+    assert crash(parts, 14, 'v', 400)
+
+
+def test_a_part_that_turns_deadly_is_found_after_a_while():
+    parts = DeadlyParts()
+    parts.record_begun(make_prompt(DEADLY, 9), 0)
+    crash(parts, 10, 't', RECENT_MS)
+    parts.record_begun((9, 99), RECENT_MS)
+    assert crash(parts, 12, 'u', RECENT_MS)
+
+
+def test_an_answer_lifts_the_quarantine():
+    parts = DeadlyParts()
+    find(parts)
+    assert parts.record_begun(make_prompt(DEADLY, 13), 300) == [
+        PartQuarantine(DEADLY),
+    ]
+    assert parts.admit(make_prompt(DEADLY, 14), 400)
+
+
+def test_one_request_is_let_through_after_each_longer_period():
+    parts = DeadlyParts()
+    find(parts)
+    now_ms = 200 + FIRST_PERIOD_MS
+    assert parts.admit(make_prompt(DEADLY, 13), now_ms)
+    assert not parts.admit(make_prompt(DEADLY, 14), now_ms)
+    (quarantine,) = crash(parts, 13, 'v', now_ms)
+    assert quarantine.left_ms == FIRST_PERIOD_MS * PERIOD_FACTOR
+
+
+def test_a_prompt_that_never_reached_the_target_is_not_suspect():
+    parts = DeadlyParts()
+    crash(parts, 10)
+    parts.retract(make_prompt(DEADLY, 10))
+    parts.record_begun(make_prompt(SOUND, 11), 100)
+    assert not crash(parts, 12, 'u')
+
+
+PROMPTS = st.lists(
+    st.tuples(st.integers(1, 4), st.integers(1, 4), st.integers(10, 30)),
+    max_size=4,
+)
+
+
+@given(st.lists(st.tuples(st.sampled_from('tuv'), PROMPTS), max_size=20))
+def test_no_part_is_refused_on_which_an_answer_has_just_begun(crashes):
+    parts = DeadlyParts()
+    for now_ms, (target, prompts) in enumerate(crashes):
+        parts.record_crash(target, prompts, now_ms)
+        for prompt in prompts:
+            parts.record_begun(prompt, now_ms)
+    for _, prompts in crashes:
+        for prompt in prompts:
+            assert parts.admit(prompt, len(crashes))
+
+
+def run_sound(pool, own):
+    """Run a sound request to its end."""
+    sound = pool.reserve(prompt_parts=make_prompt(SOUND, own))
+    assert pool.find_target(sound)
+    pool.release(sound)
+
+
+# BUDGET: requests with one part in common, no two alike, crashed target after
+# target.
+def test_a_pool_refuses_a_deadly_part_and_serves_the_others():
+    pool = Pool(targets=4)
+    reasons = []
+    for number in range(8):
+        fields = {
+            'prompt_parts': make_prompt(DEADLY, 100 + number),
+            'fingerprint': 100 + number,
+        }
+        deadly = pool.reserve(**fields)
+        run_sound(pool, 200 + number)
+        reasons.append(pool.find_reason(deadly))
+        if pool.find_target(deadly):
+            pool.release(deadly, Outcome.CRASHED, first_token_ms=0)
+    assert reasons == [None] * 2 + [Reason.QUARANTINED] * 6
+
+
+def test_prompts_that_are_being_answered_are_not_suspect():
+    pool = Pool(targets=4)
+    for number in range(3):
+        begun = pool.reserve(
+            prompt_parts=make_prompt(SOUND, number), fingerprint=number + 1
+        )
+        pool.send(Progress(begun, 1, 50))
+        pool.release(begun, Outcome.CRASHED)
+        run_sound(pool, 100 + number)
+    assert not [one for one in pool.actions if isinstance(one, PartQuarantine)]
+
+
+def test_waiting_requests_are_refused_when_another_scheduler_decides():
+    pool = Pool(targets=1, slots=1)
+    pool.reserve()
+    waiting = pool.reserve(prompt_parts=make_prompt(DEADLY, 10))
+    other = pool.reserve(prompt_parts=make_prompt(SOUND, 11))
+    pool.send(PartQuarantine(DEADLY, 500, 1000))
+    assert pool.find_reason(waiting) is Reason.QUARANTINED
+    assert pool.find_reason(other) is None
