Take a stream that ends inside an event for broken off

What callers saw: a stream whose target closed the connection in the middle of an event came as a complete success, with its half event. Cause: what was left in the buffer at the end was passed on and the reply finished. Now it is an error like any other break, so the stream goes on at another target where it may, and otherwise the caller's connection ends without the last chunk. Answers without length or chunks, whole and reset, were right before; they have tests now.

--- a/hornbeampulley/node/_exchanges.py
+++ b/hornbeampulley/node/_exchanges.py
@@ -259,8 +259,13 @@
             if whole:
                 await self._forward_events(status, headers, whole)
                 self._events += call.events.count - before
-        if call.events.incomplete:
-            await self._forward_events(status, headers, call.events.incomplete)
+        rest = call.events.incomplete
+        if rest.strip() and self.metadata.is_stream:
+            raise ResponseBrokenError(
+                'a stream ended inside an event; look at the log of the target',
+            )
+        if rest:
+            await self._forward_events(status, headers, rest)
         if not call.reply.is_started:
             await call.reply.start(status, headers)
             call.status = status
