--- a/hornbeampulley/node/_store_view.py
+++ b/hornbeampulley/node/_store_view.py
@@ -216,6 +216,7 @@
         TargetNotice
             State of that run, and since when it is known.
         """
+        self.apply_overdue_removals()
         known = self.targets.records.get(record.name)
         is_same_run = known is not None and known.born_ms == record.born_ms
         state = known.state.value if is_same_run else GONE
--- a/tests/test_node_store_view.py
+++ b/tests/test_node_store_view.py
@@ -89,6 +89,21 @@
     assert 'a' not in other.targets.records
 
 
+# DRAIN: removals that are due took effect at the next tick, which is late on a
+# busy host.
+def test_a_target_is_gone_as_soon_as_its_removal_is_due():
+    clock = ManualClock()
+    store_view = make(clock)
+    store_view.apply_items([server('a', 1), server('b', 2)], 'store')
+    record = store_view.targets.records['a']
+    store_view.record_outage()
+    store_view.apply_items([gone('a', 4)], 'store')
+    clock.advance(1799)
+    assert store_view.get_notice(record).is_open
+    clock.advance(1)
+    assert not store_view.get_notice(record).is_open
+
+
 def test_a_target_that_registers_again_is_kept():
     clock = ManualClock()
     store_view = make(clock)
