--- a/hornbeampulley/node/_store_view.py
+++ b/hornbeampulley/node/_store_view.py
@@ -10,6 +10,7 @@
 
 from hornbeampulley.clock import Clock
 from hornbeampulley.logs import log_event
+from hornbeampulley.node._held_removals import HeldRemovals
 from hornbeampulley.node.stored import Decoder, StoredItem
 from hornbeampulley.routing import (
     RoutingTable,
@@ -19,10 +20,6 @@
 )
 
 TOMBSTONE_MS: Final = 60_000.0
-# Items that expired during an outage of the store are written again within
-# about two seconds of its end, and a target that has left must get no new
-# request after two seconds; so removals are held back for a little less.
-REMOVAL_HOLD_MS: Final = 1800.0
 MASS_LOSS_SHARE: Final = 0.34
 MASS_LOSS_COUNT: Final = 2
 PEER: Final = 'peer'
@@ -71,14 +68,6 @@
     taken_ms: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _HeldRemoval:
-    """A removal held back because the target may be registered again."""
-
-    item: StoredItem
-    until_ms: float
-
-
 class StoreView:
     """Applies items of the store, read from the store itself or from peers.
 
@@ -114,8 +103,7 @@
         self._items: dict[str, _KeptItem] = {}
         self._routing_revision = 0
         self._targets_revision = 0
-        self._held_removals: dict[str, _HeldRemoval] = {}
-        self._outage_grace_until_ms = 0.0
+        self._held_removals = HeldRemovals(clock)
 
     @property
     def position(self) -> Position:
@@ -134,11 +122,8 @@
         self._targets_revision = max(self._targets_revision, position.targets)
 
     def record_outage(self) -> None:
-        """Record an outage of the store, as expired items may come back.
-
-        Removals are held back until `REMOVAL_HOLD_MS` from now.
-        """
-        self._outage_grace_until_ms = self._clock.now() + REMOVAL_HOLD_MS
+        """Hold removals back for a while, as expired items may come back."""
+        self._held_removals.record_outage()
 
     def apply_items(self, items: Iterable[StoredItem], source: str) -> None:
         """Apply items of the store; items that are not newer are ignored.
@@ -152,7 +137,7 @@
         """
         newer = [item for item in items if self._is_new(item)]
         self._detect_mass_loss(newer)
-        held_ms = self._outage_grace_until_ms - self._clock.now()
+        held_ms = self._held_removals.grace_ms
         for item in newer:
             self._apply_item(item, source, held_ms)
             self._advance_past(item)
@@ -242,18 +227,11 @@
             is_routing = kept.item.key == self._decoder.routing_prefix
             known = position.routing if is_routing else position.targets
             if kept.item.revision > known:
-                yield self._add_held_ms(kept.item)
+                yield self._held_removals.add_time_left(kept.item)
 
     def apply_overdue_removals(self) -> None:
         """Apply the removals whose time of being held back is over."""
-        now_ms = self._clock.now()
-        overdue = [
-            held.item
-            for held in self._held_removals.values()
-            if now_ms >= held.until_ms
-        ]
-        for item in overdue:
-            self._held_removals.pop(item.key)
+        for item in self._held_removals.pop_due():
             self._remove(item, 'outage_over')
 
     def sweep(self) -> None:
@@ -279,13 +257,6 @@
             log_event(_log, 'outage_suspected', lost=lost, known=known)
             self.record_outage()
 
-    def _add_held_ms(self, item: StoredItem) -> StoredItem:
-        held = self._held_removals.get(item.key)
-        if held is None:
-            return item
-        left_ms = max(held.until_ms - self._clock.now(), 0)
-        return dataclasses.replace(item, held_ms=left_ms)
-
     def _apply_item(
         self,
         item: StoredItem,
@@ -303,7 +274,7 @@
         if record is None:
             self._remove(item, source)
             return
-        self._held_removals.pop(item.key, None)
+        self._held_removals.drop(item.key)
         self._apply_record(record, item, source)
 
     def _advance_past(self, item: StoredItem) -> None:
@@ -357,11 +328,10 @@
         held_ms: float,
     ) -> None:
         if held_ms <= 0:
-            self._held_removals.pop(item.key, None)
+            self._held_removals.drop(item.key)
             self._remove(item, source)
             return
-        until_ms = self._clock.now() + held_ms
-        self._held_removals[item.key] = _HeldRemoval(item, until_ms)
+        self._held_removals.hold(item, held_ms)
         log_event(
             _log,
             'target_missing',
