Tell the own part of a prompt once

It was sent twice for prompts of fewer than 32 parts, so it counted as a shared part too. No request was refused for that, as a part is only quarantined under different prompts, but evidence was kept for each single request.

--- a/hornbeampulley/node/_reserves.py
+++ b/hornbeampulley/node/_reserves.py
@@ -57,11 +57,12 @@
 
 def _list_suspect_parts(call: Call) -> tuple[int, ...]:
     """List the parts that may crash a target; none if its answer has begun."""
-    if call.events.count or not call.is_model:
+    parts = call.metadata.parts
+    if call.events.count or not call.is_model or not parts:
         return ()
-    ids = [part.name & PART_MASK for part in call.metadata.parts]
+    *shared, own = [part.name & PART_MASK for part in parts]
     # The last one is the request's own and only tells prompts apart.
-    return tuple(ids[: MAX_SUSPECT_PARTS - 1] + ids[-1:])
+    return (*shared[: MAX_SUSPECT_PARTS - 1], own)
 
 
 def _get_expected_tokens(call: Call) -> int:
