--- a/hornbeampulley/node/_peers.py
+++ b/hornbeampulley/node/_peers.py
@@ -60,6 +60,7 @@
         self._homes: dict[str, Link] = {}
         self._replaced: set[Link] = set()
         scheduling.quarantines.on_change = self._broadcast
+        scheduling.quarantines.on_content = self._broadcast_content
 
     def receive(self, link: Link, message: Any) -> None:
         """Handle a message of a peer.
@@ -86,11 +87,8 @@
                 self.caps.handle_grant(message)
             case ttypes.StoredItems():
                 self._apply_items(message, peer)
-            case ttypes.PartQuarantine():
-                decision = read_part_quarantine(message)
-                self._scheduling.apply_quarantine(
-                    PoolQuarantine(message.pool, decision), peer
-                )
+            case ttypes.Quarantine() | ttypes.PartQuarantine():
+                self._apply_quarantine(message, peer)
             case _:
                 self._serve(link, message)
 
@@ -183,9 +181,24 @@
         self._homes[peer] = link
         self._send_quarantines(link)
 
+    def _apply_quarantine(self, message: Any, peer: str) -> None:
+        if isinstance(message, ttypes.Quarantine):
+            self._scheduling.apply_content_quarantine(int(message.fingerprint))
+            return
+        decision = read_part_quarantine(message)
+        self._scheduling.apply_quarantine(
+            PoolQuarantine(message.pool, decision), peer
+        )
+
     def _send_quarantines(self, link: Link) -> None:
         for known in tuple(self._scheduling.quarantines.list_all()):
             link.send(write_part_quarantine(known.pool, known.decision))
+        for fingerprint in self._scheduling.quarantines.contents:
+            link.send(ttypes.Quarantine(fingerprint))
+
+    def _broadcast_content(self, fingerprint: int) -> None:
+        for link in self._homes.values():
+            link.send(ttypes.Quarantine(fingerprint))
 
     def _broadcast(self, quarantine: PoolQuarantine) -> None:
         """Tell all homes of a quarantine that this node has decided."""
--- a/hornbeampulley/node/_quarantines.py
+++ b/hornbeampulley/node/_quarantines.py
@@ -1,4 +1,4 @@
-"""Quarantined parts of prompts that a node knows of, for all pools.
+"""Quarantined contents and parts of prompts that a node knows of.
 
 Each node keeps what the owner of a pool has decided, and tells the next owner,
 so that a decision outlives the owner that made it.
@@ -41,7 +41,7 @@
 
 
 class QuarantineStore:
-    """Keeps the latest decision for each part, and tells of new ones.
+    """Keeps the latest decisions, and tells of new ones.
 
     Parameters
     ----------
@@ -52,13 +52,46 @@
     ----------
     on_change : callable
         Called with each `PoolQuarantine` that this node's scheduler decides.
+    on_content : callable
+        Called with the fingerprint of each content that it quarantines.
     """
 
     def __init__(self, clock: Clock) -> None:
         self.on_change: Callable[[PoolQuarantine], None] = _do_nothing
+        self.on_content: Callable[[int], None] = _ignore_content
         self._clock = clock
+        self._contents: dict[int, None] = {}
         self._kept: dict[tuple[str, int], _Kept] = {}
 
+    @property
+    def contents(self) -> tuple[int, ...]:
+        """Fingerprints of the quarantined contents, oldest first."""
+        return tuple(self._contents)
+
+    def decide_content(self, fingerprint: int) -> None:
+        """Keep a content that this node's scheduler has quarantined.
+
+        Parameters
+        ----------
+        fingerprint : int
+            Hash of the content.
+        """
+        self.keep_content(fingerprint)
+        self.on_content(fingerprint)
+
+    def keep_content(self, fingerprint: int) -> None:
+        """Keep a content that a scheduler has quarantined.
+
+        Parameters
+        ----------
+        fingerprint : int
+            Hash of the content.
+        """
+        self._contents.pop(fingerprint, None)
+        self._contents[fingerprint] = None
+        if len(self._contents) > MAX_QUARANTINES:
+            self._contents.pop(next(iter(self._contents)))
+
     def decide(self, quarantine: PoolQuarantine) -> None:
         """Keep a decision of this node's scheduler and tell the homes.
 
@@ -122,3 +155,7 @@
 
 def _do_nothing(_: PoolQuarantine) -> None:
     """Default of `QuarantineStore.on_change`."""
+
+
+def _ignore_content(_: int) -> None:
+    """Default of `QuarantineStore.on_content`."""
--- a/hornbeampulley/node/_scheduling.py
+++ b/hornbeampulley/node/_scheduling.py
@@ -13,6 +13,7 @@
 
 TAKEOVER_MS: Final = 300.0
 IDLE_POOL_MS: Final = 20_000.0
+QUARANTINED: Final = 'quarantined'
 _SEED: Final = 1
 _log = logging.getLogger(__name__)
 
@@ -154,6 +155,18 @@
         if pool is not None:
             self._handle(pool, quarantine.decision)
 
+    def apply_content_quarantine(self, fingerprint: int) -> None:
+        """Apply the quarantine of a content that another node has told.
+
+        Parameters
+        ----------
+        fingerprint : int
+            Hash of the content.
+        """
+        self.quarantines.keep_content(fingerprint)
+        for pool in tuple(self._pools.values()):
+            self._handle(pool, decisions.Quarantine(fingerprint))
+
     def find_target_pool(self, target: str) -> str:
         """Return the pool of a target.
 
@@ -251,11 +264,16 @@
             self._pools[name] = pool
             log_event(_log, 'pool_opened', pool=name)
             self._configure_pool(pool)
-            for known in tuple(self.quarantines.list_all(name)):
-                self._handle(pool, known.decision)
+            self._apply_quarantines(pool)
         pool.used_ms = self._clock.now()
         return pool
 
+    def _apply_quarantines(self, pool: _Pool) -> None:
+        for known in tuple(self.quarantines.list_all(pool.name)):
+            self._handle(pool, known.decision)
+        for fingerprint in self.quarantines.contents:
+            self._handle(pool, decisions.Quarantine(fingerprint))
+
     def _configure_pool(self, pool: _Pool) -> None:
         if self._configuration is not None:
             self._handle(pool, decisions.Configure(self._configuration))
@@ -288,6 +306,8 @@
             return
         if isinstance(action, decisions.Warn):
             log_event(_log, action.event, subject=action.subject)
+            if action.event == QUARANTINED:
+                self.quarantines.decide_content(int(action.subject))
             return
         if isinstance(action, decisions.Refuse):
             self._pool_of_request.pop(action.request_id, None)
--- a/tests/test_node_peers.py
+++ b/tests/test_node_peers.py
@@ -65,10 +65,13 @@
     def send(self, home, action):
         self.handler.send_action(home, action)
 
-    def load_items(self):
+    def load_items(self, *targets):
         items = [
             make_item('op/config', make_config(3), 5),
-            make_item('servers/t', ENTRY, 6),
+            *(
+                make_item(f'servers/{name}', ENTRY, 6)
+                for name in targets or ('t',)
+            ),
         ]
         self.store_view.apply_items(items, 'store')
         table = self.store_view.table
--- a/tests/test_node_quarantines.py
+++ b/tests/test_node_quarantines.py
@@ -100,3 +100,45 @@
         decision = PartQuarantine(part, 1, 1)
         store.keep(PoolQuarantine('ledger', decision), HOME)
     assert len(list(store.list_all())) == MAX_QUARANTINES
+
+
+def crash_target(side, counter, fingerprint):
+    """Run a request with a content and let its target crash."""
+    request_id = f'{HOME}.0.{counter}'
+    side.scheduling.handle_event(
+        decisions.Reserve(
+            request_id,
+            HOME,
+            'w',
+            'once@ledger',
+            'tier-1',
+            fingerprint=fingerprint,
+        ),
+    )
+    side.scheduling.handle_event(
+        decisions.Release(request_id, decisions.Outcome.CRASHED),
+    )
+    side.clock.advance(5000)
+    side.scheduling.tick()
+
+
+# BUDGET: the same loss with whole contents that crash targets.
+def test_a_content_that_crashes_targets_is_told_to_homes_and_next_owners():
+    owner, home, successor = NodeSide(), NodeSide(), NodeSide()
+    owner.load_items('t', 'u', 'v')
+    link = owner.open_home_link()
+    for counter in (1, 2):
+        crash_target(owner, counter, fingerprint=5)
+    told = [one for one in link.sent if isinstance(one, ttypes.Quarantine)]
+    assert [one.fingerprint for one in told] == [5]
+    home.handler.lease_client = ReachableLeaseClient()
+    home.handler.receive(FakeLink(), told[0])
+    to_successor = FakeLink()
+    home.handler.on_link_ready(to_successor)
+    successor.load_items('t', 'u', 'v')
+    link = successor.open_home_link()
+    for message in to_successor.sent:
+        successor.handler.receive(link, message)
+    crash_target(successor, 3, fingerprint=5)
+    (refusal,) = [one for one in link.sent if isinstance(one, ttypes.Refuse)]
+    assert not refusal.ran
