Suspect a prompt also if its first token still came before the crash

An answer now clears the parts of its prompt after half a second, or when it ends. The test failed before.

--- a/hornbeampulley/decisions/_completion.py
+++ b/hornbeampulley/decisions/_completion.py
@@ -1,5 +1,6 @@
 """Handles progress, completion and failure of running requests."""
 
+from collections import deque
 from typing import Final
 
 from hornbeampulley.decisions._actions import (
@@ -17,6 +18,9 @@
 
 OVERDUE_FACTOR: Final = 5.0
 OVERDUE_MARGIN_MS: Final = 500.0
+# An answer shows that its prompt crashes no target only after this time, as
+# its first token may still come from a target that ends.
+ANSWERING_MS: Final = 500.0
 
 
 class Completion:
@@ -33,6 +37,7 @@
     def __init__(self, state: State, preemptor: Preemptor) -> None:
         self._state = state
         self._preemptor = preemptor
+        self._begun: deque[Request] = deque()
 
     def handle_progress(self, event: Progress) -> None:
         """Record the progress of a running request.
@@ -42,7 +47,9 @@
         request = self._state.request_table.find(event.request_id)
         if request is None or request.is_waiting:
             return
-        self._record_begun(request)
+        if not request.begun_ms:
+            request.begun_ms = self._state.now_ms
+            self._begun.append(request)
         request.output_tokens = max(event.output_tokens, request.output_tokens)
         self._sample_first_token(request, event.first_token_ms)
 
@@ -51,9 +58,9 @@
         request = self._state.request_table.find(event.request_id)
         if request is None or request.is_waiting:
             return
-        if event.first_token_ms or event.outcome is Outcome.DONE:
-            self._record_begun(request)
-        if event.outcome is Outcome.CRASHED:
+        if event.outcome is Outcome.DONE:
+            self._clear_parts(request)
+        elif event.outcome is Outcome.CRASHED:
             self.handle_crash(request.target, request)
         elif event.outcome is Outcome.CANCELLED and request.crash_counted:
             self._state.deadly_parts.retract(request.reserve.prompt_parts)
@@ -124,6 +131,14 @@
                 self._state.queue.remove(request)
                 self._state.refuse(request, Reason.QUARANTINED)
 
+    def clear_answered(self) -> None:
+        """Clear the parts of prompts on which answers have begun."""
+        while self._begun and self._is_answering(self._begun[0]):
+            request = self._begun.popleft()
+            is_running = request.stage is Stage.RUNNING
+            if is_running and not request.crash_counted:
+                self._clear_parts(request)
+
     def check_overdue(self) -> None:
         """Record slow samples for targets whose oldest request is overdue."""
         for target in self._state.fleet:
@@ -155,16 +170,25 @@
         """Count a crash against the prompts without an answer so far."""
         quarantines = self._state.deadly_parts.record_crash(
             target,
-            [one.reserve.prompt_parts for one in requests if not one.has_begun],
+            [
+                request.reserve.prompt_parts
+                for request in requests
+                if not self._is_answering(request)
+            ],
             self._state.now_ms,
         )
         self._state.actions.extend(quarantines)
         for quarantine in quarantines:
             self.refuse_with_part(quarantine.part)
 
-    def _record_begun(self, request: Request) -> None:
-        if not request.has_begun:
-            request.has_begun = True
+    def _is_answering(self, request: Request) -> bool:
+        """Tell whether a target has answered a request for some time."""
+        begun_ms = request.begun_ms
+        return begun_ms > 0 and self._state.now_ms - begun_ms >= ANSWERING_MS
+
+    def _clear_parts(self, request: Request) -> None:
+        if not request.are_parts_cleared:
+            request.are_parts_cleared = True
             self._state.actions.extend(
                 self._state.deadly_parts.record_begun(
                     request.reserve.prompt_parts,
--- a/hornbeampulley/decisions/_core.py
+++ b/hornbeampulley/decisions/_core.py
@@ -263,6 +263,7 @@
 
     def _tick(self, _: Tick) -> None:
         self._state.drain.advance(self._state.now_ms)
+        self._completion.clear_answered()
         self._completion.check_overdue()
         self._refresh_best_rates()
         for target in self._state.fleet:
--- a/hornbeampulley/decisions/_dispatch.py
+++ b/hornbeampulley/decisions/_dispatch.py
@@ -269,7 +269,7 @@
             cached_tokens = request.reserve.prompt_tokens
         request.expected_cached = cached_tokens
         request.cached_tokens = cached_tokens
-        request.has_begun = False
+        request.begun_ms = 0
         request.crash_counted = False
         request.delay_sampled = False
         expected_ms = self._state.cost.estimate_duration(
--- a/hornbeampulley/decisions/_requests.py
+++ b/hornbeampulley/decisions/_requests.py
@@ -55,8 +55,10 @@
         Prompt tokens in the target's cache by the latest information.
     output_tokens : int
         Output tokens produced so far.
-    has_begun : bool
-        Whether its target has begun to answer.
+    begun_ms : float
+        When its target began to answer; 0 before.
+    are_parts_cleared : bool
+        Whether its answer has shown that its prompt crashes no target.
     resume : bool
         Whether it was preempted before.
     preemptible : bool
@@ -84,7 +86,8 @@
     expected_cached: int = 0
     cached_tokens: int = 0
     output_tokens: int = 0
-    has_begun: bool = False
+    begun_ms: float = 0
+    are_parts_cleared: bool = False
     resume: bool = False
     preemptible: bool = False
     preempting: bool = False
--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -7,7 +7,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hornbeampulley.decisions import Outcome, PartQuarantine, Progress, Reason
+from hornbeampulley.decisions import (
+    Outcome,
+    PartQuarantine,
+    Progress,
+    Reason,
+    Tick,
+)
+from hornbeampulley.decisions._completion import ANSWERING_MS
 from hornbeampulley.decisions._deadly_parts import (
     FIRST_PERIOD_MS,
     PERIOD_FACTOR,
@@ -166,11 +173,26 @@
             prompt_parts=make_prompt(SOUND, number), fingerprint=number + 1
         )
         pool.send(Progress(begun, 1, 50))
+        pool.send(Tick(), wait_ms=ANSWERING_MS)
         pool.release(begun, Outcome.CRASHED)
         run_sound(pool, 100 + number)
     assert not [one for one in pool.actions if isinstance(one, PartQuarantine)]
 
 
+# The first token may still reach the home before the target is gone.
+def test_a_part_that_crashes_targets_after_the_first_token_is_found():
+    pool = Pool(targets=4)
+    for number in range(2):
+        deadly = pool.reserve(
+            prompt_parts=make_prompt(DEADLY, number), fingerprint=number + 1
+        )
+        run_sound(pool, 100 + number)
+        pool.send(Progress(deadly, 1, 50))
+        pool.release(deadly, Outcome.CRASHED)
+    late = pool.reserve(prompt_parts=make_prompt(DEADLY, 10))
+    assert pool.find_reason(late) is Reason.QUARANTINED
+
+
 def test_waiting_requests_are_refused_when_another_scheduler_decides():
     pool = Pool(targets=1, slots=1)
     pool.reserve()
