Keep the time at which an answer began beside its request

A request that was preempted and leased again lost the time at the head of the list of begun answers, so that no later one was cleared and the list grew.

--- a/hornbeampulley/decisions/_completion.py
+++ b/hornbeampulley/decisions/_completion.py
@@ -37,7 +37,8 @@
     def __init__(self, state: State, preemptor: Preemptor) -> None:
         self._state = state
         self._preemptor = preemptor
-        self._begun: deque[Request] = deque()
+        # Requests with the times at which their answers began, oldest first.
+        self._begun: deque[tuple[float, Request]] = deque()
 
     def handle_progress(self, event: Progress) -> None:
         """Record the progress of a running request.
@@ -49,7 +50,7 @@
             return
         if not request.begun_ms:
             request.begun_ms = self._state.now_ms
-            self._begun.append(request)
+            self._begun.append((request.begun_ms, request))
         request.output_tokens = max(event.output_tokens, request.output_tokens)
         self._sample_first_token(request, event.first_token_ms)
 
@@ -133,8 +134,9 @@
 
     def clear_answered(self) -> None:
         """Clear the parts of prompts on which answers have begun."""
-        while self._begun and self._is_answering(self._begun[0]):
-            request = self._begun.popleft()
+        latest_ms = self._state.now_ms - ANSWERING_MS
+        while self._begun and self._begun[0][0] <= latest_ms:
+            _, request = self._begun.popleft()
             is_running = request.stage is Stage.RUNNING
             if is_running and not request.crash_counted:
                 self._clear_parts(request)
--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -181,6 +181,22 @@
     assert not [one for one in pool.actions if isinstance(one, PartQuarantine)]
 
 
+# A request that was preempted and leased again stopped all later ones from
+# being cleared.
+def test_an_answer_that_begins_anew_does_not_hold_up_the_others():
+    pool = Pool(targets=4)
+    first = pool.reserve()
+    pool.send(Progress(first, 1, 50))
+    pool.release(first, Outcome.PREEMPTED)
+    pool.send(PartQuarantine(SOUND, 60_000, 60_000))
+    pool.send(PartQuarantine(SOUND))
+    sound = pool.reserve(prompt_parts=make_prompt(SOUND, 10))
+    pool.send(Progress(sound, 1, 50))
+    pool.send(PartQuarantine(SOUND, 60_000, 60_000))
+    pool.send(Tick(), wait_ms=ANSWERING_MS)
+    assert pool.actions[-1] == PartQuarantine(SOUND)
+
+
 # The first token may still reach the home before the target is gone.
 def test_a_part_that_crashes_targets_after_the_first_token_is_found():
     pool = Pool(targets=4)
