--- a/hornbeampulley/decisions/_baselines.py
+++ b/hornbeampulley/decisions/_baselines.py
@@ -5,10 +5,7 @@
 from typing import Final
 
 from hornbeampulley.configuration import Configuration, Target, Tier
-from hornbeampulley.decisions._actions import (
-    Action,
-    Lease,
-)
+from hornbeampulley.decisions._actions import Action, Lease
 from hornbeampulley.decisions._events import (
     Configure,
     Event,
--- a/hornbeampulley/decisions/_completion.py
+++ b/hornbeampulley/decisions/_completion.py
@@ -3,14 +3,8 @@
 from collections import deque
 from typing import Final
 
-from hornbeampulley.decisions._actions import (
-    Reason,
-)
-from hornbeampulley.decisions._events import (
-    Outcome,
-    Progress,
-    Release,
-)
+from hornbeampulley.decisions._actions import Reason
+from hornbeampulley.decisions._events import Outcome, Progress, Release
 from hornbeampulley.decisions._preemption import Preemptor
 from hornbeampulley.decisions._requests import Request, Stage
 from hornbeampulley.decisions._state import State
--- a/hornbeampulley/decisions/_core.py
+++ b/hornbeampulley/decisions/_core.py
@@ -5,10 +5,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from hornbeampulley.decisions._actions import (
-    Action,
-    Reason,
-)
+from hornbeampulley.decisions._actions import Action, Reason
 from hornbeampulley.decisions._completion import Completion, mark_running
 from hornbeampulley.decisions._cost import CostModel
 from hornbeampulley.decisions._dispatch import Dispatcher
--- a/hornbeampulley/decisions/_cost.py
+++ b/hornbeampulley/decisions/_cost.py
@@ -7,10 +7,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from hornbeampulley.decisions._events import (
-    Release,
-    Reserve,
-)
+from hornbeampulley.decisions._events import Release, Reserve
 from hornbeampulley.decisions._requests import Request
 
 DEFAULT_PREFILL_MS_PER_TOKEN: Final = 0.05
--- a/hornbeampulley/decisions/_dispatch.py
+++ b/hornbeampulley/decisions/_dispatch.py
@@ -2,13 +2,8 @@
 
 from typing import Final, NamedTuple
 
-from hornbeampulley.decisions._actions import (
-    Lease,
-    Reason,
-)
-from hornbeampulley.decisions._events import (
-    Reserve,
-)
+from hornbeampulley.decisions._actions import Lease, Reason
+from hornbeampulley.decisions._events import Reserve
 from hornbeampulley.decisions._isolation import Isolation
 from hornbeampulley.decisions._placement import PrefixMatch
 from hornbeampulley.decisions._requests import Request, Stage
--- a/hornbeampulley/decisions/_feasibility.py
+++ b/hornbeampulley/decisions/_feasibility.py
@@ -9,9 +9,7 @@
 from typing import Final
 
 from hornbeampulley.decisions._cost import CostModel
-from hornbeampulley.decisions._events import (
-    Reserve,
-)
+from hornbeampulley.decisions._events import Reserve
 from hornbeampulley.decisions._requests import Request
 from hornbeampulley.decisions._targets import TargetState
 
--- a/hornbeampulley/decisions/_placement.py
+++ b/hornbeampulley/decisions/_placement.py
@@ -8,9 +8,7 @@
 from typing import Final
 
 from hornbeampulley.decisions._cost import smooth
-from hornbeampulley.decisions._events import (
-    CacheEvent,
-)
+from hornbeampulley.decisions._events import CacheEvent
 
 DEFAULT_CACHE_BLOCKS: Final = 4096
 GAP_TRUST_FACTOR: Final = 0.95
--- a/hornbeampulley/decisions/_policies.py
+++ b/hornbeampulley/decisions/_policies.py
@@ -3,12 +3,8 @@
 from collections.abc import Callable
 from typing import Final, Protocol
 
-from hornbeampulley.decisions._actions import (
-    Action,
-)
-from hornbeampulley.decisions._events import (
-    Event,
-)
+from hornbeampulley.decisions._actions import Action
+from hornbeampulley.decisions._events import Event
 from hornbeampulley.registry import Registry
 
 
--- a/hornbeampulley/decisions/_request_table.py
+++ b/hornbeampulley/decisions/_request_table.py
@@ -4,9 +4,7 @@
 from collections.abc import Iterator
 from typing import Final
 
-from hornbeampulley.decisions._events import (
-    Reserve,
-)
+from hornbeampulley.decisions._events import Reserve
 from hornbeampulley.decisions._requests import Request, Stage
 
 MAX_ENDED: Final = 16384
--- a/hornbeampulley/decisions/_requests.py
+++ b/hornbeampulley/decisions/_requests.py
@@ -3,9 +3,7 @@
 import dataclasses
 import enum
 
-from hornbeampulley.decisions._events import (
-    Reserve,
-)
+from hornbeampulley.decisions._events import Reserve
 
 
 class Stage(enum.Enum):
--- a/hornbeampulley/decisions/_shedding.py
+++ b/hornbeampulley/decisions/_shedding.py
@@ -2,9 +2,7 @@
 
 from typing import Final
 
-from hornbeampulley.decisions._actions import (
-    Reason,
-)
+from hornbeampulley.decisions._actions import Reason
 from hornbeampulley.decisions._requests import Request
 from hornbeampulley.decisions._state import State
 
--- a/hornbeampulley/decisions/_state.py
+++ b/hornbeampulley/decisions/_state.py
@@ -5,12 +5,7 @@
 from typing import Final
 
 from hornbeampulley.configuration import Configuration
-from hornbeampulley.decisions._actions import (
-    Action,
-    Reason,
-    Refuse,
-    Warn,
-)
+from hornbeampulley.decisions._actions import Action, Reason, Refuse, Warn
 from hornbeampulley.decisions._cost import CostModel
 from hornbeampulley.decisions._deadly_parts import DeadlyParts
 from hornbeampulley.decisions._drain import DrainRate
