--- a/hornbeampulley/node/_counters.py
+++ b/hornbeampulley/node/_counters.py
@@ -4,7 +4,7 @@
 
 import prometheus_client
 
-from hornbeampulley.clock import MS_PER_SECOND
+from hornbeampulley.clock import MS_PER_SECOND, to_seconds
 from hornbeampulley.node._calls import Call
 
 _BUCKETS_S: Final = (0.01, 0.03, 0.1, 0.2, 0.4, 0.7, 1, 2, 4, 8, 16)
@@ -62,6 +62,11 @@
             'Requests that wait or run.',
             registry=registry,
         )
+        self._view_age = prometheus_client.Gauge(
+            'hornbeam_view_age_seconds',
+            'Time since the view is known to have matched the store.',
+            registry=registry,
+        )
         self._lost_lines = prometheus_client.Counter(
             'hornbeam_lost_log_lines',
             'Log lines dropped to keep the volume bounded.',
@@ -108,13 +113,15 @@
         """
         self._lost_lines.inc(count)
 
-    def format(self, open_requests: int) -> bytes:
+    def format(self, open_requests: int, view_age_ms: float) -> bytes:
         """Return all metrics as text.
 
         Parameters
         ----------
         open_requests : int
             Number of requests that wait or run now.
+        view_age_ms : float
+            Time since the view is known to have matched the store, in ms.
 
         Returns
         -------
@@ -122,4 +129,5 @@
             Metrics in the text format of Prometheus.
         """
         self._open.set(open_requests)
+        self._view_age.set(to_seconds(view_age_ms))
         return prometheus_client.generate_latest(self._registry)
--- a/hornbeampulley/node/_endpoints.py
+++ b/hornbeampulley/node/_endpoints.py
@@ -7,6 +7,7 @@
 from hornbeampulley.http1 import Reply, Request
 from hornbeampulley.node._counters import Counters
 from hornbeampulley.node._entry_choice import choose_entries
+from hornbeampulley.node._freshness import Freshness
 from hornbeampulley.node._membership import Membership
 from hornbeampulley.node.dialect import Dialect
 
@@ -105,15 +106,19 @@
         Metrics of the node.
     count_open : callable
         Returns the number of open requests.
+    freshness : Freshness
+        How long ago the view matched the store.
     """
 
     def __init__(
         self,
         counters: Counters,
         count_open: Callable[[], int],
+        freshness: Freshness,
     ) -> None:
         self._counters = counters
         self._count_open = count_open
+        self._freshness = freshness
 
     async def answer(self, request: Request, reply: Reply) -> None:
         """Answer with all metrics as text.
@@ -125,5 +130,5 @@
         reply : Reply
             Response to write.
         """
-        text = self._counters.format(self._count_open())
+        text = self._counters.format(self._count_open(), self._freshness.age_ms)
         await reply.send(200, _TEXT, text)
--- a/hornbeampulley/node/_exchanges.py
+++ b/hornbeampulley/node/_exchanges.py
@@ -152,6 +152,7 @@
             limit_ms=round(dispatch.time_limit_ms),
             target_state=notice.state,
             target_age_ms=round(notice.age_ms),
+            view_age_ms=round(notice.view_age_ms),
             reused=connection.uses > 0,
         )
         result: list[Attempt] = []
--- a/hornbeampulley/node/_filters.py
+++ b/hornbeampulley/node/_filters.py
@@ -193,4 +193,5 @@
         took_ms=round(took_ms),
         version=call.table.version if call.table else None,
         age_ms=round(home.clock.now() - home.store_view.table_ms),
+        view_age_ms=round(home.store_view.freshness.age_ms),
     )
--- a/hornbeampulley/node/_gossip.py
+++ b/hornbeampulley/node/_gossip.py
@@ -343,7 +343,7 @@
         return ttypes.Position(
             revision=position.targets,
             routing_version=position.routing,
-            age_ms=round(self._positions.age_ms),
+            age_ms=round(self._store_view.freshness.age_ms),
         )
 
 
--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -149,7 +149,9 @@
         self._serve(listen.directory, ServerOptions(directory.answer))
         self._serve(listen.readiness, ServerOptions(readiness.answer))
         if listen.metrics_port:
-            metrics = MetricsEndpoint(self.counters, self._count_open)
+            metrics = MetricsEndpoint(
+                self.counters, self._count_open, self.store_view.freshness
+            )
             endpoint = Endpoint(self.settings.host.address, listen.metrics_port)
             self._serve(endpoint, ServerOptions(metrics.answer))
 
@@ -217,7 +219,7 @@
         self._positions = PeerPositions(self.store_view, self.clock)
         self._election = ReaderElection(
             self.membership,
-            self._positions,
+            self.store_view.freshness,
             self.clock,
             self._generator,
         )
@@ -358,7 +360,7 @@
             )
             reader.set_active(is_active=is_reader)
         if all(one.is_reached for one in self.readers):
-            self._positions.confirm(
+            self.store_view.freshness.confirm(
                 min(one.confirmed_ms for one in self.readers)
             )
 
--- a/hornbeampulley/node/_positions.py
+++ b/hornbeampulley/node/_positions.py
@@ -1,6 +1,5 @@
 """Which peers have read more of the store, and how fresh that is."""
 
-import math
 from collections.abc import Callable
 from typing import Final
 
@@ -9,7 +8,6 @@
 
 # Positions of this many peers that are ahead are kept.
 MAX_AHEAD: Final = 8
-MAX_AGE_MS: Final = 3_600_000.0
 
 
 class PeerPositions:
@@ -33,31 +31,14 @@
         self._store_view = store_view
         self._clock = clock
         self._ahead: dict[str, Position] = {}
-        self._confirmed_ms = -math.inf
-
-    @property
-    def age_ms(self) -> float:
-        """Time since a reader is known to have been up to date, in ms.
-
-        At most `MAX_AGE_MS`, also if none is known.
-        """
-        return min(self._clock.now() - self._confirmed_ms, MAX_AGE_MS)
-
-    def confirm(self, moment_ms: float) -> None:
-        """Record that this node was up to date with the store.
-
-        Parameters
-        ----------
-        moment_ms : float
-            Time of the store's answer, in ms.
-        """
-        self._confirmed_ms = max(self._confirmed_ms, moment_ms)
 
     def record(
         self, address: str, position: Position, age_ms: float | None
     ) -> None:
         """Record the position of a peer.
 
+        A peer that is not ahead and is up to date shows that this node is.
+
         Parameters
         ----------
         address : str
@@ -65,14 +46,12 @@
         position : Position
             What it has read or received.
         age_ms : float or None
-            Time since it knows that a reader was up to date, in ms; None if
-            it has not told.
+            Time since its view is known to have been up to date, in ms; None
+            if it has not told.
         """
-        if age_ms is not None:
-            sent_ms = self._clock.now() - max(age_ms, 0)
-            self._confirmed_ms = max(self._confirmed_ms, sent_ms)
         self._ahead.pop(address, None)
         if not self._is_ahead(position):
+            self._confirm(age_ms)
             return
         self._ahead[address] = position
         if len(self._ahead) > MAX_AHEAD:
@@ -94,6 +73,11 @@
         }
         return list(reversed(self._ahead))
 
+    def _confirm(self, age_ms: float | None) -> None:
+        if age_ms is not None:
+            sent_ms = self._clock.now() - max(age_ms, 0)
+            self._store_view.freshness.confirm(sent_ms)
+
     def _is_ahead(self, position: Position) -> bool:
         own = self._store_view.position
         return position.routing > own.routing or position.targets > own.targets
--- a/hornbeampulley/node/_reader_election.py
+++ b/hornbeampulley/node/_reader_election.py
@@ -4,8 +4,8 @@
 from typing import Final
 
 from hornbeampulley.clock import Clock
+from hornbeampulley.node._freshness import Freshness
 from hornbeampulley.node._membership import Membership
-from hornbeampulley.node._positions import PeerPositions
 
 # Up to this many hosts all read the store.
 ALL_READ_HOSTS: Final = 16
@@ -14,7 +14,7 @@
 # of what the readers among them have read.
 JOIN_MS: Final = 600.0
 FIRST_NEWS_MS: Final = 900.0
-# A host reads the store itself if no reader was up to date for this long.
+# A host reads the store itself if it may have been behind for this long.
 STALE_MS: Final = 5000.0
 MAX_JITTER_MS: Final = 1000.0
 # Afterwards it reads for at least this long, so that it need not list again.
@@ -28,7 +28,7 @@
     ----------
     membership : Membership
         Live nodes.
-    positions : PeerPositions
+    freshness : Freshness
         Tells how fresh the view of the store is.
     clock : Clock
         Monotonic clock.
@@ -39,12 +39,12 @@
     def __init__(
         self,
         membership: Membership,
-        positions: PeerPositions,
+        freshness: Freshness,
         clock: Clock,
         generator: random.Random,
     ) -> None:
         self._membership = membership
-        self._positions = positions
+        self._freshness = freshness
         self._clock = clock
         self._started_ms = clock.now()
         self._stale_ms = STALE_MS + generator.uniform(0, MAX_JITTER_MS)
@@ -61,8 +61,8 @@
         Returns
         -------
         bool
-            True for a chosen reader, and for a host that knows of none that
-            is up to date.
+            True for a chosen reader, and for a host that may have been behind
+            for too long.
         """
         now_ms = self._clock.now()
         if now_ms < self._started_ms + JOIN_MS:
@@ -74,6 +74,6 @@
     def _has_to_help_itself(self, now_ms: float) -> bool:
         """Tell whether to read although others are chosen for it."""
         has_waited = now_ms >= self._started_ms + JOIN_MS + FIRST_NEWS_MS
-        if has_waited and self._positions.age_ms > self._stale_ms:
+        if has_waited and self._freshness.age_ms > self._stale_ms:
             self._reads_until_ms = now_ms + KEEP_READING_MS
         return now_ms < self._reads_until_ms
--- a/hornbeampulley/node/_store_view.py
+++ b/hornbeampulley/node/_store_view.py
@@ -10,6 +10,7 @@
 
 from hornbeampulley.clock import Clock
 from hornbeampulley.logs import log_event
+from hornbeampulley.node._freshness import Freshness
 from hornbeampulley.node._held_removals import HeldRemovals
 from hornbeampulley.node.stored import Decoder, StoredItem
 from hornbeampulley.routing import (
@@ -51,10 +52,13 @@
         Value of a `TargetState`; `GONE` if the run is no longer registered.
     age_ms : float
         Time since the node learned this, in ms.
+    view_age_ms : float
+        Time since its view is known to have been up to date, in ms.
     """
 
     state: str
     age_ms: float
+    view_age_ms: float
 
     @property
     def is_open(self) -> bool:
@@ -88,6 +92,8 @@
         Time when the routing table came into force, in ms.
     changes : int
         Number of changes of routing table and targets so far.
+    freshness : Freshness
+        How long ago the view is known to have been up to date.
     on_change : callable
         Called after items were applied.
     """
@@ -97,6 +103,7 @@
         self.table_ms = 0.0
         self.targets = TargetTable()
         self.changes = 0
+        self.freshness = Freshness(clock)
         self.on_change: Callable[[], None] = _do_nothing
         self._decoder = decoder
         self._clock = clock
@@ -207,7 +214,11 @@
         state = known.state.value if is_same_run else GONE
         kept = self._items.get(f'{self._decoder.targets_prefix}{record.name}')
         taken_ms = kept.taken_ms if kept else 0
-        return TargetNotice(state, self._clock.now() - taken_ms)
+        return TargetNotice(
+            state,
+            self._clock.now() - taken_ms,
+            self.freshness.age_ms,
+        )
 
     def list_newer(self, position: Position) -> Iterator[StoredItem]:
         """List the items that a peer has not applied.
--- a/tests/test_node_counters.py
+++ b/tests/test_node_counters.py
@@ -16,7 +16,7 @@
 
 
 def test_the_page_lists_every_metric():
-    text = Counters().format(0).decode()
+    text = Counters().format(0, 0).decode()
     section = PAGE.read_text().partition('\n## Metrics by statsd')[0]
     assert list_names(text) == set(re.findall('`(hornbeam_[a-z_]+)', section))
 
@@ -25,7 +25,7 @@
     async def scenario(fleet):
         await fleet.call('/look/a')
         await fleet.call('/none/a')
-        text = fleet.nodes[0].counters.format(0).decode()
+        text = fleet.nodes[0].counters.format(0, 0).decode()
         assert 'hornbeam_answers_total{outcome="answered",status="200"}' in text
         assert 'hornbeam_answers_total{outcome="no_route",status="404"}' in text
         assert 'hornbeam_first_part_seconds_count{rank="1"} 1.0' in text
--- a/tests/test_node_reader_election.py
+++ b/tests/test_node_reader_election.py
@@ -5,7 +5,8 @@
 import pytest
 
 from hornbeampulley.clock import ManualClock
-from hornbeampulley.node._positions import MAX_AGE_MS, PeerPositions
+from hornbeampulley.node._freshness import MAX_AGE_MS
+from hornbeampulley.node._positions import PeerPositions
 from hornbeampulley.node._reader_election import (
     ALL_READ_HOSTS,
     READERS,
@@ -25,9 +26,10 @@
         self.clock = clock
         self.membership = membership
         store_view = StoreView(PlatformDecoder(), clock)
+        self.freshness = store_view.freshness
         self.positions = PeerPositions(store_view, clock)
         self.election = ReaderElection(
-            membership, self.positions, clock, random.Random(1)
+            membership, self.freshness, clock, random.Random(1)
         )
 
     def hear(self, age_ms=0, position=None):
@@ -100,4 +102,14 @@
 def test_a_peer_that_tells_no_age_is_not_taken_for_fresh(many):
     _clock, (side, *_) = many
     side.positions.record(PEER, Position(), None)
-    assert side.positions.age_ms == MAX_AGE_MS
+    assert side.freshness.age_ms == MAX_AGE_MS
+
+
+# CONFIG: nothing told that a host was behind a peer that was up to date.
+def test_a_peer_that_is_ahead_does_not_show_that_the_view_is_fresh(many):
+    _clock, (side, *_) = many
+    side.hear(age_ms=0, position=Position(0, 7))
+    assert side.freshness.age_ms == MAX_AGE_MS
+    side.positions._store_view.advance_position(Position(0, 7))
+    side.hear(age_ms=0, position=Position(0, 7))
+    assert side.freshness.age_ms == 0
--- a/tests/test_node_streams.py
+++ b/tests/test_node_streams.py
@@ -161,7 +161,7 @@
         )
         counters = fleet.nodes[0].counters
         # The request is counted only after its response was sent in full.
-        await wait_until(lambda: served in counters.format(0).decode())
+        await wait_until(lambda: served in counters.format(0, 0).decode())
 
     run_nodes(scenario)
     lines = {one.message: one.event_pairs for one in caplog.records}
