Notice within 3.5 s that the store's answer to a watch was lost

Callers saw requests handled by an old version, or sent to a target that leaves, 2 s and more after the store had acknowledged the change (DRAIN, CONFIG, DENIED).

Cause: a response that gets lost leaves its connection open and mute; a host waited for it for up to 9.5 s. All hosts are woken by the same change and ask again together, so all were deaf together and no peer was ahead. Ruled out: held back after hearing it (no target_missing, no item_refused), one host alone behind (none was ahead).

The store now holds a watch for at most 2.5 s (1.5 s where few hosts read), and its answer gets 1 s beyond that: a lost one is noticed within 3.5 s, before hosts count as in touch again and with more than a second to spare. The waits differ by a fifth, so that hosts do not stay in step.

--- a/hornbeampulley/node/_reading.py
+++ b/hornbeampulley/node/_reading.py
@@ -15,9 +15,14 @@
     StoreUnavailableError,
 )
 
-WAIT_MS: Final = 8000
+# Longest time for which the store may hold a call. A lost answer is noticed only
+# after it, so that this bounds how long a host hears nothing.
+WAIT_MS: Final = 2500
 # Shorter where few hosts read, since the others rely on these being up to date.
-CHOSEN_READER_WAIT_MS: Final = 3000
+CHOSEN_READER_WAIT_MS: Final = 1500
+# Shortest wait, as a share: hosts that were woken by the same change do not all
+# ask again at the same moments.
+MIN_WAIT_SHARE: Final = 0.8
 PAUSE_MS: Final = 150.0
 MAX_PAUSE_MS: Final = 1000.0
 # After one failed call only its connection may have been lost.
@@ -40,8 +45,7 @@
     is_targets : bool
         Whether the items are targets, all of which a list replaces.
     generator : random.Random
-        Jitter for the pauses, which spreads the calls of the hosts after an
-        outage.
+        Jitter for waits and pauses, which spreads the calls of the hosts.
     clock : Clock
         Monotonic clock.
 
@@ -52,7 +56,7 @@
     confirmed_ms : float
         Time of the last answer of the store, in ms.
     wait_ms : int
-        Time for which the store may hold a call without changes.
+        Longest time in ms for which the store may hold a call without changes.
     """
 
     def __init__(
@@ -142,11 +146,15 @@
         changes = await self._store.watch(
             self._prefix,
             self._revision,
-            self.wait_ms,
+            self._choose_wait(),
         )
         self._store_view.apply_items(changes.items, SOURCE)
         self._revision = max(self._revision, changes.revision)
 
+    def _choose_wait(self) -> int:
+        share = self._generator.uniform(MIN_WAIT_SHARE, 1)
+        return round(self.wait_ms * share)
+
     async def _list(self) -> None:
         changes = await self._store.list_items(self._prefix)
         if self._is_targets:
--- a/hornbeampulley/platform/_store.py
+++ b/hornbeampulley/platform/_store.py
@@ -27,6 +27,8 @@
 WATCH_PATH: Final = '/-/kv-watch'
 MAX_ANSWER_BYTES: Final = 16 << 20
 CALL_TIMEOUT_MS: Final = 1500.0
+# For the answer of a watch, beyond the time for which the store holds it.
+WATCH_MARGIN_MS: Final = 1000.0
 _OK: Final = 200
 _GONE: Final = 410
 _SERVER: Final = 'store'
@@ -112,7 +114,7 @@
             If the store does not answer, or answers with an error.
         """
         query = {'prefix': prefix, 'after': revision, 'wait_ms': wait_ms}
-        answer = await self._call(WATCH_PATH, query, wait_ms + CALL_TIMEOUT_MS)
+        answer = await self._call(WATCH_PATH, query, wait_ms + WATCH_MARGIN_MS)
         return _read(_read_events, answer)
 
     async def _call(
