Choose the share of a reader's wait once, not for each watch

tests/test_node_reading.py::test_a_removal_is_held_back_after_an_outage_of_the_store failed in 3 of 7 runs since the last change of the readers, in 0 of 40 before it: the waits drew from the generator of the pauses, in an order that the event loop shuffles, so that the pauses after the outage differed from run to run. With one draw for each reader 40 of 40 pass.

--- a/hornbeampulley/node/_reading.py
+++ b/hornbeampulley/node/_reading.py
@@ -78,6 +78,7 @@
         self._prefix = prefix
         self._is_targets = is_targets
         self._generator = generator
+        self._wait_share = generator.uniform(MIN_WAIT_SHARE, 1)
         self._revision: int | None = None
         self._failures = 0
         self._call_scope = trio.CancelScope()
@@ -146,15 +147,11 @@
         changes = await self._store.watch(
             self._prefix,
             self._revision,
-            self._choose_wait(),
+            round(self.wait_ms * self._wait_share),
         )
         self._store_view.apply_items(changes.items, SOURCE)
         self._revision = max(self._revision, changes.revision)
 
-    def _choose_wait(self) -> int:
-        share = self._generator.uniform(MIN_WAIT_SHARE, 1)
-        return round(self.wait_ms * share)
-
     async def _list(self) -> None:
         changes = await self._store.list_items(self._prefix)
         if self._is_targets:
