Deny no route and no key with a view that may be seconds old

With a view older than 3 s it now answers 503 with Retry-After, which is true: the request has not run.

--- a/hornbeampulley/node/_filters.py
+++ b/hornbeampulley/node/_filters.py
@@ -18,6 +18,10 @@
 
 NOT_READY_MS: Final = 500.0
 DRAINING_MS: Final = 50.0
+# A host whose view may be older than this doesn't tell that a route or a key
+# does not exist: it may have been added meanwhile.
+MAX_VIEW_AGE_MS: Final = 3000.0
+OLD_VIEW_MS: Final = 300.0
 _log = logging.getLogger(__name__)
 
 Filter = Callable[[Home, Call], Awaitable[None]]
@@ -68,6 +72,7 @@
     path = call.request.path.decode('latin-1')
     route = call.table.find_route(call.metadata.host, path)
     if route is None:
+        _check_view_age(home)
         raise CallError(
             404,
             'no_route',
@@ -100,6 +105,7 @@
     if call.workspace is None:
         if call.route.is_anonymous:
             return
+        _check_view_age(home)
         raise CallError(
             401,
             'unknown_key',
@@ -161,6 +167,19 @@
         _log_answer(home, call)
 
 
+def _check_view_age(home: Home) -> None:
+    """Refuse for now what the operators may have allowed meanwhile."""
+    age_ms = home.store_view.freshness.age_ms
+    if age_ms > MAX_VIEW_AGE_MS:
+        raise CallError(
+            503,
+            'old_view',
+            f'this host has not heard of changes for {age_ms:.0f} ms and does '
+            'not know the route or the key; come back soon',
+            OLD_VIEW_MS,
+        )
+
+
 def _make_internal_error() -> CallError:
     return CallError(
         502,
--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -216,6 +216,8 @@
             self._generator,
             self.clock,
         )
+        for reader in self.readers:
+            reader.on_answer = self._confirm_view
         self._positions = PeerPositions(self.store_view, self.clock)
         self._election = ReaderElection(
             self.membership,
@@ -359,6 +361,9 @@
                 WAIT_MS if reads_everywhere else CHOSEN_READER_WAIT_MS
             )
             reader.set_active(is_active=is_reader)
+
+    def _confirm_view(self) -> None:
+        """Record that the view is up to date, if both readers know that."""
         if all(one.is_reached for one in self.readers):
             self.store_view.freshness.confirm(
                 min(one.confirmed_ms for one in self.readers)
--- a/hornbeampulley/node/_reading.py
+++ b/hornbeampulley/node/_reading.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+from collections.abc import Callable
 from typing import Final
 
 import trio
@@ -55,6 +56,8 @@
         Whether the last call succeeded.
     confirmed_ms : float
         Time of the last answer of the store, in ms.
+    on_answer : callable
+        Called after each answer of the store.
     wait_ms : int
         Longest time in ms for which the store may hold a call without changes.
     """
@@ -72,6 +75,7 @@
         self._clock = clock
         self.is_reached = False
         self.confirmed_ms = 0.0
+        self.on_answer: Callable[[], None] = _do_nothing
         self.wait_ms = WAIT_MS
         self._store = store
         self._store_view = store_view
@@ -183,6 +187,7 @@
             self._record_outage()
         self.is_reached = True
         self._failures = 0
+        self.on_answer()
 
     async def _handle_failure(self, error: Exception) -> None:
         self._failures += 1
@@ -254,3 +259,7 @@
             clock=clock,
         ),
     )
+
+
+def _do_nothing() -> None:
+    """Default of `PrefixReader.on_answer`."""
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -9,6 +9,7 @@
 from hornbeampulley.endpoints import Endpoint
 from hornbeampulley.http1 import Request, encode_request
 from hornbeampulley.node import Adapter, Identity, Node, NodeSettings
+from hornbeampulley.node._freshness import MAX_AGE_MS
 from hornbeampulley.node._settings import (
     BoundSettings,
     ListenSettings,
@@ -169,6 +170,7 @@
     def _is_ready(self, node):
         return (
             node.is_ready
+            and node.store_view.freshness.age_ms < MAX_AGE_MS
             and len(node.membership.live) == len(self.nodes)
             and len(node.store_view.targets.records) == len(self.backends)
         )
