Send nothing more to a target that says in an answer that it leaves

Nothing read that header: a host went by the store alone, which may be away, or not be told at all.

The host that gets the answer keeps to it at once, before the next request is sent on an open connection; it tells the owner of the pool, which grants no lease for the target any more and tells the other hosts. Whoever opens a link to an owner, or accepts one, tells all it knows, so that the next owner knows too. What a target has said ends with its run.

Tests: tests/test_node_target_signals.py; the four with real nodes failed before (with the header ignored).

--- a/hornbeampulley/decisions/_events.py
+++ b/hornbeampulley/decisions/_events.py
@@ -205,6 +205,25 @@
     targets: frozenset[str]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetSignals:
+    """What a target has said of itself in an answer.
+
+    Attributes
+    ----------
+    target : str
+        Name of the target.
+    born_ms : int
+        Wall time of the start of its run, which the signals end with.
+    is_leaving : bool
+        Whether it shuts down and must get no more requests.
+    """
+
+    target: str
+    born_ms: int
+    is_leaving: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetDown:
     """A target closed its connections unexpectedly or refuses new ones."""
--- a/hornbeampulley/node/_exchanges.py
+++ b/hornbeampulley/node/_exchanges.py
@@ -78,6 +78,8 @@
     on_first_part : callable
         Called with the time in ms from dispatch to the first part of a
         stream.
+    on_head : callable
+        Called with the metadata of the response, before its body is read.
 
     Attributes
     ----------
@@ -95,6 +97,7 @@
         clock: Clock,
         call: Call,
         on_first_part: Callable[[float], None],
+        on_head: Callable[[ResponseMetadata], None],
     ) -> None:
         self.metadata: ResponseMetadata | None = None
         self.keep_alive: bytes | None = None
@@ -103,6 +106,7 @@
         self._clock = clock
         self._call = call
         self._on_first_part = on_first_part
+        self._on_head = on_head
         self._sent_ms = 0.0
         self._first_ms = 0.0
         self._event_ms = 0.0
@@ -225,6 +229,7 @@
             head = await connection.read_head()
             self.metadata = self._dialect.read_answer(head)
             if self._is_matching(head):
+                self._on_head(self.metadata)
                 return head
             log_event(
                 _log,
--- a/hornbeampulley/node/_lease_client.py
+++ b/hornbeampulley/node/_lease_client.py
@@ -14,7 +14,11 @@
 from hornbeampulley.node._reservations import Reservation
 from hornbeampulley.node._scheduling import Scheduling
 from hornbeampulley.wire.generated.peer import ttypes
-from hornbeampulley.wire.scheduling import write_event, write_reserve
+from hornbeampulley.wire.scheduling import (
+    write_event,
+    write_reserve,
+    write_target_signals,
+)
 
 _NO_STAMP: Final = SessionStamp('', 0, 0, 0, '')
 _log = logging.getLogger(__name__)
@@ -167,14 +171,23 @@
         """
         running, queued = load or (0, 0)
         message = ttypes.TargetReport(target, running, queued, is_down)
-        pool = self._scheduling.find_target_pool(target)
-        owner = self._owners.get(pool, self.own_incarnation)
+        owner = self._get_target_owner(target)
         if owner == self.own_incarnation:
             self.handle_report(message)
-            return
-        link = self._mesh.get_link(owner)
-        if link is not None:
-            link.send(message)
+        else:
+            self._send_message(owner, message)
+
+    def report_signals(self, signals: decisions.TargetSignals) -> None:
+        """Report what a target has said of itself to the owner of its pool.
+
+        Parameters
+        ----------
+        signals : TargetSignals
+            News of a target.
+        """
+        owner = self._get_target_owner(signals.target)
+        if owner != self.own_incarnation:
+            self._send_message(owner, write_target_signals(signals))
 
     def handle_report(self, message: ttypes.TargetReport) -> None:
         """Pass a report about a target to the scheduler of this node.
@@ -312,9 +325,16 @@
         if owner == self.own_incarnation:
             self._scheduling.handle_event(event)
             return
+        self._send_message(owner, self._encode(event))
+
+    def _get_target_owner(self, target: str) -> str:
+        pool = self._scheduling.find_target_pool(target)
+        return self._owners.get(pool, self.own_incarnation)
+
+    def _send_message(self, owner: str, message: Any) -> None:
         link = self._mesh.get_link(owner)
         if link is not None:
-            link.send(self._encode(event))
+            link.send(message)
 
     def _encode(self, event: decisions.Event) -> Any:
         if isinstance(event, decisions.Reserve):
--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -9,7 +9,7 @@
 import trio
 
 from hornbeampulley.clock import Clock, to_seconds
-from hornbeampulley.decisions import Action
+from hornbeampulley.decisions import Action, TargetSignals
 from hornbeampulley.endpoints import Endpoint
 from hornbeampulley.http1 import (
     ConnectionPool,
@@ -59,6 +59,7 @@
     make_configuration,
 )
 from hornbeampulley.wire.generated.peer import ttypes
+from hornbeampulley.wire.scheduling import write_target_signals
 
 TICK_MS: Final = 50.0
 SWEEP_MS: Final = 250.0
@@ -258,7 +259,9 @@
             self.store_view,
             adapter.dialect,
             self.clock,
+            self.scheduling.signals,
             self.lease_client.report_target,
+            self._spread_signals,
         )
         retries = HostRetryBudget(
             RetrySettings(
@@ -312,6 +315,12 @@
     def _send_action(self, home: str, action: Action) -> None:
         self._message_handler.send_action(home, action)
 
+    def _spread_signals(self, signals: TargetSignals) -> None:
+        """Apply what a target has said of itself, and tell it to others."""
+        self.scheduling.apply_signals(signals)
+        self.lease_client.report_signals(signals)
+        self._message_handler.send_to_homes(write_target_signals(signals))
+
     def _serve(self, endpoint: Endpoint, options: ServerOptions) -> None:
         self._nursery.start_soon(
             functools.partial(
@@ -384,6 +393,7 @@
         ):
             return
         self._configured_changes = store_view.changes
+        self.scheduling.signals.drop_old_runs(store_view.targets.records)
         self.scheduling.configure(
             store_view.table,
             make_configuration(
--- a/hornbeampulley/node/_peers.py
+++ b/hornbeampulley/node/_peers.py
@@ -19,8 +19,10 @@
     read_action,
     read_event,
     read_part_quarantine,
+    read_target_signals,
     write_action,
     write_part_quarantine,
+    write_target_signals,
 )
 
 MAX_ITEMS: Final = 200
@@ -87,8 +89,12 @@
                 self.caps.handle_grant(message)
             case ttypes.StoredItems():
                 self._apply_items(message, peer)
-            case ttypes.Quarantine() | ttypes.PartQuarantine():
-                self._apply_quarantine(message, peer)
+            case (
+                ttypes.Quarantine()
+                | ttypes.PartQuarantine()
+                | ttypes.TargetSignals()
+            ):
+                self._apply_news(message, peer)
             case _:
                 self._serve(link, message)
 
@@ -100,8 +106,9 @@
         link : Link
             Link that this node has opened to a scheduler.
         """
-        # An owner that has not met the parts that crash targets learns them.
-        self._send_quarantines(link)
+        # An owner that has not met the parts that crash targets, or the targets
+        # that leave, learns them.
+        self._send_known(link)
         self.lease_client.handle_link_ready()
         self.on_ready()
 
@@ -179,32 +186,55 @@
             self._scheduling.remove_home(peer)
             old.close()
         self._homes[peer] = link
-        self._send_quarantines(link)
-
-    def _apply_quarantine(self, message: Any, peer: str) -> None:
-        if isinstance(message, ttypes.Quarantine):
-            self._scheduling.apply_content_quarantine(int(message.fingerprint))
-            return
-        decision = read_part_quarantine(message)
-        self._scheduling.apply_quarantine(
-            PoolQuarantine(message.pool, decision), peer
-        )
+        self._send_known(link)
 
-    def _send_quarantines(self, link: Link) -> None:
+    def _apply_news(self, message: Any, peer: str) -> None:
+        match message:
+            case ttypes.Quarantine():
+                fingerprint = int(message.fingerprint)
+                self._scheduling.apply_content_quarantine(fingerprint)
+            case ttypes.PartQuarantine():
+                decision = read_part_quarantine(message)
+                self._scheduling.apply_quarantine(
+                    PoolQuarantine(message.pool, decision), peer
+                )
+            case ttypes.TargetSignals():
+                self._apply_signals(message, peer)
+
+    def _apply_signals(self, message: ttypes.TargetSignals, peer: str) -> None:
+        signals = read_target_signals(message)
+        if self._scheduling.signals.keep(signals, peer):
+            self._scheduling.apply_signals(signals)
+            self.send_to_homes(message)
+
+    def _send_known(self, link: Link) -> None:
+        """Tell a peer what holds for all: quarantines and signals of targets."""
+        for signals in self._scheduling.signals.list_all():
+            link.send(write_target_signals(signals))
         for known in tuple(self._scheduling.quarantines.list_all()):
             link.send(write_part_quarantine(known.pool, known.decision))
         for fingerprint in self._scheduling.quarantines.contents:
             link.send(ttypes.Quarantine(fingerprint))
 
-    def _broadcast_content(self, fingerprint: int) -> None:
+    def send_to_homes(self, message: Any) -> None:
+        """Send a message to all homes that have a link to this scheduler.
+
+        Parameters
+        ----------
+        message : thrift struct
+            The message.
+        """
         for link in self._homes.values():
-            link.send(ttypes.Quarantine(fingerprint))
+            link.send(message)
+
+    def _broadcast_content(self, fingerprint: int) -> None:
+        self.send_to_homes(ttypes.Quarantine(fingerprint))
 
     def _broadcast(self, quarantine: PoolQuarantine) -> None:
         """Tell all homes of a quarantine that this node has decided."""
-        message = write_part_quarantine(quarantine.pool, quarantine.decision)
-        for link in self._homes.values():
-            link.send(message)
+        self.send_to_homes(
+            write_part_quarantine(quarantine.pool, quarantine.decision)
+        )
 
     def _serve(self, link: Link, message: Any) -> None:
         """Handle a message from a home to the scheduler of this node."""
--- a/hornbeampulley/node/_scheduling.py
+++ b/hornbeampulley/node/_scheduling.py
@@ -9,6 +9,7 @@
 from hornbeampulley.configuration import Configuration
 from hornbeampulley.logs import log_event
 from hornbeampulley.node._quarantines import PoolQuarantine, QuarantineStore
+from hornbeampulley.node._target_signals import SignalStore
 from hornbeampulley.routing import CapSettings, RoutingTable, TokenBucket
 
 TAKEOVER_MS: Final = 300.0
@@ -51,6 +52,8 @@
         requests again.
     quarantines : QuarantineStore
         Quarantined parts of prompts, by any scheduler.
+    signals : SignalStore
+        What targets have said of themselves.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         self._caps = caps or CapSettings()
         self.has_failed = False
         self.quarantines = QuarantineStore(clock)
+        self.signals = SignalStore()
         self._clock = clock
         self._send = send
         self._pools: dict[str, _Pool] = {}
@@ -155,6 +159,18 @@
         if is_new and pool is not None:
             self._handle(pool, quarantine.decision)
 
+    def apply_signals(self, signals: decisions.TargetSignals) -> None:
+        """Apply what a target has newly said of itself.
+
+        Parameters
+        ----------
+        signals : TargetSignals
+            Signals that `signals` keeps already.
+        """
+        pool = self._pools.get(self.find_target_pool(signals.target))
+        if pool is not None:
+            self._apply_leaving(pool)
+
     def apply_content_quarantine(self, fingerprint: int) -> None:
         """Apply the quarantine of a content that another node has told.
 
@@ -277,7 +293,11 @@
     def _configure_pool(self, pool: _Pool) -> None:
         if self._configuration is not None:
             self._handle(pool, decisions.Configure(self._configuration))
-            self._handle(pool, decisions.TargetsLeaving(self._leaving))
+            self._apply_leaving(pool)
+
+    def _apply_leaving(self, pool: _Pool) -> None:
+        leaving = self._leaving | self.signals.list_leaving()
+        self._handle(pool, decisions.TargetsLeaving(leaving))
 
     def _handle(self, pool: _Pool, event: decisions.Event) -> None:
         try:
--- a/hornbeampulley/node/_sending.py
+++ b/hornbeampulley/node/_sending.py
@@ -1,11 +1,13 @@
 """Sends requests to targets over pooled connections."""
 
+import dataclasses
+import functools
 import logging
 from collections.abc import Callable
 from typing import Final
 
 from hornbeampulley.clock import Clock
-from hornbeampulley.decisions import Outcome
+from hornbeampulley.decisions import Outcome, TargetSignals
 from hornbeampulley.http1 import (
     Connection,
     ConnectionPool,
@@ -17,7 +19,8 @@
 from hornbeampulley.node._calls import Call
 from hornbeampulley.node._exchanges import Attempt, Exchange
 from hornbeampulley.node._store_view import StoreView, TargetNotice
-from hornbeampulley.node.dialect import Dialect
+from hornbeampulley.node._target_signals import SignalStore
+from hornbeampulley.node.dialect import Dialect, ResponseMetadata
 from hornbeampulley.routing import TargetRecord
 
 # Short timeout, since the caller of a broken stream waits for it to resume.
@@ -38,8 +41,12 @@
         Reads and writes the headers.
     clock : Clock
         Monotonic clock.
+    signals : SignalStore
+        What targets have said of themselves.
     report : callable
         Called with a target, its load and whether it is down.
+    report_signals : callable
+        Called with what a target has newly said of itself.
 
     Attributes
     ----------
@@ -53,13 +60,17 @@
         store_view: StoreView,
         dialect: Dialect,
         clock: Clock,
+        signals: SignalStore,
         report: Callable[..., None],
+        report_signals: Callable[[TargetSignals], None],
     ) -> None:
         self._connections = connections
         self._store_view = store_view
         self._dialect = dialect
         self.clock = clock
+        self._signals = signals
         self._report = report
+        self._report_signals = report_signals
 
     async def send(
         self,
@@ -83,7 +94,7 @@
         Attempt
             Result of the attempt.
         """
-        notice = self._store_view.get_notice(target)
+        notice = self._get_notice(target)
         if not notice.is_open:
             return _reject_leaving(call, target, notice)
         try:
@@ -95,17 +106,39 @@
             self._report(target.name, None, is_down=True)
             return Attempt(Outcome.NOT_SENT, f'not connected: {error}')
         # The target may have begun to leave while the connection was opened.
-        notice = self._store_view.get_notice(target)
+        notice = self._get_notice(target)
         if not notice.is_open:
             connection.close()
             return _reject_leaving(call, target, notice)
-        exchange = Exchange(self._dialect, self.clock, call, on_first_part)
+        exchange = Exchange(
+            self._dialect,
+            self.clock,
+            call,
+            on_first_part,
+            functools.partial(self._learn, target),
+        )
         try:
             return await self._run(exchange, connection, target, notice)
         finally:
             if not exchange.is_connection_returned:
                 connection.close()
 
+    def _get_notice(self, target: TargetRecord) -> TargetNotice:
+        """Return what the store and the target itself have told of it."""
+        notice = self._store_view.get_notice(target)
+        reason = self._signals.find_reason_to_avoid(target)
+        if notice.is_open and reason:
+            return dataclasses.replace(notice, state=reason)
+        return notice
+
+    def _learn(self, target: TargetRecord, metadata: ResponseMetadata) -> None:
+        """Keep to what a target says of itself, and tell the others."""
+        if metadata.is_other_target:
+            return
+        signals = self._signals.learn(target, metadata)
+        if signals is not None:
+            self._report_signals(signals)
+
     async def _run(
         self,
         exchange: Exchange,
--- a/hornbeampulley/node/dialect.py
+++ b/hornbeampulley/node/dialect.py
@@ -79,6 +79,8 @@
     running, queued : int or None
         Number of running and queued requests at the target; None if not
         given.
+    is_leaving : bool
+        Whether the target says that it shuts down.
     """
 
     request_id: bytes | None
@@ -87,6 +89,7 @@
     is_stream: bool
     running: int | None = None
     queued: int | None = None
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeampulley/platform/_headers.py
+++ b/hornbeampulley/platform/_headers.py
@@ -32,6 +32,9 @@
 NOT_RUN: Final = b'not-executed'
 # Running requests, waiting requests and slots.
 LOAD: Final = b'server-load'
+# Set to 1 by a server that is shutting down.
+LEAVING: Final = b'server-leaving'
+IS_LEAVING: Final = b'1'
 ZONE: Final = 'zone'
 EVENT_STREAM: Final = b'text/event-stream'
 OTHER_TARGET: Final = 421
@@ -166,6 +169,7 @@
             is_stream=content_type.startswith(EVENT_STREAM),
             running=load[0] if load else None,
             queued=load[1] if load else None,
+            is_leaving=find_header(headers, LEAVING) == IS_LEAVING,
         )
 
     def list_error_headers(
--- a/hornbeampulley/wire/_events.py
+++ b/hornbeampulley/wire/_events.py
@@ -174,6 +174,54 @@
         raise make_malformed_error(message) from error
 
 
+def write_target_signals(
+    event: decisions.TargetSignals,
+) -> ttypes.TargetSignals:
+    """Convert what a target has said of itself to a message.
+
+    Parameters
+    ----------
+    event : TargetSignals
+        Its signals.
+
+    Returns
+    -------
+    ttypes.TargetSignals
+        Message to send.
+    """
+    return ttypes.TargetSignals(event.target, event.born_ms, event.is_leaving)
+
+
+def read_target_signals(
+    message: ttypes.TargetSignals,
+) -> decisions.TargetSignals:
+    """Convert a message to what a target has said of itself.
+
+    Parameters
+    ----------
+    message : ttypes.TargetSignals
+        Received message.
+
+    Returns
+    -------
+    TargetSignals
+        Its signals.
+
+    Raises
+    ------
+    WireError
+        If a field is missing or has an invalid value.
+    """
+    try:
+        return decisions.TargetSignals(
+            message.target,
+            int(message.born_ms),
+            bool(message.is_leaving),
+        )
+    except CONVERSION_ERRORS as error:
+        raise make_malformed_error(message) from error
+
+
 def read_event(
     message: Any,
     home: str,
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -261,6 +261,14 @@
   4: bool is_down
 }
 
+// What a target has said of itself in an answer, told to all that send to it.
+struct TargetSignals {
+  1: string target
+  // Wall time of the start of its run, ms.
+  2: i64 born_ms
+  3: bool is_leaving
+}
+
 // To the owner of a workspace's usage cap, and its answer: 0 if the units were
 // granted, otherwise the time until they can be.
 struct Draw {
@@ -340,6 +348,7 @@
   32: ProbeAck probe_ack
   33: ProbeRequest probe_request
   34: PartQuarantine part_quarantine
+  35: TargetSignals target_signals
 }
 
 struct Frame {
--- a/hornbeampulley/wire/scheduling.py
+++ b/hornbeampulley/wire/scheduling.py
@@ -8,9 +8,11 @@
 from hornbeampulley.wire._events import (
     read_event,
     read_part_quarantine,
+    read_target_signals,
     write_event,
     write_part_quarantine,
     write_reserve,
+    write_target_signals,
 )
 from hornbeampulley.wire._parts import (
     FINGERPRINT_MASK,
@@ -30,9 +32,11 @@
     'read_part_quarantine',
     'read_request_id',
     'read_stamp',
+    'read_target_signals',
     'write_action',
     'write_event',
     'write_part_quarantine',
     'write_reserve',
     'write_stamp',
+    'write_target_signals',
 )
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -49,6 +49,8 @@
     deadly_part : bytes
         Id of a part of prompts that crashes the backend when it begins to
         answer; empty to disable.
+    signals : tuple of (bytes, bytes)
+        Headers of all answers in which it tells of itself.
     """
 
     events: int = 3
@@ -60,6 +62,7 @@
     is_cut_short: bool = False
     has_stray_answer: bool = False
     deadly_part: bytes = b''
+    signals: tuple[tuple[bytes, bytes], ...] = ()
 
 
 class Backend:
@@ -123,7 +126,7 @@
         self.seen.append(request)
         request_id = find_header(request.headers, b'attempt-id') or b''
         expected = find_header(request.headers, b'expect-instance')
-        headers = [(b'attempt-id', request_id)]
+        headers = [(b'attempt-id', request_id), *self.behaviour.signals]
         if expected not in {None, self.name.encode()}:
             await reply.send(421, headers)
         elif self.behaviour.is_full:
@@ -139,7 +142,7 @@
         request_id: bytes,
     ) -> None:
         seal = (SEAL, self.name.encode())
-        headers = [(b'attempt-id', request_id), seal]
+        headers = [(b'attempt-id', request_id), seal, *self.behaviour.signals]
         parts = find_header(request.headers, b'prompt-prefix') or b''
         if self.behaviour.deadly_part in _list_ids(parts):
             self.crashes += 1
--- a/tests/test_node_sending.py
+++ b/tests/test_node_sending.py
@@ -9,6 +9,7 @@
 from hornbeampulley.node._calls import Call
 from hornbeampulley.node._sending import Sender
 from hornbeampulley.node._store_view import StoreView
+from hornbeampulley.node._target_signals import SignalStore
 from hornbeampulley.node.dialect import RequestMetadata
 from hornbeampulley.platform._documents import PlatformDecoder
 from hornbeampulley.platform._headers import PlatformDialect
@@ -64,7 +65,10 @@
         store_view.apply_items([server('t', 1), server('u', 2)], 'store')
         target = store_view.targets.records['t']
         pool = SlowPool(opening_ms)
-        sender = Sender(pool, store_view, PlatformDialect(), clock, None)
+        dialect = PlatformDialect()
+        sender = Sender(
+            pool, store_view, dialect, clock, SignalStore(), None, None
+        )
         results = []
 
         async def run():
--- /dev/null
+++ b/tests/test_node_target_signals.py
@@ -0,0 +1,97 @@
+"""Tests of what targets say of themselves in their answers."""
+
+import pytest
+
+from hornbeampulley.decisions import TargetSignals
+from hornbeampulley.node._target_signals import LEAVING, SignalStore
+from hornbeampulley.node.dialect import ResponseMetadata
+from hornbeampulley.platform._documents import PlatformDecoder
+from hornbeampulley.wire.generated.peer import ttypes
+from tests.nodes import run_nodes, wait_until
+from tests.stored import server
+from tests.test_node_peers import FakeLink, NodeSide
+
+LEAVES = ((b'server-leaving', b'1'),)
+
+
+def make_record(born=7):
+    return PlatformDecoder().read_target(server('t', 1, born=born))
+
+
+def make_metadata(**signals):
+    return ResponseMetadata(b'r', False, False, False, **signals)
+
+
+def make_store(record):
+    """Make a store that knows that the run of a target leaves."""
+    store = SignalStore()
+    assert store.learn(record, make_metadata(is_leaving=True))
+    return store
+
+
+def test_news_of_a_target_is_told_once():
+    store = make_store(make_record())
+    assert store.learn(make_record(), make_metadata(is_leaving=True)) is None
+    assert store.find_reason_to_avoid(make_record()) == LEAVING
+
+
+def test_what_a_target_has_said_ends_with_its_run():
+    store = make_store(make_record())
+    later = make_record(born=8)
+    assert not store.find_reason_to_avoid(later)
+    store.drop_old_runs({'t': later})
+    assert not store.list_leaving()
+
+
+def test_news_of_an_older_run_are_ignored():
+    store = make_store(make_record(born=8))
+    assert not store.keep(TargetSignals('t', 7, is_leaving=True), 'peer')
+    assert store.find_reason_to_avoid(make_record(born=8)) == LEAVING
+
+
+# DRAIN: a host that passed on an answer with Server-Leaving sent to that target
+# until the store told of it, which some stores and targets never do.
+@pytest.mark.parametrize('path', ['/once/a', '/look/a', '/stream/a'])
+def test_a_target_that_says_in_an_answer_that_it_leaves_gets_no_more(path):
+    async def scenario(fleet):
+        kind = 'engines' if path == '/stream/a' else 'ledger'
+        leaving = fleet.backends[f'{kind}-1']
+        leaving.behaviour.signals = LEAVES
+        while not leaving.seen:
+            await fleet.call(path, body=b'x')
+        for _ in range(12):
+            assert (await fleet.call(path, body=b'x'))[0] == 200
+        assert len(leaving.seen) == 1
+
+    run_nodes(scenario)
+
+
+def test_all_hosts_soon_know_that_a_target_leaves():
+    async def scenario(fleet):
+        for number in range(3):
+            await fleet.call('/look/a', number)
+        leaving = fleet.backends['ledger-1']
+        leaving.behaviour.signals = LEAVES
+        before = len(leaving.seen)
+        while len(leaving.seen) == before:
+            await fleet.call('/look/a')
+        for node in fleet.nodes:
+            await wait_until(node.scheduling.signals.list_leaving)
+
+    run_nodes(scenario, count=3)
+
+
+def list_told(link):
+    return [one for one in link.sent if isinstance(one, ttypes.TargetSignals)]
+
+
+def test_the_owner_tells_all_homes_and_the_next_owner():
+    side = NodeSide()
+    home, reporter, successor = FakeLink(), FakeLink(), FakeLink()
+    home.peer = ttypes.Hello(incarnation='2' * 16)
+    side.handler.receive(home, home.peer)
+    side.handler.receive(reporter, ttypes.TargetSignals('t', 0, True))
+    side.handler.receive(reporter, ttypes.TargetSignals('t', 0, True))
+    assert list_told(home) == [ttypes.TargetSignals('t', 0, True)]
+    side.handler._send_known(successor)
+    assert list_told(successor) == list_told(home)
