Send nothing to a target for as long as it wants nothing

Nothing read the header; the target got the next requests as soon as a slot looked free.

The host that is turned away keeps to it at once; the owner of the pool grants no lease for the target until then, and all hosts and the next owner are told how much time is left, as for targets that leave. While all targets of a pool back off, requests wait, as the capacity comes back. A time over a minute counts as a minute.

--- a/hornbeampulley/decisions/_core.py
+++ b/hornbeampulley/decisions/_core.py
@@ -22,6 +22,7 @@
     Reserve,
     TakeoverEnded,
     TargetDown,
+    TargetSignals,
     TargetsLeaving,
     Tick,
     Withdraw,
@@ -98,6 +99,7 @@
             Configure: self._configure,
             TargetsLeaving: self._set_leaving,
             TargetDown: self._mark_target_down,
+            TargetSignals: self._apply_signals,
             HomeLost: self._drop_home,
             TakeoverEnded: self._end_takeover,
             Quarantine: self._apply_quarantine,
@@ -247,6 +249,12 @@
     def _mark_target_down(self, event: TargetDown) -> None:
         self._completion.handle_crash(event.target)
 
+    def _apply_signals(self, event: TargetSignals) -> None:
+        target = self._state.fleet.find(event.target)
+        if target is not None:
+            target.throttle.set(event.back_off_ms, self._state.now_ms)
+            self._state.fleet.mark_changed(target)
+
     def _drop_home(self, event: HomeLost) -> None:
         self._completion.drop_home(event.home)
 
--- a/hornbeampulley/decisions/_events.py
+++ b/hornbeampulley/decisions/_events.py
@@ -217,11 +217,14 @@
         Wall time of the start of its run, which the signals end with.
     is_leaving : bool
         Whether it shuts down and must get no more requests.
+    back_off_ms : float
+        Time for which it still wants no requests, in ms.
     """
 
     target: str
     born_ms: int
     is_leaving: bool = False
+    back_off_ms: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -293,6 +296,7 @@
     | Configure
     | TargetsLeaving
     | TargetDown
+    | TargetSignals
     | HomeLost
     | TakeoverEnded
     | Quarantine
--- a/hornbeampulley/decisions/_fleet.py
+++ b/hornbeampulley/decisions/_fleet.py
@@ -139,6 +139,10 @@
             self._find_headroom_shares(state),
             now_ms,
         )
+        if now_ms < state.throttle.open_ms:
+            heapq.heappush(
+                self._reopenings, (state.throttle.open_ms, state.name)
+            )
         ranks = state.open_ranks
         if now_ms < state.lower_ranks_open_ms:
             heapq.heappush(
@@ -159,8 +163,8 @@
     def refresh_changed(self, now_ms: float) -> bool:
         """Refresh the targets that are marked as changed.
 
-        Targets whose prefill backlog has become short enough for lower tiers
-        count as changed.
+        Targets whose prefill backlog has become short enough for lower tiers,
+        or that take requests again, count as changed.
 
         Parameters
         ----------
--- a/hornbeampulley/decisions/_isolation.py
+++ b/hornbeampulley/decisions/_isolation.py
@@ -44,7 +44,7 @@
             self._release_idle()
             return []
         self._reserve(len(suspects))
-        idle = [one for one in self._reserved.values() if not one.running]
+        idle = [one for one in self._reserved.values() if self._is_idle(one)]
         pairs = list(zip(suspects, idle, strict=False))
         for request, _ in pairs:
             self._state.queue.remove(request)
@@ -91,6 +91,10 @@
         target.is_reserved = False
         self._state.fleet.refresh(target, self._state.now_ms)
 
+    def _is_idle(self, target: TargetState) -> bool:
+        is_open = self._state.now_ms >= target.throttle.open_ms
+        return is_open and not target.running
+
     def _is_usable(self, target: TargetState) -> bool:
         is_known = self._state.fleet.find(target.name) is target
         return is_known and target.slots > 0
--- a/hornbeampulley/decisions/_targets.py
+++ b/hornbeampulley/decisions/_targets.py
@@ -9,6 +9,7 @@
 from hornbeampulley.decisions._health import Condition, Health
 from hornbeampulley.decisions._limits import AdaptiveLimit
 from hornbeampulley.decisions._requests import Request
+from hornbeampulley.decisions._throttle import Throttle
 
 REPORT_TTL_MS: Final = 3000.0
 MAX_PREFILL_MS: Final = 20.0
@@ -27,6 +28,8 @@
         Limit on its concurrent requests.
     health : Health
         Whether it is up and as fast as usual.
+    throttle : Throttle
+        When it takes requests, by its own words.
     running : dict
         Requests leased to it, by id.
     is_leaving : bool
@@ -48,6 +51,7 @@
     target: Target
     limit: AdaptiveLimit
     health: Health = dataclasses.field(default_factory=Health)
+    throttle: Throttle = dataclasses.field(default_factory=Throttle)
     running: dict[str, Request] = dataclasses.field(default_factory=dict)
     is_leaving: bool = False
     is_reserved: bool = False
@@ -102,6 +106,8 @@
         """
         if self.is_leaving or self.is_reserved:
             return ()
+        if now_ms < self.throttle.open_ms:
+            return ()
         if not self.health.is_healthy:
             return self._find_probe_ranks(tuple(headroom), now_ms)
         return tuple(self._iterate_open_ranks(headroom))
--- a/hornbeampulley/node/_peers.py
+++ b/hornbeampulley/node/_peers.py
@@ -202,10 +202,11 @@
                 self._apply_signals(message, peer)
 
     def _apply_signals(self, message: ttypes.TargetSignals, peer: str) -> None:
-        signals = read_target_signals(message)
-        if self._scheduling.signals.keep(signals, peer):
+        told = read_target_signals(message)
+        signals = self._scheduling.signals.keep(told, peer)
+        if signals is not None:
             self._scheduling.apply_signals(signals)
-            self.send_to_homes(message)
+            self.send_to_homes(write_target_signals(signals))
 
     def _send_known(self, link: Link) -> None:
         """Tell a peer what holds for all: quarantines and signals of targets."""
--- a/hornbeampulley/node/_scheduling.py
+++ b/hornbeampulley/node/_scheduling.py
@@ -65,7 +65,7 @@
         self._caps = caps or CapSettings()
         self.has_failed = False
         self.quarantines = QuarantineStore(clock)
-        self.signals = SignalStore()
+        self.signals = SignalStore(clock)
         self._clock = clock
         self._send = send
         self._pools: dict[str, _Pool] = {}
@@ -170,6 +170,7 @@
         pool = self._pools.get(self.find_target_pool(signals.target))
         if pool is not None:
             self._apply_leaving(pool)
+            self._handle(pool, signals)
 
     def apply_content_quarantine(self, fingerprint: int) -> None:
         """Apply the quarantine of a content that another node has told.
@@ -294,6 +295,9 @@
         if self._configuration is not None:
             self._handle(pool, decisions.Configure(self._configuration))
             self._apply_leaving(pool)
+            for signals in tuple(self.signals.list_all()):
+                if self.find_target_pool(signals.target) == pool.name:
+                    self._handle(pool, signals)
 
     def _apply_leaving(self, pool: _Pool) -> None:
         leaving = self._leaving | self.signals.list_leaving()
--- a/hornbeampulley/node/_target_signals.py
+++ b/hornbeampulley/node/_target_signals.py
@@ -5,10 +5,12 @@
 target has said ends with its run.
 """
 
+import dataclasses
 import logging
 from collections.abc import Iterator, Mapping
 from typing import Final
 
+from hornbeampulley.clock import Clock
 from hornbeampulley.decisions import TargetSignals
 from hornbeampulley.logs import log_event
 from hornbeampulley.node.dialect import ResponseMetadata
@@ -16,16 +18,37 @@
 
 # Beyond this many targets, what was learned first is dropped.
 MAX_TARGETS: Final = 20_000
+# A longer time is taken for a mistake, since no host could try the target.
+MAX_BACK_OFF_MS: Final = 60_000.0
+# Difference between the ends of one back-off as told by several hosts.
+SAME_END_MS: Final = 100.0
 OWN: Final = 'own'
 LEAVING: Final = 'leaving'
+BACKING_OFF: Final = 'backing off'
 _log = logging.getLogger(__name__)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Kept:
+    """Signals of one run of a target, with times of this node's clock."""
+
+    born_ms: int
+    is_leaving: bool = False
+    back_off_until_ms: float = 0
+
+
 class SignalStore:
-    """Keeps the latest signals of each target."""
+    """Keeps the latest signals of each target.
 
-    def __init__(self) -> None:
-        self._kept: dict[str, TargetSignals] = {}
+    Parameters
+    ----------
+    clock : Clock
+        Monotonic clock.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._kept: dict[str, _Kept] = {}
 
     def learn(
         self, record: TargetRecord, metadata: ResponseMetadata
@@ -44,13 +67,18 @@
         TargetSignals or None
             What other hosts have to be told; None if it is known already.
         """
-        if not metadata.is_leaving:
+        if not metadata.is_leaving and not metadata.back_off_ms:
             return None
-        signals = TargetSignals(record.name, record.born_ms, is_leaving=True)
-        return signals if self.keep(signals, OWN) else None
+        signals = TargetSignals(
+            record.name,
+            record.born_ms,
+            is_leaving=metadata.is_leaving,
+            back_off_ms=metadata.back_off_ms,
+        )
+        return self.keep(signals, OWN)
 
-    def keep(self, signals: TargetSignals, source: str) -> bool:
-        """Keep signals, unless they are of an older run or known already.
+    def keep(self, signals: TargetSignals, source: str) -> TargetSignals | None:
+        """Add signals, unless they are of an older run or known already.
 
         Parameters
         ----------
@@ -61,21 +89,27 @@
 
         Returns
         -------
-        bool
-            Whether they are new.
+        TargetSignals or None
+            All that holds of the target now; None if nothing is new.
         """
-        known = self._kept.get(signals.target)
-        if known is not None and not _is_news(signals, known):
-            return False
-        self._put(signals)
+        nothing = _Kept(signals.born_ms)
+        known = self._kept.get(signals.target, nothing)
+        if signals.born_ms < known.born_ms:
+            return None
+        before = known if signals.born_ms == known.born_ms else nothing
+        merged = self._merge(signals, before)
+        if merged == known:
+            return None
+        self._put(signals.target, merged)
         log_event(
             _log,
             'target_signalled',
             target=signals.target,
-            leaving=signals.is_leaving,
+            leaving=merged.is_leaving,
+            back_off_ms=round(signals.back_off_ms) or None,
             source=source,
         )
-        return True
+        return self._make_signals(signals.target)
 
     def find_reason_to_avoid(self, record: TargetRecord) -> str:
         """Tell why a target must not get a request now.
@@ -93,7 +127,10 @@
         known = self._kept.get(record.name)
         if known is None or known.born_ms != record.born_ms:
             return ''
-        return LEAVING if known.is_leaving else ''
+        if known.is_leaving:
+            return LEAVING
+        is_backing_off = self._clock.now() < known.back_off_until_ms
+        return BACKING_OFF if is_backing_off else ''
 
     def list_leaving(self) -> frozenset[str]:
         """List the targets that have said that they leave.
@@ -113,9 +150,10 @@
         Yields
         ------
         TargetSignals
-            The latest signals of each target.
+            What holds now of each target.
         """
-        yield from self._kept.values()
+        for name in self._kept:
+            yield self._make_signals(name)
 
     def drop_old_runs(self, records: Mapping[str, TargetRecord]) -> None:
         """Forget what earlier runs of the targets have said.
@@ -128,15 +166,26 @@
         for name, known in tuple(self._kept.items()):
             record = records.get(name)
             if record is not None and record.born_ms > known.born_ms:
-                self._put(TargetSignals(name, record.born_ms))
+                self._put(name, _Kept(record.born_ms))
+
+    def _merge(self, signals: TargetSignals, known: _Kept) -> _Kept:
+        back_off_ms = min(signals.back_off_ms, MAX_BACK_OFF_MS)
+        until_ms = known.back_off_until_ms
+        told_until_ms = self._clock.now() + back_off_ms
+        if back_off_ms > 0 and told_until_ms > until_ms + SAME_END_MS:
+            until_ms = told_until_ms
+        return _Kept(
+            known.born_ms,
+            known.is_leaving or signals.is_leaving,
+            until_ms,
+        )
 
-    def _put(self, signals: TargetSignals) -> None:
-        self._kept[signals.target] = signals
+    def _make_signals(self, name: str) -> TargetSignals:
+        known = self._kept[name]
+        back_off_ms = max(known.back_off_until_ms - self._clock.now(), 0)
+        return TargetSignals(name, known.born_ms, known.is_leaving, back_off_ms)
+
+    def _put(self, name: str, kept: _Kept) -> None:
+        self._kept[name] = kept
         if len(self._kept) > MAX_TARGETS:
             self._kept.pop(next(iter(self._kept)))
-
-
-def _is_news(signals: TargetSignals, known: TargetSignals) -> bool:
-    if signals.born_ms != known.born_ms:
-        return signals.born_ms > known.born_ms
-    return signals.is_leaving and not known.is_leaving
--- a/hornbeampulley/node/dialect.py
+++ b/hornbeampulley/node/dialect.py
@@ -81,6 +81,9 @@
         given.
     is_leaving : bool
         Whether the target says that it shuts down.
+    back_off_ms : float
+        Time in ms for which the target wants no more requests; 0 if it has
+        not said so.
     """
 
     request_id: bytes | None
@@ -90,6 +93,7 @@
     running: int | None = None
     queued: int | None = None
     is_leaving: bool = False
+    back_off_ms: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeampulley/platform/_headers.py
+++ b/hornbeampulley/platform/_headers.py
@@ -5,6 +5,7 @@
 from typing import Final
 from urllib.parse import parse_qs, urlsplit
 
+from hornbeampulley.clock import MS_PER_SECOND
 from hornbeampulley.http1 import (
     Header,
     Request,
@@ -35,6 +36,9 @@
 # Set to 1 by a server that is shutting down.
 LEAVING: Final = b'server-leaving'
 IS_LEAVING: Final = b'1'
+# Seconds, in an answer with status 503.
+RETRY_AFTER: Final = b'retry-after'
+UNAVAILABLE: Final = 503
 ZONE: Final = 'zone'
 EVENT_STREAM: Final = b'text/event-stream'
 OTHER_TARGET: Final = 421
@@ -170,6 +174,7 @@
             running=load[0] if load else None,
             queued=load[1] if load else None,
             is_leaving=find_header(headers, LEAVING) == IS_LEAVING,
+            back_off_ms=_read_back_off(head),
         )
 
     def list_error_headers(
@@ -198,6 +203,13 @@
     return float(text)
 
 
+def _read_back_off(head: ResponseHead) -> float:
+    if head.status != UNAVAILABLE:
+        return 0
+    wait_s = _read_number(find_header(head.headers, RETRY_AFTER)) or 0
+    return wait_s * MS_PER_SECOND
+
+
 def _read_tokens(text: bytes | None) -> tuple[int, int] | None:
     numbers = [_read_number(part) for part in (text or b'').split(b',')]
     if len(numbers) != 2 or None in numbers:
--- a/hornbeampulley/wire/_events.py
+++ b/hornbeampulley/wire/_events.py
@@ -189,7 +189,12 @@
     ttypes.TargetSignals
         Message to send.
     """
-    return ttypes.TargetSignals(event.target, event.born_ms, event.is_leaving)
+    return ttypes.TargetSignals(
+        event.target,
+        event.born_ms,
+        event.is_leaving,
+        round_up_ms(event.back_off_ms),
+    )
 
 
 def read_target_signals(
@@ -217,6 +222,7 @@
             message.target,
             int(message.born_ms),
             bool(message.is_leaving),
+            float(message.back_off_ms),
         )
     except CONVERSION_ERRORS as error:
         raise make_malformed_error(message) from error
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -267,6 +267,8 @@
   // Wall time of the start of its run, ms.
   2: i64 born_ms
   3: bool is_leaving
+  // Time for which it still wants no requests, ms.
+  4: i32 back_off_ms
 }
 
 // To the owner of a workspace's usage cap, and its answer: 0 if the units were
--- a/tests/test_node_sending.py
+++ b/tests/test_node_sending.py
@@ -67,7 +67,7 @@
         pool = SlowPool(opening_ms)
         dialect = PlatformDialect()
         sender = Sender(
-            pool, store_view, dialect, clock, SignalStore(), None, None
+            pool, store_view, dialect, clock, SignalStore(clock), None, None
         )
         results = []
 
--- a/tests/test_node_target_signals.py
+++ b/tests/test_node_target_signals.py
@@ -2,8 +2,14 @@
 
 import pytest
 
+from hornbeampulley.clock import ManualClock
 from hornbeampulley.decisions import TargetSignals
-from hornbeampulley.node._target_signals import LEAVING, SignalStore
+from hornbeampulley.node._target_signals import (
+    BACKING_OFF,
+    LEAVING,
+    MAX_BACK_OFF_MS,
+    SignalStore,
+)
 from hornbeampulley.node.dialect import ResponseMetadata
 from hornbeampulley.platform._documents import PlatformDecoder
 from hornbeampulley.wire.generated.peer import ttypes
@@ -22,9 +28,9 @@
     return ResponseMetadata(b'r', False, False, False, **signals)
 
 
-def make_store(record):
+def make_store(record, clock=None):
     """Make a store that knows that the run of a target leaves."""
-    store = SignalStore()
+    store = SignalStore(clock or ManualClock())
     assert store.learn(record, make_metadata(is_leaving=True))
     return store
 
@@ -90,8 +96,56 @@
     home, reporter, successor = FakeLink(), FakeLink(), FakeLink()
     home.peer = ttypes.Hello(incarnation='2' * 16)
     side.handler.receive(home, home.peer)
-    side.handler.receive(reporter, ttypes.TargetSignals('t', 0, True))
-    side.handler.receive(reporter, ttypes.TargetSignals('t', 0, True))
-    assert list_told(home) == [ttypes.TargetSignals('t', 0, True)]
+    for _ in range(2):
+        message = ttypes.TargetSignals('t', 0, True, 0)
+        side.handler.receive(reporter, message)
+    assert list_told(home) == [ttypes.TargetSignals('t', 0, True, 0)]
     side.handler._send_known(successor)
     assert list_told(successor) == list_told(home)
+
+
+def test_a_target_that_backs_off_is_avoided_until_the_end():
+    clock = ManualClock()
+    store = SignalStore(clock)
+    assert store.learn(make_record(), make_metadata(back_off_ms=1500))
+    assert store.learn(make_record(), make_metadata(back_off_ms=1500)) is None
+    clock.advance(1499)
+    assert store.find_reason_to_avoid(make_record()) == BACKING_OFF
+    clock.advance(1)
+    assert not store.find_reason_to_avoid(make_record())
+
+
+def test_a_back_off_without_end_is_bounded():
+    clock = ManualClock()
+    store = SignalStore(clock)
+    store.learn(make_record(), make_metadata(back_off_ms=1e15))
+    clock.advance(MAX_BACK_OFF_MS)
+    assert not store.find_reason_to_avoid(make_record())
+
+
+def test_other_hosts_are_told_the_rest_of_a_back_off():
+    clock = ManualClock()
+    store = make_store(make_record(), clock)
+    store.learn(make_record(), make_metadata(back_off_ms=1500))
+    clock.advance(500)
+    assert list(store.list_all()) == [TargetSignals('t', 7, True, 1000)]
+
+
+# BUDGET: a target that had turned a request away for a while with Retry-After
+# got it, and the next ones, again at once.
+@pytest.mark.parametrize('path', ['/once/a', '/look/a', '/stream/a'])
+def test_a_target_that_backs_off_gets_nothing_for_that_time(path):
+    async def scenario(fleet):
+        kind = 'engines' if path == '/stream/a' else 'ledger'
+        full = fleet.backends[f'{kind}-1']
+        full.behaviour.signals = ((b'retry-after', b'20'),)
+        full.behaviour.is_full = True
+        fleet.store.delete(f'servers/{kind}-2')
+        known = fleet.nodes[0].store_view.targets
+        await wait_until(lambda: f'{kind}-2' not in known.records)
+        for _ in range(3):
+            answer = await fleet.call(path, body=b'x', deadline_ms='300')
+            assert answer[0] == 503
+        assert len(full.seen) == 1
+
+    run_nodes(scenario)
