Keep to the limit that a target names for all hosts together

Cause: nothing read Server-Limit; the rate at the target is the same before and after 8 s, when it names it, and no log line tells of it. Ruled out: each host keeping to it alone, and loss with an owner (the rate never fell).

The owner of the pool now spaces the leases of a limited target, with at most a quarter of a second's worth at once, whichever host they are for; hosts and the next owner are told the limit and when it was named. It ends with an answer that names none, if its request was sent after the limit was known, since answers come out of order. The capacity that the target counts for is what the limit can keep busy, so that what can't be served in time is refused.

--- a/hornbeampulley/decisions/_core.py
+++ b/hornbeampulley/decisions/_core.py
@@ -252,7 +252,9 @@
     def _apply_signals(self, event: TargetSignals) -> None:
         target = self._state.fleet.find(event.target)
         if target is not None:
-            target.throttle.set(event.back_off_ms, self._state.now_ms)
+            target.throttle.set(
+                event.rate_limit, event.back_off_ms, self._state.now_ms
+            )
             self._state.fleet.mark_changed(target)
 
     def _drop_home(self, event: HomeLost) -> None:
--- a/hornbeampulley/decisions/_events.py
+++ b/hornbeampulley/decisions/_events.py
@@ -219,12 +219,20 @@
         Whether it shuts down and must get no more requests.
     back_off_ms : float
         Time for which it still wants no requests, in ms.
+    rate_limit : float or None
+        Requests per second that it takes from all hosts together; None if it
+        names no limit.
+    limit_age_ms : float or None
+        Time since it last named its limit, or named none any more, in ms; None
+        if it never named one.
     """
 
     target: str
     born_ms: int
     is_leaving: bool = False
     back_off_ms: float = 0
+    rate_limit: float | None = None
+    limit_age_ms: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeampulley/decisions/_fleet.py
+++ b/hornbeampulley/decisions/_fleet.py
@@ -133,8 +133,11 @@
     def refresh(self, state: TargetState, now_ms: float) -> None:
         """Update the heap entries and the capacity after a target changed."""
         state.version += 1
-        self.capacity += state.slots - state.counted_slots
-        state.counted_slots = state.slots
+        slots = state.throttle.bound_slots(
+            state.slots, self._cost.mean_price_ms
+        )
+        self.capacity += slots - state.counted_slots
+        state.counted_slots = slots
         state.open_ranks = state.find_open_ranks(
             self._find_headroom_shares(state),
             now_ms,
@@ -226,6 +229,7 @@
         is_lower = request.rank > self.top_rank
         request.preemptible = is_lower and request.reserve.repeatable
         self.preemptible += request.preemptible
+        state.throttle.record_start(now_ms)
         if not state.health.is_healthy:
             state.health.start_probe(now_ms)
         self.refresh(state, now_ms)
--- a/hornbeampulley/node/_exchanges.py
+++ b/hornbeampulley/node/_exchanges.py
@@ -79,7 +79,8 @@
         Called with the time in ms from dispatch to the first part of a
         stream.
     on_head : callable
-        Called with the metadata of the response, before its body is read.
+        Called with the metadata of the response, before its body is read, and
+        the time in ms at which the request was sent.
 
     Attributes
     ----------
@@ -97,7 +98,7 @@
         clock: Clock,
         call: Call,
         on_first_part: Callable[[float], None],
-        on_head: Callable[[ResponseMetadata], None],
+        on_head: Callable[[ResponseMetadata, float], None],
     ) -> None:
         self.metadata: ResponseMetadata | None = None
         self.keep_alive: bytes | None = None
@@ -229,7 +230,7 @@
             head = await connection.read_head()
             self.metadata = self._dialect.read_answer(head)
             if self._is_matching(head):
-                self._on_head(self.metadata)
+                self._on_head(self.metadata, self._sent_ms)
                 return head
             log_event(
                 _log,
--- a/hornbeampulley/node/_sending.py
+++ b/hornbeampulley/node/_sending.py
@@ -131,11 +131,16 @@
             return dataclasses.replace(notice, state=reason)
         return notice
 
-    def _learn(self, target: TargetRecord, metadata: ResponseMetadata) -> None:
+    def _learn(
+        self,
+        target: TargetRecord,
+        metadata: ResponseMetadata,
+        sent_ms: float,
+    ) -> None:
         """Keep to what a target says of itself, and tell the others."""
         if metadata.is_other_target:
             return
-        signals = self._signals.learn(target, metadata)
+        signals = self._signals.learn(target, metadata, sent_ms)
         if signals is not None:
             self._report_signals(signals)
 
--- a/hornbeampulley/node/_target_signals.py
+++ b/hornbeampulley/node/_target_signals.py
@@ -35,6 +35,9 @@
     born_ms: int
     is_leaving: bool = False
     back_off_until_ms: float = 0
+    rate_limit: float | None = None
+    # When it named this limit, or named none any more; None if never.
+    limited_ms: float | None = None
 
 
 class SignalStore:
@@ -51,29 +54,40 @@
         self._kept: dict[str, _Kept] = {}
 
     def learn(
-        self, record: TargetRecord, metadata: ResponseMetadata
+        self,
+        record: TargetRecord,
+        metadata: ResponseMetadata,
+        sent_ms: float,
     ) -> TargetSignals | None:
         """Learn from an answer of a target.
 
+        A limit ends with an answer that names none, but only if its request was
+        sent after the limit was known here: answers come out of order.
+
         Parameters
         ----------
         record : TargetRecord
             Run of the target that has answered.
         metadata : ResponseMetadata
             Data from the headers of the answer.
+        sent_ms : float
+            When its request was sent, in ms.
 
         Returns
         -------
         TargetSignals or None
             What other hosts have to be told; None if it is known already.
         """
-        if not metadata.is_leaving and not metadata.back_off_ms:
+        has_word = self._has_word_on_limit(record, metadata, sent_ms)
+        if not (metadata.is_leaving or metadata.back_off_ms or has_word):
             return None
         signals = TargetSignals(
             record.name,
             record.born_ms,
             is_leaving=metadata.is_leaving,
             back_off_ms=metadata.back_off_ms,
+            rate_limit=metadata.rate_limit,
+            limit_age_ms=0 if has_word else None,
         )
         return self.keep(signals, OWN)
 
@@ -98,15 +112,17 @@
             return None
         before = known if signals.born_ms == known.born_ms else nothing
         merged = self._merge(signals, before)
-        if merged == known:
-            return None
         self._put(signals.target, merged)
+        # That a limit still holds is no news.
+        if dataclasses.replace(merged, limited_ms=known.limited_ms) == known:
+            return None
         log_event(
             _log,
             'target_signalled',
             target=signals.target,
             leaving=merged.is_leaving,
             back_off_ms=round(signals.back_off_ms) or None,
+            rate_limit=merged.rate_limit,
             source=source,
         )
         return self._make_signals(signals.target)
@@ -174,16 +190,55 @@
         told_until_ms = self._clock.now() + back_off_ms
         if back_off_ms > 0 and told_until_ms > until_ms + SAME_END_MS:
             until_ms = told_until_ms
+        rate_limit, limited_ms = self._choose_limit(signals, known)
         return _Kept(
             known.born_ms,
             known.is_leaving or signals.is_leaving,
             until_ms,
+            rate_limit,
+            limited_ms,
         )
 
+    def _choose_limit(
+        self, signals: TargetSignals, known: _Kept
+    ) -> tuple[float | None, float | None]:
+        """Return the limit that was named last, and when."""
+        if signals.limit_age_ms is None:
+            return known.rate_limit, known.limited_ms
+        named_ms = self._clock.now() - signals.limit_age_ms
+        if known.limited_ms is not None and named_ms < known.limited_ms:
+            return known.rate_limit, known.limited_ms
+        return signals.rate_limit, named_ms
+
+    def _has_word_on_limit(
+        self,
+        record: TargetRecord,
+        metadata: ResponseMetadata,
+        sent_ms: float,
+    ) -> bool:
+        """Tell whether an answer names a limit, or the end of one."""
+        if metadata.rate_limit is not None:
+            return True
+        known = self._kept.get(record.name)
+        if known is None or known.rate_limit is None:
+            return False
+        return known.born_ms == record.born_ms and sent_ms > known.limited_ms
+
     def _make_signals(self, name: str) -> TargetSignals:
         known = self._kept[name]
-        back_off_ms = max(known.back_off_until_ms - self._clock.now(), 0)
-        return TargetSignals(name, known.born_ms, known.is_leaving, back_off_ms)
+        now_ms = self._clock.now()
+        back_off_ms = max(known.back_off_until_ms - now_ms, 0)
+        age_ms = None
+        if known.limited_ms is not None:
+            age_ms = now_ms - known.limited_ms
+        return TargetSignals(
+            name,
+            known.born_ms,
+            known.is_leaving,
+            back_off_ms,
+            known.rate_limit,
+            age_ms,
+        )
 
     def _put(self, name: str, kept: _Kept) -> None:
         self._kept[name] = kept
--- a/hornbeampulley/node/dialect.py
+++ b/hornbeampulley/node/dialect.py
@@ -84,6 +84,9 @@
     back_off_ms : float
         Time in ms for which the target wants no more requests; 0 if it has
         not said so.
+    rate_limit : float or None
+        Requests per second that the target takes from all hosts together;
+        None if it names no limit.
     """
 
     request_id: bytes | None
@@ -94,6 +97,7 @@
     queued: int | None = None
     is_leaving: bool = False
     back_off_ms: float = 0
+    rate_limit: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeampulley/platform/_headers.py
+++ b/hornbeampulley/platform/_headers.py
@@ -36,6 +36,8 @@
 # Set to 1 by a server that is shutting down.
 LEAVING: Final = b'server-leaving'
 IS_LEAVING: Final = b'1'
+# Requests a second that a server takes from all machines together.
+LIMIT: Final = b'server-limit'
 # Seconds, in an answer with status 503.
 RETRY_AFTER: Final = b'retry-after'
 UNAVAILABLE: Final = 503
@@ -175,6 +177,7 @@
             queued=load[1] if load else None,
             is_leaving=find_header(headers, LEAVING) == IS_LEAVING,
             back_off_ms=_read_back_off(head),
+            rate_limit=_read_number(find_header(headers, LIMIT)),
         )
 
     def list_error_headers(
--- a/hornbeampulley/wire/_events.py
+++ b/hornbeampulley/wire/_events.py
@@ -1,5 +1,6 @@
 """Converts events of home entries to and from messages for schedulers."""
 
+import math
 from typing import Any, Final
 
 from hornbeampulley import decisions
@@ -194,6 +195,8 @@
         event.born_ms,
         event.is_leaving,
         round_up_ms(event.back_off_ms),
+        event.rate_limit,
+        _round_age(event.limit_age_ms),
     )
 
 
@@ -223,11 +226,23 @@
             int(message.born_ms),
             bool(message.is_leaving),
             float(message.back_off_ms),
+            _read_rate(message.rate_limit),
+            message.limit_age_ms,
         )
     except CONVERSION_ERRORS as error:
         raise make_malformed_error(message) from error
 
 
+def _round_age(age_ms: float | None) -> int | None:
+    return None if age_ms is None else round_up_ms(age_ms)
+
+
+def _read_rate(rate: float | None) -> float | None:
+    if rate is not None and not 0 <= rate < math.inf:
+        raise ValueError('a rate limit is not a finite number')
+    return rate
+
+
 def read_event(
     message: Any,
     home: str,
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -269,6 +269,10 @@
   3: bool is_leaving
   // Time for which it still wants no requests, ms.
   4: i32 back_off_ms
+  // Requests per second from all hosts together; not set if it names no limit.
+  5: optional double rate_limit
+  // Time since it said so, ms; not set if it never named a limit.
+  6: optional i32 limit_age_ms
 }
 
 // To the owner of a workspace's usage cap, and its answer: 0 if the units were
--- a/tests/test_node_target_signals.py
+++ b/tests/test_node_target_signals.py
@@ -1,9 +1,12 @@
 """Tests of what targets say of themselves in their answers."""
 
+import functools
+
 import pytest
 
 from hornbeampulley.clock import ManualClock
 from hornbeampulley.decisions import TargetSignals
+from hornbeampulley.errors import WireError
 from hornbeampulley.node._target_signals import (
     BACKING_OFF,
     LEAVING,
@@ -13,6 +16,7 @@
 from hornbeampulley.node.dialect import ResponseMetadata
 from hornbeampulley.platform._documents import PlatformDecoder
 from hornbeampulley.wire.generated.peer import ttypes
+from hornbeampulley.wire.scheduling import read_target_signals
 from tests.nodes import run_nodes, wait_until
 from tests.stored import server
 from tests.test_node_peers import FakeLink, NodeSide
@@ -31,13 +35,13 @@
 def make_store(record, clock=None):
     """Make a store that knows that the run of a target leaves."""
     store = SignalStore(clock or ManualClock())
-    assert store.learn(record, make_metadata(is_leaving=True))
+    assert store.learn(record, make_metadata(is_leaving=True), 0)
     return store
 
 
 def test_news_of_a_target_is_told_once():
     store = make_store(make_record())
-    assert store.learn(make_record(), make_metadata(is_leaving=True)) is None
+    assert store.learn(make_record(), make_metadata(is_leaving=True), 0) is None
     assert store.find_reason_to_avoid(make_record()) == LEAVING
 
 
@@ -107,8 +111,10 @@
 def test_a_target_that_backs_off_is_avoided_until_the_end():
     clock = ManualClock()
     store = SignalStore(clock)
-    assert store.learn(make_record(), make_metadata(back_off_ms=1500))
-    assert store.learn(make_record(), make_metadata(back_off_ms=1500)) is None
+    assert store.learn(make_record(), make_metadata(back_off_ms=1500), 0)
+    assert (
+        store.learn(make_record(), make_metadata(back_off_ms=1500), 0) is None
+    )
     clock.advance(1499)
     assert store.find_reason_to_avoid(make_record()) == BACKING_OFF
     clock.advance(1)
@@ -118,7 +124,7 @@
 def test_a_back_off_without_end_is_bounded():
     clock = ManualClock()
     store = SignalStore(clock)
-    store.learn(make_record(), make_metadata(back_off_ms=1e15))
+    store.learn(make_record(), make_metadata(back_off_ms=1e15), 0)
     clock.advance(MAX_BACK_OFF_MS)
     assert not store.find_reason_to_avoid(make_record())
 
@@ -126,7 +132,7 @@
 def test_other_hosts_are_told_the_rest_of_a_back_off():
     clock = ManualClock()
     store = make_store(make_record(), clock)
-    store.learn(make_record(), make_metadata(back_off_ms=1500))
+    store.learn(make_record(), make_metadata(back_off_ms=1500), 0)
     clock.advance(500)
     assert list(store.list_all()) == [TargetSignals('t', 7, True, 1000)]
 
@@ -149,3 +155,67 @@
         assert len(full.seen) == 1
 
     run_nodes(scenario)
+
+
+def name_limit(store, rate, sent_ms=0):
+    return store.learn(make_record(), make_metadata(rate_limit=rate), sent_ms)
+
+
+def test_a_limit_is_told_when_it_is_new():
+    store = SignalStore(ManualClock())
+    assert name_limit(store, 1.5).rate_limit == 1.5
+    assert name_limit(store, 1.5) is None
+    assert name_limit(store, 2.5).rate_limit == 2.5
+
+
+def test_an_answer_to_an_earlier_request_does_not_end_a_limit():
+    clock = ManualClock()
+    store = SignalStore(clock)
+    name_limit(store, 1.5)
+    clock.advance(100)
+    assert name_limit(store, None, sent_ms=0) is None
+    assert name_limit(store, None, sent_ms=50).rate_limit is None
+    assert name_limit(store, None, sent_ms=90) is None
+
+
+def test_the_limit_named_last_holds():
+    clock = ManualClock(10_000)
+    store = SignalStore(clock)
+    name_limit(store, 1.5)
+    older = TargetSignals('t', 7, rate_limit=9, limit_age_ms=400)
+    assert store.keep(older, 'peer') is None
+    clock.advance(100)
+    newer = TargetSignals('t', 7, rate_limit=2, limit_age_ms=50)
+    assert store.keep(newer, 'peer').rate_limit == 2
+
+
+# LIMIT: each host sent what it liked to a target that had named a limit for all
+# of them together.
+def test_all_hosts_together_keep_to_the_limit_of_a_target():
+    async def scenario(fleet):
+        for number in range(3):
+            await fleet.call('/look/a', number)
+        limited = fleet.backends['ledger-1']
+        limited.behaviour.signals = ((b'server-limit', b'1.0'),)
+        before = len(limited.seen)
+        while len(limited.seen) == before:
+            await fleet.call('/look/a')
+        for node in fleet.nodes:
+            await wait_until(functools.partial(has_limit, node))
+        before = len(limited.seen)
+        for number in range(90):
+            assert (await fleet.call('/look/a', number % 3))[0] == 200
+        # Far less than 4 s have passed.
+        assert len(limited.seen) - before <= 11
+
+    run_nodes(scenario, count=3)
+
+
+def has_limit(node):
+    return any(one.rate_limit for one in node.scheduling.signals.list_all())
+
+
+def test_a_message_with_a_malformed_limit_is_refused():
+    message = ttypes.TargetSignals('t', 0, False, 0, float('inf'), 0)
+    with pytest.raises(WireError):
+        read_target_signals(message)
