Let no number of a caller end a host

Numbers of tokens are read as at most 10^9. A link whose message can't be encoded logs message_unsendable and starts over, as after a frame that can't be read.

--- a/hornbeampulley/platform/_headers.py
+++ b/hornbeampulley/platform/_headers.py
@@ -62,6 +62,8 @@
 )
 _NUMBER: Final = re.compile(rb'\d{1,15}(?:\.\d{1,9})?')
 _MAX_PARTS: Final = 1000
+# Larger numbers of tokens count as this one; two of them fit in 32 bits.
+_MAX_TOKENS: Final = 10**9
 
 
 class PlatformDialect:
@@ -93,7 +95,7 @@
             tokens=sum(tokens) if tokens else None,
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
-            hinted_tokens=int(
+            hinted_tokens=_limit_tokens(
                 _read_number(find_header(headers, OUTPUT_HINT)) or 0,
             ),
             parts=tuple(_read_parts(find_header(headers, PROMPT_PARTS))),
@@ -217,20 +219,24 @@
     numbers = [_read_number(part) for part in (text or b'').split(b',')]
     if len(numbers) != 2 or None in numbers:
         return None
-    return int(numbers[0]), int(numbers[1])
+    return _limit_tokens(numbers[0]), _limit_tokens(numbers[1])
+
+
+def _limit_tokens(number: float) -> int:
+    return min(int(number), _MAX_TOKENS)
 
 
 def _read_load(text: bytes | None) -> tuple[int, int] | None:
     numbers = [_read_number(part) for part in (text or b'').split(b',')]
     if len(numbers) != 3 or None in numbers:
         return None
-    return int(numbers[0]), int(numbers[1])
+    return _limit_tokens(numbers[0]), _limit_tokens(numbers[1])
 
 
 def _read_parts(text: bytes | None) -> Iterator[PromptPart]:
     for part in (text or b'').split(b',')[:_MAX_PARTS]:
         name, _, tokens = part.partition(b':')
         try:
-            yield PromptPart(int(name, 16), int(tokens))
+            yield PromptPart(int(name, 16), _limit_tokens(int(tokens)))
         except ValueError:
             return
--- a/hornbeampulley/wire/_links.py
+++ b/hornbeampulley/wire/_links.py
@@ -3,6 +3,7 @@
 import dataclasses
 import functools
 import logging
+import struct
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
@@ -23,12 +24,14 @@
 _RECEIVE_BYTES: Final = 65_536
 
 # Errors that a handler may raise on a message with missing or wrong fields.
-_HANDLER_ERRORS: Final = (
+_MESSAGE_ERRORS: Final = (
     HornbeamError,
     TypeError,
     ValueError,
     KeyError,
     AttributeError,
+    OverflowError,
+    struct.error,
 )
 _log = logging.getLogger(__name__)
 
@@ -190,7 +193,7 @@
                 self.last_received_ms = self._clock.now()
                 for frame in decoder.feed(received):
                     self._accept(frame, handle)
-        except _HANDLER_ERRORS as error:
+        except _MESSAGE_ERRORS as error:
             log_event(
                 _log,
                 'frame_refused',
@@ -239,6 +242,15 @@
                 await self._flush()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self.close()
+        except _MESSAGE_ERRORS as error:
+            # One bad number must not end the process; both sides start over.
+            log_event(
+                _log,
+                'message_unsendable',
+                severity=logging.ERROR,
+                error=repr(error),
+            )
+            self.close()
 
     async def _flush(self) -> None:
         while self._queue:
