Let no odd entry of another writer end a host or hide the other entries

A name with a line break would have been written into a header.

Fields are read strictly in one module, platform/_fields.py, for servers and for the configuration, with the errors that any JSON can raise; an item that can't be read is skipped, logged, and holds up no other. An address that is none counts as not connected. A peer's record is refused without an IP address or with a port out of range. Keys that only begin like the configuration's are no targets. A reader that fails for any other reason logs it and tries again.

--- a/hornbeampulley/http1/_connections.py
+++ b/hornbeampulley/http1/_connections.py
@@ -260,7 +260,8 @@
             endpoint.port,
             settings.connect_timeout_ms,
         )
-    except OSError as error:
+    except (OSError, ValueError) as error:
+        # An address that is none raises ValueError.
         raise NotConnectedError(
             f'no connection to {endpoint}: {error}; check that it is up',
         ) from error
--- a/hornbeampulley/node/_reading.py
+++ b/hornbeampulley/node/_reading.py
@@ -141,6 +141,10 @@
             await trio.sleep(to_seconds(PAUSE_MS))
         except StoreUnavailableError as error:
             await self._handle_failure(error)
+        except Exception as error:
+            # The node goes on with what it knows, and tries again.
+            _log.exception('reading %s failed', self._prefix)
+            await self._handle_failure(error)
         else:
             self._record_success()
 
--- a/hornbeampulley/node/_store_view.py
+++ b/hornbeampulley/node/_store_view.py
@@ -142,7 +142,11 @@
         source : str
             Source of the items, for the log.
         """
-        newer = [item for item in items if self._is_new(item)]
+        newer = [
+            item
+            for item in items
+            if self._is_known_key(item.key) and self._is_new(item)
+        ]
         self._detect_mass_loss(newer)
         held_ms = self._held_removals.grace_ms
         for item in newer:
@@ -162,7 +166,7 @@
             Changes, in any order.
         """
         for item in items:
-            if self._is_new(item):
+            if self._is_known_key(item.key) and self._is_new(item):
                 self._apply_item(item, PEER, item.held_ms)
         self.on_change()
 
@@ -256,6 +260,12 @@
         for key in expired:
             self._items.pop(key)
 
+    def _is_known_key(self, key: str) -> bool:
+        """Tell other keys apart that begin like that of the routing table."""
+        decoder = self._decoder
+        is_routing = key == decoder.routing_prefix
+        return is_routing or key.startswith(decoder.targets_prefix)
+
     def _is_new(self, item: StoredItem) -> bool:
         kept = self._items.get(item.key)
         return kept is None or item.revision > kept.item.revision
--- a/hornbeampulley/platform/_documents.py
+++ b/hornbeampulley/platform/_documents.py
@@ -5,10 +5,19 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from hornbeampulley.endpoints import Endpoint
 from hornbeampulley.http1 import MessageLimits
 from hornbeampulley.logs import log_event
 from hornbeampulley.node.stored import StoredItem
+from hornbeampulley.platform._fields import (
+    MALFORMED,
+    expect_count,
+    expect_endpoint,
+    expect_name,
+    expect_number,
+    expect_text,
+    read_count,
+    read_number,
+)
 from hornbeampulley.routing import (
     CallKind,
     EngineSpec,
@@ -31,7 +40,8 @@
 PATIENCE_OBJECTIVES: Final = 4
 PATIENCE_GAPS: Final = 8
 MAX_SLOTS: Final = 100_000
-MAX_PORT: Final = 65_535
+MAX_BORN: Final = 1 << 62
+MAX_VERSION: Final = 1 << 62
 _KINDS: Final = {
     'idempotent': CallKind.IDEMPOTENT,
     'non_idempotent': CallKind.ONCE,
@@ -41,13 +51,6 @@
     'ready': TargetState.READY,
     'draining': TargetState.DRAINING,
 }
-_MALFORMED: Final = (
-    ValueError,
-    KeyError,
-    TypeError,
-    AttributeError,
-    RecursionError,
-)
 _log = logging.getLogger(__name__)
 
 
@@ -108,7 +111,7 @@
 def _read(reader: Callable[[str, Any], Any], item: StoredItem) -> Any:
     try:
         return reader(item.key, json.loads(item.content))
-    except _MALFORMED as error:
+    except MALFORMED as error:
         log_event(
             _log,
             'item_refused',
@@ -122,7 +125,7 @@
 
 def _read_table(_key: str, document: dict[str, Any]) -> RoutingTable:
     return RoutingTable(
-        document['version'],
+        expect_count(document, 'version', 0, MAX_VERSION),
         (_read_route(route) for route in document['routes']),
         (_read_pool(pool) for pool in document['services']),
         (_read_workspace(one) for one in document.get('tenants') or ()),
@@ -133,17 +136,17 @@
 def _read_route(route: dict[str, Any]) -> HttpRoute:
     kind = _KINDS[route['route_kind']]
     return HttpRoute(
-        name=route['name'],
-        host=route['host'],
-        prefix=route['prefix'],
+        name=expect_text(route, 'name'),
+        host=expect_text(route, 'host'),
+        prefix=expect_text(route, 'prefix'),
         kind=kind,
         splits=_read_splits(route),
-        rank=int(route.get('priority') or 0),
-        timeout_ms=float(route['timeout_ms']),
-        objective_ms=float(route.get('target_latency_ms') or 0),
-        gap_ms=float(route.get('gap_target_ms') or 0),
+        rank=read_count(route, 'priority'),
+        timeout_ms=expect_number(route, 'timeout_ms'),
+        objective_ms=read_number(route, 'target_latency_ms'),
+        gap_ms=read_number(route, 'gap_target_ms'),
         patience_ms=_find_patience(route) if kind is CallKind.STREAM else 0,
-        max_attempts=int(route.get('max_attempts') or 1),
+        max_attempts=read_count(route, 'max_attempts') or 1,
         is_anonymous=bool(route.get('anonymous')),
         is_resumable=bool(route.get('resumable')),
     )
@@ -153,102 +156,81 @@
     """Return after how many ms callers abandon a stream without an event."""
     return max(
         MIN_PATIENCE_MS,
-        PATIENCE_OBJECTIVES * float(route.get('target_latency_ms') or 0),
-        PATIENCE_GAPS * float(route.get('gap_target_ms') or 0),
+        PATIENCE_OBJECTIVES * read_number(route, 'target_latency_ms'),
+        PATIENCE_GAPS * read_number(route, 'gap_target_ms'),
     )
 
 
 def _read_splits(route: dict[str, Any]) -> tuple[Split, ...]:
     splits = route.get('split')
     if not splits:
-        return (Split(route['service']),)
-    return tuple(Split(one['service'], one['weight']) for one in splits)
+        return (Split(expect_text(route, 'service')),)
+    return tuple(
+        Split(expect_text(one, 'service'), read_number(one, 'weight'))
+        for one in splits
+    )
 
 
 def _read_pool(pool: dict[str, Any]) -> PoolSpec:
     engine = pool.get('engine')
     return PoolSpec(
-        pool['name'],
+        expect_text(pool, 'name'),
         pool.get('health_path') or '/',
-        int(pool.get('max_conns') or 0),
+        read_count(pool, 'max_conns'),
         _read_engine(engine) if engine else None,
     )
 
 
 def _read_engine(engine: dict[str, Any]) -> EngineSpec:
     return EngineSpec(
-        int(engine['slots']),
-        int(engine.get('kv_capacity') or 0),
+        expect_count(engine, 'slots', 1, MAX_SLOTS),
+        read_count(engine, 'kv_capacity'),
         # Tokens in one event of a stream.
-        int(engine.get('stride') or 1),
+        read_count(engine, 'stride') or 1,
     )
 
 
 def _read_workspace(tenant: dict[str, Any]) -> WorkspaceKeys:
     cap = UsageCap(
-        float(tenant.get('rate_per_s') or 0),
-        float(tenant.get('burst') or 0),
+        read_number(tenant, 'rate_per_s'),
+        read_number(tenant, 'burst'),
         tenant.get('unit') == 'tokens',
-        int(tenant.get('plain_tokens') or 0),
+        read_count(tenant, 'plain_tokens'),
     )
     return WorkspaceKeys(
-        tenant['name'],
+        expect_text(tenant, 'name'),
         frozenset(key.encode() for key in tenant['api_keys']),
-        tenant.get('priority'),
+        _read_rank(tenant),
         cap,
     )
 
 
+def _read_rank(tenant: dict[str, Any]) -> int | None:
+    has_rank = tenant.get('priority') is not None
+    return read_count(tenant, 'priority') if has_rank else None
+
+
 def _read_limits(limits: dict[str, Any]) -> MessageLimits:
     defaults = MessageLimits()
     return MessageLimits(
-        int(limits.get('max_header_bytes', defaults.max_header_bytes)),
-        int(limits.get('max_body_bytes', defaults.max_body_bytes)),
-        float(limits.get('header_timeout_ms', defaults.header_timeout_ms)),
-        float(limits.get('idle_timeout_ms', defaults.idle_timeout_ms)),
+        read_count(limits, 'max_header_bytes', defaults.max_header_bytes),
+        read_count(limits, 'max_body_bytes', defaults.max_body_bytes),
+        read_number(limits, 'header_timeout_ms', defaults.header_timeout_ms),
+        read_number(limits, 'idle_timeout_ms', defaults.idle_timeout_ms),
     )
 
 
 def _read_server(key: str, entry: dict[str, Any]) -> TargetRecord:
-    name = key.removeprefix(SERVERS_PREFIX)
-    address, _, port = _expect_text(entry, 'address').rpartition(':')
-    if not name or not address or not 0 < int(port) <= MAX_PORT:
-        raise ValueError('name or address is missing, or port out of range')
+    if not key.startswith(SERVERS_PREFIX):
+        raise ValueError('the key is not that of a server')
     return TargetRecord(
-        name,
-        _expect_text(entry, 'service'),
-        Endpoint(address, int(port)),
-        _expect_text(entry, 'zone'),
-        _expect_count(entry, 'slots', 1, MAX_SLOTS),
-        _STATES[_expect_text(entry, 'state')],
+        expect_name(key.removeprefix(SERVERS_PREFIX)),
+        expect_text(entry, 'service'),
+        expect_endpoint(entry, 'address'),
+        expect_text(entry, 'zone'),
+        expect_count(entry, 'slots', 1, MAX_SLOTS),
+        _STATES[expect_text(entry, 'state')],
         # Unix time of the start of this run.
-        _read_born(entry),
-        float(entry.get('cold_remaining_ms') or 0),
+        expect_count(entry, 'born', 0, MAX_BORN) if 'born' in entry else 0,
+        read_number(entry, 'cold_remaining_ms'),
     )
-
-
-def _read_born(entry: dict[str, Any]) -> int:
-    if 'born' not in entry:
-        return 0
-    return _expect_count(entry, 'born', 0, 1 << 62)
-
-
-def _expect_text(entry: dict[str, Any], name: str) -> str:
-    text = entry[name]
-    if not isinstance(text, str) or not text:
-        raise TypeError(f'{name} is not a non-empty string')
-    return text
-
-
-def _expect_count(
-    entry: dict[str, Any],
-    name: str,
-    minimum: int,
-    maximum: int,
-) -> int:
-    count = entry[name]
-    if not isinstance(count, int) or isinstance(count, bool):
-        raise TypeError(f'{name} is not an integer')
-    if not minimum <= count <= maximum:
-        raise ValueError(f'{name} is out of range')
-    return count
--- a/hornbeampulley/platform/_store.py
+++ b/hornbeampulley/platform/_store.py
@@ -1,6 +1,7 @@
 """HTTP client of the platform's metadata store."""
 
 import base64
+import dataclasses
 import json
 import logging
 from typing import Any, Final
@@ -16,12 +17,18 @@
     exchange,
 )
 from hornbeampulley.http1.errors import NotConnectedError, ResponseBrokenError
+from hornbeampulley.logs import log_event
 from hornbeampulley.node.stored import (
     HistoryLostError,
     StoredChanges,
     StoredItem,
     StoreUnavailableError,
 )
+from hornbeampulley.platform._fields import (
+    MALFORMED,
+    expect_count,
+    expect_text,
+)
 
 RANGE_PATH: Final = '/-/kv-range'
 WATCH_PATH: Final = '/-/kv-watch'
@@ -32,10 +39,20 @@
 _OK: Final = 200
 _GONE: Final = 410
 _SERVER: Final = 'store'
-_MALFORMED: Final = (ValueError, KeyError, TypeError, AttributeError)
+MAX_REVISION: Final = 1 << 62
+# Characters of an item that can't be read.
+MAX_LOGGED: Final = 80
 _log = logging.getLogger(__name__)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Page:
+    """Items of one answer; the key to go on after is empty at the end."""
+
+    changes: StoredChanges
+    last_key: str
+
+
 class StoreClient:
     """Lists and watches items of the store; each call has a time limit.
 
@@ -76,13 +93,13 @@
         revision: int | None = None
         query = {'prefix': prefix}
         while True:
-            page = await self._call(RANGE_PATH, query, CALL_TIMEOUT_MS)
-            changes, has_more = _read(_read_page, page)
-            items.extend(changes.items)
-            revision = changes.revision if revision is None else revision
-            if not has_more or not changes.items:
+            answer = await self._call(RANGE_PATH, query, CALL_TIMEOUT_MS)
+            page = _read(_read_page, answer)
+            items.extend(page.changes.items)
+            revision = page.changes.revision if revision is None else revision
+            if not page.last_key:
                 return StoredChanges(tuple(items), revision)
-            query['after'] = items[-1].key
+            query['after'] = page.last_key
 
     async def watch(
         self,
@@ -171,24 +188,48 @@
 def _read(reader: Any, body: bytes) -> Any:
     try:
         return reader(json.loads(body))
-    except _MALFORMED as error:
+    except MALFORMED as error:
         raise StoreUnavailableError(
             f'the store sent a malformed answer: {error!r}; check its version',
         ) from error
 
 
-def _read_page(page: dict[str, Any]) -> tuple[StoredChanges, bool]:
-    items = tuple(_read_item(item) for item in page['items'])
-    return StoredChanges(items, page['store_revision']), page['has_more']
+def _read_page(page: dict[str, Any]) -> _Page:
+    items = page['items']
+    changes = StoredChanges(_read_items(items), _read_revision(page))
+    last_key = items[-1]['key'] if items and page['has_more'] else ''
+    return _Page(changes, last_key)
 
 
 def _read_events(answer: dict[str, Any]) -> StoredChanges:
-    items = tuple(_read_item(event) for event in answer['events'])
-    return StoredChanges(items, answer['store_revision'])
+    return StoredChanges(_read_items(answer['events']), _read_revision(answer))
+
+
+def _read_revision(answer: dict[str, Any]) -> int:
+    return expect_count(answer, 'store_revision', 0, MAX_REVISION)
+
+
+def _read_items(items: list[dict[str, Any]]) -> tuple[StoredItem, ...]:
+    """Read items; one that can't be read must not hold up the others."""
+    readable: list[StoredItem] = []
+    for item in items:
+        try:
+            readable.append(_read_item(item))
+        except MALFORMED as error:
+            log_event(
+                _log,
+                'item_refused',
+                severity=logging.WARNING,
+                key=str(item)[:MAX_LOGGED],
+                error=repr(error),
+            )
+    return tuple(readable)
 
 
 def _read_item(item: dict[str, Any]) -> StoredItem:
+    key = expect_text(item, 'key')
+    revision = expect_count(item, 'revision', 0, MAX_REVISION)
     if item.get('deleted'):
-        return StoredItem(item['key'], b'', item['revision'], is_deleted=True)
+        return StoredItem(key, b'', revision, is_deleted=True)
     content = base64.b64decode(item['value'], validate=True)
-    return StoredItem(item['key'], content, item['revision'])
+    return StoredItem(key, content, revision)
--- a/hornbeampulley/wire/_records.py
+++ b/hornbeampulley/wire/_records.py
@@ -1,5 +1,6 @@
 """Converts records of the host directory to and from thrift structs."""
 
+import ipaddress
 from collections.abc import Iterable
 from typing import Final
 
@@ -17,6 +18,7 @@
 
 # Leaves room to raise a version and to encode it in 64 bits.
 MAX_ORDER: Final = 1 << 62
+MAX_PORT: Final = 65_535
 
 
 def write_record(record: HostRecord) -> ttypes.HostRecord:
@@ -179,6 +181,7 @@
         ) from error
     for one in news:
         _check_order(one)
+        _check_endpoints(one.record)
     return news
 
 
@@ -190,6 +193,26 @@
         )
 
 
+def _check_endpoints(record: HostRecord) -> None:
+    ports = [
+        port
+        for member in record.members
+        for port in (member.caller_port, member.peer_port)
+    ]
+    try:
+        ipaddress.ip_address(record.address)
+    except ValueError as error:
+        raise WireError(
+            f'a peer sent news of {record.host!a} with no IP address; restart '
+            'it with the version that runs here',
+        ) from error
+    if not all(0 <= port <= MAX_PORT for port in ports):
+        raise WireError(
+            f'a peer sent news of {record.host!a} with a port out of range; '
+            'restart it with the version that runs here',
+        )
+
+
 def _write_member(member: Member) -> ttypes.Member:
     return ttypes.Member(
         member.role.value,
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -140,8 +140,26 @@
         {'state': None},
         {'born': 1.5},
         {'zone': None},
+        {'cold_remaining_ms': 10**400},
+        {'cold_remaining_ms': float('inf')},
+        {'cold_remaining_ms': float('nan')},
+        {'cold_remaining_ms': -1e308},
+        {'cold_remaining_ms': '5'},
+        {'address': 'not an ip\0:80'},
+        {'address': '\ud800:80'},
+        {'address': 'a..b:80'},
+        {'address': 'a' * 70 + ':80'},
+        {'address': '10.0.0.1:8_0'},
+        {'address': '10.0.0.1:70000'},
+        {'address': '10.0.0.1:-1'},
+        {'address': '10.0.0.1:' + '9' * 5000},
+        {'zone': '\ud800'},
+        {'service': '\ud800'},
+        {'service': 'a\r\nb'},
     ],
 )
+# Operators' point: one odd entry among those of the servers ended hosts, or
+# stopped them from following the list.
 def test_a_record_with_a_malformed_field_is_refused(change):
     assert read_server(ENTRY | change) is None
 
@@ -161,6 +179,48 @@
     assert DECODER.read_routing(StoredItem('op/config', content, 1)) is None
 
 
+@pytest.mark.parametrize(
+    'name', ['', 'a b', 'a\r\nx: y', '\ud800', 'a' + chr(0)]
+)
+def test_a_name_that_no_header_can_hold_is_refused(name):
+    content = json.dumps(ENTRY).encode()
+    item = StoredItem(f'servers/{name}', content, 1)
+    assert DECODER.read_target(item) is None
+
+
+def test_a_key_that_is_not_of_a_server_names_none():
+    content = json.dumps(ENTRY).encode()
+    assert DECODER.read_target(StoredItem('op/config-x', content, 1)) is None
+
+
+@pytest.mark.parametrize('depth', [1000, 200_000])
+def test_a_deeply_nested_document_is_refused(depth):
+    content = b'[' * depth + b']' * depth
+    assert DECODER.read_target(StoredItem('servers/i', content, 1)) is None
+    assert DECODER.read_routing(StoredItem('op/config', content, 1)) is None
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'version': '8'},
+        {'version': True},
+        {'version': 10**400},
+        {'version': None},
+        {'routes': [ROUTE | {'timeout_ms': float('nan')}]},
+        {'routes': [ROUTE | {'timeout_ms': 10**400}]},
+        {'routes': [ROUTE | {'host': 5}]},
+        {'routes': [ROUTE | {'split': [{'service': 'p', 'weight': -1}]}]},
+        {'routes': [ROUTE | {'max_attempts': float('inf')}]},
+        {'tenants': [{'name': 'w', 'api_keys': ['\ud800']}]},
+        {'tenants': [{'name': 'w', 'api_keys': [], 'rate_per_s': '1'}]},
+        {'limits': {'max_body_bytes': -5}},
+    ],
+)
+def test_a_configuration_with_a_malformed_field_is_refused(change):
+    assert read_config(CONFIG | change) is None
+
+
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.text(max_size=5),
     lambda inner: (
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -85,3 +85,21 @@
             await client.list_items('servers/')
 
     run(scenario)
+
+
+# Operators' point: hosts stopped following the list for one odd entry.
+@pytest.mark.parametrize('value', ['%%%', 5, None, 'not base64'])
+def test_an_item_that_can_not_be_read_does_not_hold_up_the_others(value):
+    async def scenario(store, client):
+        since = store.revision
+        for name in ('a', 'b', 'c', 'd'):
+            store.put(f'servers/{name}', {})
+        store._items['servers/b']['value'] = value
+        listed = await client.list_items('servers/')
+        changed = await client.watch('servers/', since, 1000)
+        for changes in (listed, changed):
+            names = [item.key for item in changes.items]
+            assert names == ['servers/a', 'servers/c', 'servers/d']
+            assert changes.revision == store.revision
+
+    run(scenario)
