Take no repeated refusal for that of a request that runs

Callers were told that the request had not run, while it ran (REFUSED), or it was sent to run once more (TWICE). The id of the request tells answers apart, but not two answers to the same id; and a failure without any id was taken for the answer to whatever was sent.

A request that may be sent again does not use a connection on which it was answered. A failure without an id is believed only on a connection that carries its first request.

--- a/hornbeampulley/http1/_connection_pool.py
+++ b/hornbeampulley/http1/_connection_pool.py
@@ -42,7 +42,9 @@
         self._on_open = on_open
         self._idle: dict[str, list[Connection]] = {}
 
-    async def acquire(self, name: str, endpoint: Endpoint) -> Connection:
+    async def acquire(
+        self, name: str, endpoint: Endpoint, request_id: bytes = b''
+    ) -> Connection:
         """Return an idle connection, or open a new one.
 
         Parameters
@@ -51,6 +53,9 @@
             Name of the server.
         endpoint : Endpoint
             Address and port of the server.
+        request_id : bytes
+            Id of the request; connections on which it was answered before are
+            left alone.
 
         Returns
         -------
@@ -63,8 +68,10 @@
             If no connection can be opened.
         """
         idle = self._idle.get(name, [])
-        while idle:
-            connection = idle.pop()
+        for connection in reversed(tuple(idle)):
+            if request_id in connection.answered_ids:
+                continue
+            idle.remove(connection)
             if not connection.is_stale:
                 return connection
             connection.close()
--- a/hornbeampulley/http1/_connections.py
+++ b/hornbeampulley/http1/_connections.py
@@ -62,11 +62,16 @@
     expires_ms : float
         Time of `clock`, in ms, from which an idle connection must not be
         reused.
+    answered_ids : set of bytes
+        Ids of requests that were answered here and may be sent again. They need
+        another connection: should the server repeat its answer, it could not be
+        told from the next one.
     """
 
     def __init__(self, stream: trio.SocketStream, clock: Clock) -> None:
         self.uses = 0
         self.expires_ms = 0.0
+        self.answered_ids: set[bytes] = set()
         self._stream = stream
         self._clock = clock
         self._parser = ResponseParser()
--- a/hornbeampulley/node/_exchanges.py
+++ b/hornbeampulley/node/_exchanges.py
@@ -229,7 +229,7 @@
         for _ in range(MAX_STRAY_ANSWERS):
             head = await connection.read_head()
             self.metadata = self._dialect.read_answer(head)
-            if self._is_matching(head):
+            if self._is_matching(head, connection):
                 self._on_head(self.metadata, self._sent_ms)
                 return head
             log_event(
@@ -246,10 +246,12 @@
             'look at the log of the target',
         )
 
-    def _is_matching(self, head: ResponseHead) -> bool:
+    def _is_matching(self, head: ResponseHead, connection: Connection) -> bool:
         other = self.metadata.request_id
         if other is None:
-            return head.status >= FIRST_FAILURE
+            # On a connection that was used before, a failure without an id may
+            # be that of an earlier request.
+            return head.status >= FIRST_FAILURE and connection.uses == 1
         return other == self._call.metadata.request_id
 
     async def _forward_stream(
--- a/hornbeampulley/node/_sending.py
+++ b/hornbeampulley/node/_sending.py
@@ -99,7 +99,7 @@
             return _reject_leaving(call, target, notice)
         try:
             connection = await self._connections.acquire(
-                target.name, target.endpoint
+                target.name, target.endpoint, call.metadata.request_id
             )
         except NotConnectedError as error:
             self._connections.close_idle(target.name)
@@ -118,7 +118,7 @@
             functools.partial(self._learn, target),
         )
         try:
-            return await self._run(exchange, connection, target, notice)
+            return await self._run(call, exchange, connection, target, notice)
         finally:
             if not exchange.is_connection_returned:
                 connection.close()
@@ -146,6 +146,7 @@
 
     async def _run(
         self,
+        call: Call,
         exchange: Exchange,
         connection: Connection,
         target: TargetRecord,
@@ -159,6 +160,9 @@
         if metadata is not None and metadata.running is not None:
             if metadata.queued or metadata.is_rejection:
                 self._report(target.name, (metadata.running, metadata.queued))
+        if attempt.outcome is not Outcome.DONE:
+            # The request may be sent to this target once more.
+            connection.answered_ids.add(call.metadata.request_id)
         self._connections.release(target.name, connection, exchange.keep_alive)
         exchange.is_connection_returned = True
         return attempt
--- a/tests/test_node_sending.py
+++ b/tests/test_node_sending.py
@@ -43,7 +43,7 @@
         self.connection = RecordingConnection()
         self._opening_ms = opening_ms
 
-    async def acquire(self, name, endpoint):
+    async def acquire(self, name, endpoint, request_id):
         await trio.sleep(self._opening_ms / 1000)
         return self.connection
 
