Let nothing but later events follow in a stream that goes on elsewhere

Errors with a status from 400 on were stopped already.

An answer goes on in a stream only as events with the status that the caller has got, and each event of a resumed stream has to come after the last one; otherwise the stream is left incomplete, so that its caller knows.

--- a/hornbeampulley/node/_events.py
+++ b/hornbeampulley/node/_events.py
@@ -25,6 +25,7 @@
         self.last_id: bytes | None = None
         self.count = 0
         self._buffer = b''
+        self._is_resumed = False
 
     @property
     def incomplete(self) -> bytes:
@@ -47,12 +48,16 @@
         Raises
         ------
         ResponseBrokenError
-            If an event exceeds `MAX_EVENT_BYTES`, as it may never end.
+            If an event exceeds `MAX_EVENT_BYTES`, as it may never end, or does
+            not follow the last one in a stream that was resumed.
         """
         self._buffer += received
         end = 0
         for match in _EVENT_END.finditer(self._buffer):
-            self._count_event(self._buffer[end : match.end()])
+            event = self._buffer[end : match.end()]
+            if self._is_resumed:
+                self._check_order(event)
+            self._count_event(event)
             end = match.end()
         whole, self._buffer = self._buffer[:end], self._buffer[end:]
         if len(self._buffer) > MAX_EVENT_BYTES:
@@ -66,9 +71,31 @@
     def reset(self) -> None:
         """Discard the incomplete event, before another stream is resumed."""
         self._buffer = b''
+        self._is_resumed = self.count > 0
+
+    def _check_order(self, event: bytes) -> None:
+        """Check that an event is one, and comes after the last one."""
+        found = _EVENT_ID.search(event)
+        is_comment = event.startswith(b':')
+        if is_comment and found is None:
+            return
+        if found is None or not _is_later(found[1], self.last_id):
+            raise ResponseBrokenError(
+                'a resumed stream does not go on after the last event; '
+                'look at the log of the target',
+            )
 
     def _count_event(self, event: bytes) -> None:
         self.count += 1
         found = _EVENT_ID.search(event)
         if found is not None:
             self.last_id = found[1]
+
+
+def _is_later(event_id: bytes, last_id: bytes | None) -> bool:
+    """Tell whether an id may follow; only numbers can be compared."""
+    if last_id is None:
+        return True
+    if event_id.isdigit() and last_id.isdigit():
+        return int(event_id) > int(last_id)
+    return event_id != last_id
--- a/hornbeampulley/node/_exchanges.py
+++ b/hornbeampulley/node/_exchanges.py
@@ -209,6 +209,7 @@
         metadata = self.metadata
         headers = tuple(drop_connection_headers(head.headers))
         if self._call.is_stream and head.status < FIRST_FAILURE:
+            self._check_continuation(head)
             return await self._forward_stream(connection, head.status, headers)
         body = await connection.read_full_body(MAX_ANSWER_BYTES)
         attempt = self.make_attempt(Outcome.DONE, 'answered')
@@ -224,6 +225,17 @@
         attempt.answer = Answer(head.status, headers, body)
         return attempt
 
+    def _check_continuation(self, head: ResponseHead) -> None:
+        """Check that an answer can follow in a stream that has begun."""
+        call = self._call
+        if not call.reply.is_started:
+            return
+        if not self.metadata.is_stream or head.status != call.status:
+            raise ResponseBrokenError(
+                f'a target answered {head.status} in place of the rest of a '
+                'stream; look at the log of the target',
+            )
+
     async def _read_matching_head(self, connection: Connection) -> ResponseHead:
         """Read heads, skipping responses to other requests."""
         for _ in range(MAX_STRAY_ANSWERS):
