--- a/hornbeampulley/node/_peers.py
+++ b/hornbeampulley/node/_peers.py
@@ -9,10 +9,10 @@
 from hornbeampulley.logs import log_event
 from hornbeampulley.node._lease_client import LeaseClient
 from hornbeampulley.node._quarantines import PoolQuarantine
+from hornbeampulley.node._relayed_items import ItemWriter, read_relayed_item
 from hornbeampulley.node._scheduling import Scheduling
 from hornbeampulley.node._store_view import Position, StoreView
 from hornbeampulley.node._usage_cap_client import UsageCapClient
-from hornbeampulley.node.stored import StoredItem
 from hornbeampulley.wire import Link
 from hornbeampulley.wire.generated.peer import ttypes
 from hornbeampulley.wire.scheduling import (
@@ -61,6 +61,7 @@
         self._clock = clock
         self._homes: dict[str, Link] = {}
         self._replaced: set[Link] = set()
+        self._item_writer = ItemWriter()
         scheduling.quarantines.on_change = self._broadcast
         scheduling.quarantines.on_content = self._broadcast_content
 
@@ -267,13 +268,13 @@
         newer = tuple(self._store_view.list_newer(position))
         for start in range(0, len(newer), MAX_ITEMS):
             batch = newer[start : start + MAX_ITEMS]
-            items = [_write_item(item) for item in batch]
+            items = [self._item_writer.write(item) for item in batch]
             link.send(ttypes.StoredItems(0, items, 0))
         own = self._store_view.position
         link.send(ttypes.StoredItems(own.targets, [], own.routing))
 
     def _apply_items(self, message: ttypes.StoredItems, peer: str) -> None:
-        items = tuple(_read_item(item) for item in message.items)
+        items = tuple(read_relayed_item(item) for item in message.items)
         log_event(
             _log,
             'items_received',
@@ -289,23 +290,3 @@
 
 def _do_nothing() -> None:
     """Default of `PeerMessageHandler.on_ready`."""
-
-
-def _write_item(item: StoredItem) -> ttypes.StoredItem:
-    return ttypes.StoredItem(
-        item.key,
-        item.content,
-        item.revision,
-        item.is_deleted,
-        round(item.held_ms),
-    )
-
-
-def _read_item(item: ttypes.StoredItem) -> StoredItem:
-    return StoredItem(
-        item.key,
-        bytes(item.content),
-        item.revision,
-        bool(item.deleted),
-        item.held_ms or 0,
-    )
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -302,6 +302,8 @@
   4: bool deleted
   // How long the sender still waits for a deleted item to come back, ms.
   5: i32 held_ms
+  // Whether the content is compressed.
+  6: optional bool is_packed
 }
 
 struct StoredItems {
