Hold removals less long where the store's return was noticed late

Found by the test of a silent store: a target whose entry is removed without a word was still in use 2 s after the store had acknowledged it, at 2 of 60 moments of return (DRAIN). A removal that is read after an outage is held for 1.8 s from the moment at which the host noticed the store's return, which may be 3.5 s late if the last call before it had lost its answer.

The hold also ends 4.6 s after the sending of the last call that failed: the store was away then, so that no removal of the time in which hosts count as in touch again is held past its bound.

Test: tests/test_node_silent_store.py, a third case in 60 moments; 2 failed before.

--- a/hornbeampulley/node/_held_removals.py
+++ b/hornbeampulley/node/_held_removals.py
@@ -10,6 +10,10 @@
 # about two seconds of its end, and a target that has left must get no new
 # request after two seconds; so removals are held back for a little less.
 REMOVAL_HOLD_MS: Final = 1800.0
+# The same from the sending of the last call that failed, when the store was still
+# away: hosts count as in touch three seconds after its return, and two seconds
+# later the removal has to be in force.
+LATEST_HOLD_MS: Final = 4600.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,9 +41,18 @@
         """Time in ms for which a removal read now is held; 0 if it is not."""
         return max(self._grace_until_ms - self._clock.now(), 0)
 
-    def record_outage(self) -> None:
-        """Hold removals back until `REMOVAL_HOLD_MS` from now."""
-        self._grace_until_ms = self._clock.now() + REMOVAL_HOLD_MS
+    def record_outage(self, away_ms: float) -> None:
+        """Hold removals back until `REMOVAL_HOLD_MS` from now at the latest.
+
+        Parameters
+        ----------
+        away_ms : float
+            When the store is known to have been away last.
+        """
+        self._grace_until_ms = min(
+            self._clock.now() + REMOVAL_HOLD_MS,
+            away_ms + LATEST_HOLD_MS,
+        )
 
     def hold(self, item: StoredItem, held_ms: float) -> None:
         """Hold a removal back.
--- a/hornbeampulley/node/_reading.py
+++ b/hornbeampulley/node/_reading.py
@@ -85,6 +85,8 @@
         self._wait_share = generator.uniform(MIN_WAIT_SHARE, 1)
         self._revision: int | None = None
         self._failures = 0
+        # When the last call that failed was sent.
+        self._failed_call_ms = 0.0
         self._call_scope = trio.CancelScope()
         self._is_active = True
         self._activated = trio.Event()
@@ -127,6 +129,7 @@
                 await self._read_or_pause()
 
     async def _read_or_pause(self) -> None:
+        call_ms = self._clock.now()
         try:
             await self._read_once()
         except HistoryLostError as error:
@@ -140,11 +143,11 @@
             self._revision = None
             await trio.sleep(to_seconds(PAUSE_MS))
         except StoreUnavailableError as error:
-            await self._handle_failure(error)
+            await self._handle_failure(error, call_ms)
         except Exception as error:
             # The node goes on with what it knows, and tries again.
             _log.exception('reading %s failed', self._prefix)
-            await self._handle_failure(error)
+            await self._handle_failure(error, call_ms)
         else:
             self._record_success()
 
@@ -193,8 +196,9 @@
         self._failures = 0
         self.on_answer()
 
-    async def _handle_failure(self, error: Exception) -> None:
+    async def _handle_failure(self, error: Exception, call_ms: float) -> None:
         self._failures += 1
+        self._failed_call_ms = call_ms
         if self.is_reached or self._failures == 1:
             log_event(
                 _log,
@@ -214,7 +218,7 @@
     def _record_outage(self) -> None:
         """Let removals be held back if the store has been away."""
         if self._failures >= OUTAGE_FAILURES:
-            self._store_view.record_outage()
+            self._store_view.record_outage(self._failed_call_ms)
 
 
 def make_readers(
--- a/hornbeampulley/node/_store_view.py
+++ b/hornbeampulley/node/_store_view.py
@@ -128,9 +128,15 @@
         self._routing_revision = max(self._routing_revision, position.routing)
         self._targets_revision = max(self._targets_revision, position.targets)
 
-    def record_outage(self) -> None:
-        """Hold removals back for a while, as expired items may come back."""
-        self._held_removals.record_outage()
+    def record_outage(self, away_ms: float) -> None:
+        """Hold removals back for a while, as expired items may come back.
+
+        Parameters
+        ----------
+        away_ms : float
+            When the store is known to have been away last.
+        """
+        self._held_removals.record_outage(away_ms)
 
     def apply_items(self, items: Iterable[StoredItem], source: str) -> None:
         """Apply items of the store; items that are not newer are ignored.
@@ -276,7 +282,7 @@
         known = len(self.targets.records)
         if lost >= MASS_LOSS_COUNT and lost >= known * MASS_LOSS_SHARE:
             log_event(_log, 'outage_suspected', lost=lost, known=known)
-            self.record_outage()
+            self.record_outage(self._clock.now())
 
     def _apply_item(
         self,
--- a/tests/test_node_held_removals.py
+++ b/tests/test_node_held_removals.py
@@ -1,7 +1,11 @@
 """Tests of removals that are held back."""
 
 from hornbeampulley.clock import ManualClock
-from hornbeampulley.node._held_removals import REMOVAL_HOLD_MS, HeldRemovals
+from hornbeampulley.node._held_removals import (
+    LATEST_HOLD_MS,
+    REMOVAL_HOLD_MS,
+    HeldRemovals,
+)
 from tests.stored import gone
 
 
@@ -38,7 +42,15 @@
     clock = ManualClock()
     removals = HeldRemovals(clock)
     assert removals.grace_ms == 0
-    removals.record_outage()
+    removals.record_outage(clock.now())
     assert removals.grace_ms == REMOVAL_HOLD_MS
     clock.advance(REMOVAL_HOLD_MS + 1)
     assert removals.grace_ms == 0
+
+
+# DRAIN: the store had been back for long when a host noticed it.
+def test_the_grace_is_shorter_where_the_return_was_noticed_late():
+    clock = ManualClock(10_000)
+    removals = HeldRemovals(clock)
+    removals.record_outage(clock.now() - 3500)
+    assert removals.grace_ms == LATEST_HOLD_MS - 3500
--- a/tests/test_node_silent_store.py
+++ b/tests/test_node_silent_store.py
@@ -58,6 +58,16 @@
         self.changed.set()
         self.changed = trio.Event()
 
+    def delete(self, key):
+        self.revision += 1
+        self.items[key] = {
+            'key': key,
+            'revision': self.revision,
+            'deleted': True,
+        }
+        self.changed.set()
+        self.changed = trio.Event()
+
     def list_after(self, prefix, revision):
         return [
             item
@@ -186,6 +196,20 @@
     run(mock_run, returns_s, scenario)
 
 
+# DRAIN: the same for a target whose entry is removed without a word; a removal
+# that is read late was held back as long as one that is read in time.
+@pytest.mark.parametrize('returns_s', RETURNS_S)
+def test_a_removal_is_in_force_soon_after_a_silence(mock_run, returns_s):
+    async def scenario(store, view):
+        await trio.sleep_until(store.returns_s + STABLE_S)
+        store.delete('servers/a')
+        await trio.sleep(APPLY_S)
+        view.apply_overdue_removals()
+        assert not view.targets.records
+
+    run(mock_run, returns_s, scenario)
+
+
 def test_a_quiet_store_gets_few_calls(mock_run):
     async def scenario(store, view):
         await trio.sleep_until(store.returns_s + STABLE_S)
--- a/tests/test_node_store_view.py
+++ b/tests/test_node_store_view.py
@@ -36,7 +36,7 @@
     store_view.apply_items(
         [server('a', 1), server('b', 2), server('c', 3)], 'store'
     )
-    store_view.record_outage()
+    store_view.record_outage(clock.now())
     store_view.apply_items([gone('a', 4)], 'store')
     clock.advance(1700)
     store_view.apply_overdue_removals()
@@ -52,7 +52,7 @@
     store_view.apply_items(
         [server('a', 1), server('b', 2), server('c', 3)], 'store'
     )
-    store_view.record_outage()
+    store_view.record_outage(clock.now())
     clock.advance(1700)
     store_view.apply_items([gone('a', 4)], 'store')
     assert 'a' in store_view.targets.records
@@ -66,7 +66,7 @@
     store_view.apply_items(
         [server('a', 1), server('b', 2), server('c', 3)], 'store'
     )
-    store_view.record_outage()
+    store_view.record_outage(0)
     store_view.apply_relayed_items([gone('a', 4), gone('b', 5)])
     assert list(store_view.targets.records) == ['c']
 
@@ -77,7 +77,7 @@
     other = make(clock)
     for store_view in (reader, other):
         store_view.apply_items([server('a', 1)], 'store')
-    reader.record_outage()
+    reader.record_outage(clock.now())
     reader.apply_items([gone('a', 4)], 'store')
     clock.advance(1500)
     other.apply_relayed_items(reader.list_newer(other.position))
@@ -96,7 +96,7 @@
     store_view = make(clock)
     store_view.apply_items([server('a', 1), server('b', 2)], 'store')
     record = store_view.targets.records['a']
-    store_view.record_outage()
+    store_view.record_outage(clock.now())
     store_view.apply_items([gone('a', 4)], 'store')
     clock.advance(1799)
     assert store_view.get_notice(record).is_open
@@ -108,7 +108,7 @@
     clock = ManualClock()
     store_view = make(clock)
     store_view.apply_items([server('a', 1)], 'store')
-    store_view.record_outage()
+    store_view.record_outage(clock.now())
     store_view.apply_items([gone('a', 4), server('a', 5)], 'store')
     clock.advance(5000)
     store_view.apply_overdue_removals()
