--- a/hornbeampulley/node/_exchanges.py
+++ b/hornbeampulley/node/_exchanges.py
@@ -18,7 +18,7 @@
 from hornbeampulley.http1.errors import ResponseBrokenError
 from hornbeampulley.logs import log_event
 from hornbeampulley.node._calls import Answer, Call
-from hornbeampulley.node._store_view import TargetNotice
+from hornbeampulley.node._knowledge import TargetNotice
 from hornbeampulley.node.dialect import Dialect, Dispatch, ResponseMetadata
 from hornbeampulley.routing import TargetRecord
 
--- a/hornbeampulley/node/_gossip.py
+++ b/hornbeampulley/node/_gossip.py
@@ -23,9 +23,10 @@
     HostNews,
     SendProbe,
 )
+from hornbeampulley.node._knowledge import Position
 from hornbeampulley.node._membership import Membership
 from hornbeampulley.node._positions import PeerPositions
-from hornbeampulley.node._store_view import Position, StoreView
+from hornbeampulley.node._store_view import StoreView
 from hornbeampulley.wire import (
     decode_body,
     encode_frame,
--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -23,7 +23,6 @@
 from hornbeampulley.membership import HostRecord
 from hornbeampulley.node._adapters import Adapter, Identity
 from hornbeampulley.node._calls import Call
-from hornbeampulley.node._catch_up import CatchUp
 from hornbeampulley.node._counters import Counters
 from hornbeampulley.node._endpoints import (
     DirectoryEndpoint,
@@ -31,6 +30,7 @@
     ReadinessEndpoint,
 )
 from hornbeampulley.node._filters import answer_call
+from hornbeampulley.node._following import StoreFollower
 from hornbeampulley.node._gossip import Gossip
 from hornbeampulley.node._home import Home
 from hornbeampulley.node._host_records import make_host_record, make_member
@@ -39,13 +39,6 @@
 from hornbeampulley.node._mesh import Mesh, serve_peers
 from hornbeampulley.node._owners import OwnerFinder
 from hornbeampulley.node._peers import PeerMessageHandler
-from hornbeampulley.node._positions import PeerPositions
-from hornbeampulley.node._reader_election import ReaderElection
-from hornbeampulley.node._reading import (
-    CHOSEN_READER_WAIT_MS,
-    WAIT_MS,
-    make_readers,
-)
 from hornbeampulley.node._repeating import repeat
 from hornbeampulley.node._scheduling import Scheduling
 from hornbeampulley.node._sending import Sender
@@ -109,7 +102,7 @@
             nursery,
         )
         self._build_scheduling()
-        self._build_readers(adapter)
+        self._build_follower(adapter)
         self.home = self._build_home(adapter)
         self.options = ServerOptions(
             self._answer,
@@ -132,9 +125,7 @@
         listen = self.settings.listen
         start = self._nursery.start_soon
         start(self.gossip.run)
-        for reader in self.readers:
-            reader.set_active(is_active=False)
-            start(reader.run)
+        self.follower.start(self._nursery)
         start(serve_peers, self.mesh, listen.peers)
         start(repeat, self._tick, TICK_MS)
         start(repeat, self._sweep, SWEEP_MS)
@@ -207,38 +198,21 @@
         self._message_handler.lease_client = self.lease_client
         self._message_handler.caps = self.caps
 
-    def _build_readers(self, adapter: Adapter) -> None:
-        store = adapter.make_store(self.settings.store.address, self.clock)
-        decoder = adapter.decoder
-        self.readers = make_readers(
-            store,
+    def _build_follower(self, adapter: Adapter) -> None:
+        self.follower = StoreFollower(
+            adapter.make_store(self.settings.store.address, self.clock),
             self.store_view,
-            (decoder.routing_prefix, decoder.targets_prefix),
-            self._generator,
-            self.clock,
-        )
-        for reader in self.readers:
-            reader.on_answer = self._confirm_view
-        self._positions = PeerPositions(self.store_view, self.clock)
-        self._election = ReaderElection(
-            self.membership,
-            self.store_view.freshness,
-            self.clock,
-            self._generator,
-        )
-        self._catch_up = CatchUp(
             self.membership,
             self.mesh,
-            self._positions,
             self._message_handler.request_items,
             self.clock,
+            self._generator,
         )
-        self._positions.on_ahead = self._fetch_newer
-        self._message_handler.on_ready = self._fetch_newer
+        self._message_handler.on_ready = self.follower.fetch_newer
         self.gossip = Gossip(
             self.membership,
             self.store_view,
-            self._positions,
+            self.follower.positions,
             Endpoint(
                 self.settings.host.address,
                 self.settings.listen.gossip_port,
@@ -354,36 +328,12 @@
         self.connections.close_stale()
         self.store_view.sweep()
         self.mesh.sweep()
-        self._update_readers()
-        self._fetch_newer()
+        self.follower.sweep()
 
     def _follow_store(self) -> None:
         self._configure()
         self.gossip.announce()
 
-    def _update_readers(self) -> None:
-        is_reader = self._election.is_reader()
-        self._catch_up.is_reader = is_reader
-        reads_everywhere = self._election.reads_everywhere
-        for reader in self.readers:
-            reader.wait_ms = (
-                WAIT_MS if reads_everywhere else CHOSEN_READER_WAIT_MS
-            )
-            reader.set_active(is_active=is_reader)
-
-    def _confirm_view(self) -> None:
-        """Record that the view is up to date, if both readers know that."""
-        if all(one.is_reached for one in self.readers):
-            self.store_view.freshness.confirm(
-                min(one.confirmed_ms for one in self.readers)
-            )
-
-    def _fetch_newer(self) -> None:
-        """Request items from a peer that is ahead in reading the store."""
-        if self._catch_up.run() and self._catch_up.is_reader:
-            for reader in self.readers:
-                reader.retry_now()
-
     def _configure(self) -> None:
         """Configure the scheduler if routing or targets have changed."""
         store_view = self.store_view
--- a/hornbeampulley/node/_peers.py
+++ b/hornbeampulley/node/_peers.py
@@ -7,11 +7,12 @@
 from hornbeampulley import decisions
 from hornbeampulley.clock import Clock
 from hornbeampulley.logs import log_event
+from hornbeampulley.node._knowledge import Position
 from hornbeampulley.node._lease_client import LeaseClient
 from hornbeampulley.node._quarantines import PoolQuarantine
 from hornbeampulley.node._relayed_items import ItemWriter, read_relayed_item
 from hornbeampulley.node._scheduling import Scheduling
-from hornbeampulley.node._store_view import Position, StoreView
+from hornbeampulley.node._store_view import StoreView
 from hornbeampulley.node._usage_cap_client import UsageCapClient
 from hornbeampulley.wire import Link
 from hornbeampulley.wire.generated.peer import ttypes
--- a/hornbeampulley/node/_positions.py
+++ b/hornbeampulley/node/_positions.py
@@ -4,7 +4,8 @@
 from typing import Final
 
 from hornbeampulley.clock import Clock
-from hornbeampulley.node._store_view import Position, StoreView
+from hornbeampulley.node._knowledge import Position
+from hornbeampulley.node._store_view import StoreView
 
 # Positions of this many peers that are ahead are kept.
 MAX_AHEAD: Final = 8
--- a/hornbeampulley/node/_sending.py
+++ b/hornbeampulley/node/_sending.py
@@ -18,7 +18,8 @@
 from hornbeampulley.logs import log_event
 from hornbeampulley.node._calls import Call
 from hornbeampulley.node._exchanges import Attempt, Exchange
-from hornbeampulley.node._store_view import StoreView, TargetNotice
+from hornbeampulley.node._knowledge import TargetNotice
+from hornbeampulley.node._store_view import StoreView
 from hornbeampulley.node._target_signals import SignalStore
 from hornbeampulley.node.dialect import Dialect, ResponseMetadata
 from hornbeampulley.routing import TargetRecord
--- a/hornbeampulley/node/_store_view.py
+++ b/hornbeampulley/node/_store_view.py
@@ -12,11 +12,11 @@
 from hornbeampulley.logs import log_event
 from hornbeampulley.node._freshness import Freshness
 from hornbeampulley.node._held_removals import HeldRemovals
+from hornbeampulley.node._knowledge import GONE, Position, TargetNotice
 from hornbeampulley.node.stored import Decoder, StoredItem
 from hornbeampulley.routing import (
     RoutingTable,
     TargetRecord,
-    TargetState,
     TargetTable,
 )
 
@@ -24,48 +24,9 @@
 MASS_LOSS_SHARE: Final = 0.34
 MASS_LOSS_COUNT: Final = 2
 PEER: Final = 'peer'
-GONE: Final = 'gone'
 _log = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Position:
-    """Latest revisions of the store that a node has applied.
-
-    Attributes
-    ----------
-    routing, targets : int
-        Revisions of the routing table and of the targets.
-    """
-
-    routing: int = 0
-    targets: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TargetNotice:
-    """Latest knowledge about one run of a target.
-
-    Attributes
-    ----------
-    state : str
-        Value of a `TargetState`; `GONE` if the run is no longer registered.
-    age_ms : float
-        Time since the node learned this, in ms.
-    view_age_ms : float
-        Time since its view is known to have been up to date, in ms.
-    """
-
-    state: str
-    age_ms: float
-    view_age_ms: float
-
-    @property
-    def is_open(self) -> bool:
-        """Whether the target gets new requests."""
-        return self.state == TargetState.READY.value
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _KeptItem:
     item: StoredItem
@@ -112,6 +73,11 @@
         self._targets_revision = 0
         self._held_removals = HeldRemovals(clock)
 
+    @property
+    def prefixes(self) -> tuple[str, str]:
+        """Key prefixes of the routing table and of the targets."""
+        return self._decoder.routing_prefix, self._decoder.targets_prefix
+
     @property
     def position(self) -> Position:
         """Latest revisions applied."""
--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -215,7 +215,7 @@
 def test_a_node_that_the_store_turns_away_learns_from_its_peers():
     async def scenario(fleet):
         node = fleet.nodes[1]
-        for reader in node.readers:
+        for reader in node.follower.readers:
             reader._store = Unreachable()
             reader.retry_now()
         fleet.store.put(KEY_OF_CONFIG, make_config(2, routes=[]))
--- a/tests/test_node_peers.py
+++ b/tests/test_node_peers.py
@@ -4,9 +4,10 @@
 
 from hornbeampulley import decisions
 from hornbeampulley.clock import ManualClock
+from hornbeampulley.node._knowledge import Position
 from hornbeampulley.node._peers import PeerMessageHandler
 from hornbeampulley.node._scheduling import Scheduling
-from hornbeampulley.node._store_view import Position, StoreView
+from hornbeampulley.node._store_view import StoreView
 from hornbeampulley.node.stored import StoredItem
 from hornbeampulley.platform._documents import PlatformDecoder
 from hornbeampulley.routing import make_configuration
--- a/tests/test_node_reader_election.py
+++ b/tests/test_node_reader_election.py
@@ -6,13 +6,14 @@
 
 from hornbeampulley.clock import ManualClock
 from hornbeampulley.node._freshness import MAX_AGE_MS
+from hornbeampulley.node._knowledge import Position
 from hornbeampulley.node._positions import PeerPositions
 from hornbeampulley.node._reader_election import (
     ALL_READ_HOSTS,
     READERS,
     ReaderElection,
 )
-from hornbeampulley.node._store_view import Position, StoreView
+from hornbeampulley.node._store_view import StoreView
 from hornbeampulley.platform._documents import PlatformDecoder
 from tests.test_node_membership import exchange_news, make
 
--- a/tests/test_node_store_view.py
+++ b/tests/test_node_store_view.py
@@ -6,7 +6,8 @@
 from hypothesis import strategies as st
 
 from hornbeampulley.clock import ManualClock
-from hornbeampulley.node._store_view import Position, StoreView
+from hornbeampulley.node._knowledge import Position
+from hornbeampulley.node._store_view import StoreView
 from hornbeampulley.node.stored import StoredItem
 from hornbeampulley.platform._documents import PlatformDecoder
 from tests.stored import gone, server
