Test on real processes that a lost answer of the store deafens nobody for long

The proxy of the tests can now lose what is sent on the present connections, which stay open, as the store does.

--- a/tests/proxies.py
+++ b/tests/proxies.py
@@ -42,6 +42,7 @@
         self._upstream = upstream
         self._port = port
         self._streams = set()
+        self._muted = set()
         self._changed = trio.Event()
 
     async def serve(self, address):
@@ -54,6 +55,10 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    def mute(self):
+        """Lose whatever is sent on the present connections, which stay open."""
+        self._muted |= self._streams
+
     def reset(self):
         """Reset all connections."""
         for stream in tuple(self._streams):
@@ -82,11 +87,14 @@
                 )
         finally:
             self._streams -= pair
+            self._muted -= pair
             await trio.aclose_forcefully(server)
 
     async def _pump(self, source, sink, holding_modes, cancel):
         try:
             while part := await source.receive_some(PART_BYTES):
+                if source in self._muted:
+                    continue
                 while self.mode in holding_modes:
                     await self._changed.wait()
                 if self.mode is Mode.SLOW:
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -83,6 +83,20 @@
     run_processes(scenario, tmp_path)
 
 
+# CONFIG: after the store had lost its answers to all hosts none of them heard of a
+# change for up to 9.5 s.
+def test_nodes_soon_hear_of_a_change_after_all_answers_were_lost(tmp_path):
+    async def scenario(nodes):
+        await trio.sleep(1)
+        for proxy in nodes.store_proxies:
+            proxy.mute()
+        path = nodes.change_config()
+        for number in range(NODES):
+            await nodes.wait_served(number, path, limit_s=5)
+
+    run_processes(scenario, tmp_path)
+
+
 def test_a_backend_that_falls_silent_costs_no_second_booking(tmp_path):
     async def scenario(nodes):
         async with trio.open_nursery() as nursery:
--- a/tests/test_proxies.py
+++ b/tests/test_proxies.py
@@ -58,6 +58,17 @@
     run_proxy(scenario)
 
 
+def test_a_muted_connection_loses_what_is_sent():
+    async def scenario(proxy, stream):
+        assert await ask(stream) == b'x'
+        proxy.mute()
+        assert await ask(stream, 0.3) is None
+        async with await trio.open_tcp_stream(FRONT, PORT) as other:
+            assert await ask(other) == b'x'
+
+    run_proxy(scenario)
+
+
 def test_a_reset_breaks_all_connections():
     async def scenario(proxy, stream):
         assert await ask(stream) == b'x'
