Refuse a late request once; give a target that is down no more than its slots

A late request that was leased and came back unsent had two entries among the departures, and the core failed on refusing it twice; that could happen before, where a probe was given to such a request. A target without any healthy peer got probes beyond its slots while earlier ones had not ended.

--- a/hornbeampulley/decisions/_targets.py
+++ b/hornbeampulley/decisions/_targets.py
@@ -113,7 +113,7 @@
         if now_ms < self.throttle.open_ms:
             return ()
         if not self.health.is_healthy:
-            if is_last_resort and self.health.is_last_resort_due(now_ms):
+            if is_last_resort and self._is_last_resort_due(now_ms):
                 return tuple(headroom)
             return self._find_probe_ranks(tuple(headroom), now_ms)
         return tuple(self._iterate_open_ranks(headroom))
@@ -196,6 +196,10 @@
                 return
             yield rank
 
+    def _is_last_resort_due(self, now_ms: float) -> bool:
+        has_slot = len(self.running) < self.target.slots
+        return has_slot and self.health.is_last_resort_due(now_ms)
+
     def _find_probe_ranks(
         self,
         ranks: tuple[int, ...],
--- a/hornbeampulley/decisions/_tiers.py
+++ b/hornbeampulley/decisions/_tiers.py
@@ -87,16 +87,17 @@
 
         A late request is listed only once.
         """
-        departing = [
-            request
+        departing = {
+            request.request_id: request
             for request in self.isolated.values()
             if 0 < request.reserve.begin_by_ms <= now_ms + REFUSAL_DELIVERY_MS
-        ]
+        }
         while self._departures and self._departures[0][0] <= now_ms:
             _, _, request = heapq.heappop(self._departures)
             if self._late.get(request.request_id) is request:
-                departing.append(request)
-        return departing
+                # One that was leased and came back unsent has two entries.
+                departing[request.request_id] = request
+        return list(departing.values())
 
     def push(self, request: Request, share: float) -> None:
         """Add a request with a new serial."""
--- a/tests/test_last_target.py
+++ b/tests/test_last_target.py
@@ -120,3 +120,28 @@
         pool.reserve('gold')
     leased = [one.target for one in pool.actions[before:]]
     assert leased == ['t1'] * 6
+
+
+def test_a_target_that_is_down_gets_no_more_than_its_slots():
+    pool = Pool(targets=1, slots=2)
+    pool.send(TargetDown('t0'))
+    for _ in range(6):
+        pool.reserve('gold', repeatable=False)
+        pool.send(Tick(), 400)
+    assert sum(isinstance(one, Lease) for one in pool.actions) == 2
+
+
+def test_a_late_request_that_comes_back_unsent_is_refused_once():
+    pool = Pool(targets=1, slots=4)
+    pool.send(TargetDown('t0'))
+    pool.reserve('low', prompt_tokens=0)
+    name = pool.reserve(
+        'gold', prompt_tokens=30_000, begin_by_ms=pool.now_ms + 300
+    )
+    for _ in range(12):
+        pool.send(Tick())
+        for lease in pool.actions:
+            if isinstance(lease, Lease) and lease.request_id == name:
+                pool.release(name, Outcome.NOT_SENT)
+    refused = [one for one in pool.actions if isinstance(one, Refuse)]
+    assert [one.request_id for one in refused].count(name) <= 1
