--- a/tests/test_last_target.py
+++ b/tests/test_last_target.py
@@ -15,9 +15,11 @@
     Refuse,
     TakeoverEnded,
     TargetDown,
+    TargetsLeaving,
     Tick,
     Withdraw,
 )
+from hornbeampulley.decisions._health import Condition
 from tests.pools import Pool, make_reserve
 
 STEP_MS = 10
@@ -102,6 +104,23 @@
     assert pool.unserved == 0
 
 
+# CONFIG, and callers of one service refused to the end of the day: a target that
+# had been ejected as slow was the only one left, and callers of the top tier, who
+# are not used for probes, waited before all others.
+def test_a_target_that_was_ejected_serves_once_it_is_the_last_one():
+    pool = Pool(targets=2, slots=6)
+    target = pool.core._state.fleet.find('t0')
+    target.health.condition = Condition.EJECTED
+    target.health.start_probe(pool.now_ms)
+    pool.send(Tick())
+    pool.send(TargetsLeaving(frozenset(['t1'])))
+    for tier in ('gold', 'mid') * 10:
+        pool.reserve(tier, prompt_tokens=0, deadline_ms=pool.now_ms + 3000)
+        pool.send(Tick(), 100)
+    leases = [one for one in pool.actions if isinstance(one, Lease)]
+    assert len(leases) >= 5
+
+
 def test_an_answer_shows_that_a_target_is_up_though_it_has_failed():
     pool = Pool(targets=2, slots=6)
     name = pool.reserve('gold', prompt_tokens=0)
