--- a/hornbeampulley/node/_store_view.py
+++ b/hornbeampulley/node/_store_view.py
@@ -114,11 +114,11 @@
         source : str
             Source of the items, for the log.
         """
-        newer = [
-            item
-            for item in items
-            if self._is_known_key(item.key) and self._is_new(item)
-        ]
+        known = [item for item in items if self._is_known_key(item.key)]
+        newer = [item for item in known if self._is_new(item)]
+        for item in known:
+            if item not in newer:
+                self._log_dropped(item, source)
         self._detect_mass_loss(newer)
         held_ms = self._held_removals.grace_ms
         for item in newer:
@@ -242,6 +242,19 @@
         kept = self._items.get(item.key)
         return kept is None or item.revision > kept.item.revision
 
+    def _log_dropped(self, item: StoredItem, source: str) -> None:
+        kept = self._items[item.key].item
+        if kept == item:
+            return
+        log_event(
+            _log,
+            'item_dropped',
+            key=item.key,
+            revision=item.revision,
+            known=kept.revision,
+            source=source,
+        )
+
     def _detect_mass_loss(self, items: list[StoredItem]) -> None:
         """Treat the loss of many records at once as an outage of the store."""
         lost = sum(item.is_deleted for item in items)
