--- a/standins/metadata.py
+++ b/standins/metadata.py
@@ -7,7 +7,13 @@
 
 import trio
 
-from hornbeampulley.http1 import Reply, Request, ServerOptions, serve_http
+from hornbeampulley.http1 import (
+    Header,
+    Reply,
+    Request,
+    ServerOptions,
+    serve_http,
+)
 
 KEY_OF_CONFIG: Final = 'op/config'
 _JSON: Final = ((b'content-type', b'application/json'),)
@@ -24,6 +30,8 @@
         Whether all requests are answered with status 503.
     forgotten : int
         Compacted revision: watches that start below it get status 410.
+    era : int
+        Number of the store's history, sent in all answers.
     calls : int
         Number of requests received.
     """
@@ -32,6 +40,7 @@
         self.revision = 1
         self.is_down = False
         self.forgotten = 0
+        self.era = 1
         self.calls = 0
         self._events: list[dict[str, Any]] = []
         self._items: dict[str, dict[str, Any]] = {}
@@ -61,6 +70,22 @@
             {'key': key, 'revision': self.revision, 'deleted': True}
         )
 
+    def restore(self, revision: int) -> None:
+        """Come back from a copy of the time of a revision.
+
+        What was written since is lost; its revisions are given out again.
+        """
+        self.era += 1
+        self.revision = revision
+        self._events = [
+            event for event in self._events if event['revision'] <= revision
+        ]
+        self._items = {event['key']: event for event in self._events}
+        for event in self._events:
+            if event.get('deleted'):
+                self._items.pop(event['key'], None)
+        self._wake()
+
     async def serve(self, address: str, port: int) -> None:
         """Answer requests until cancelled."""
         await serve_http(address, port, ServerOptions(self.answer))
@@ -69,7 +94,7 @@
         """Answer one request."""
         self.calls += 1
         if self.is_down:
-            await reply.send(503, ())
+            await self._refuse(reply, 503)
             return
         url = urlsplit(request.target.decode())
         query = {name: texts[0] for name, texts in parse_qs(url.query).items()}
@@ -78,10 +103,13 @@
         elif url.path == '/-/kv-watch':
             await self._watch(query, reply)
         else:
-            await reply.send(404, ())
+            await self._refuse(reply, 404)
 
     def _publish_event(self, event: dict[str, Any]) -> None:
         self._events.append(event)
+        self._wake()
+
+    def _wake(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
 
@@ -100,12 +128,16 @@
 
     async def _watch(self, query: dict[str, str], reply: Reply) -> None:
         after = int(query['after'])
-        if after < self.forgotten:
-            await reply.send(410, ())
+        if not self.forgotten <= after <= self.revision:
+            await self._refuse(reply, 410)
             return
+        era = self.era
         with trio.move_on_after(int(query['wait_ms']) / 1000):
             while not self._list_events(query['prefix'], after):
                 await self._changed.wait()
+                if self.era != era:
+                    await self._refuse(reply, 503)
+                    return
         answer = {
             'events': self._list_events(query['prefix'], after),
             'store_revision': self.revision,
@@ -120,4 +152,12 @@
         ]
 
     async def _send(self, reply: Reply, body: dict[str, Any]) -> None:
-        await reply.send(200, _JSON, json.dumps(body).encode())
+        await reply.send(
+            200, (*_JSON, self._make_era()), json.dumps(body).encode()
+        )
+
+    async def _refuse(self, reply: Reply, status: int) -> None:
+        await reply.send(status, (self._make_era(),))
+
+    def _make_era(self) -> Header:
+        return b'store-era', b'%d' % self.era
