Compare revisions of the store only within one of its histories

What callers saw: after the store had come back from a copy, a change that had been confirmed was never in force; an added route got 404.

Cause: everywhere a revision was compared as if numbers only grew. In the restored store they go back and are given out again, so what was written with a number known from before was dropped as old (item_dropped: revision 14, known 14, on all eight hosts). Never read and read by some hosts only were ruled out by the same line.

Now a revision is a pair of history and number, in items, positions, watches, held removals, messages to peers and gossip. Across histories a target's record is ordered by what the target says of itself (start of its run and count of its writes), a routing table by its version, so that the copy neither revives a target that has left nor brings an older table back, in whichever order items come. After a failed call the next one does not wait, as only an answer tells of the new history.

--- a/hornbeampulley/node/_gossip.py
+++ b/hornbeampulley/node/_gossip.py
@@ -26,6 +26,7 @@
 from hornbeampulley.node._knowledge import Position
 from hornbeampulley.node._membership import Membership
 from hornbeampulley.node._positions import PeerPositions
+from hornbeampulley.node._relayed_items import read_position, write_position
 from hornbeampulley.node._store_view import StoreView
 from hornbeampulley.wire import (
     decode_body,
@@ -283,9 +284,7 @@
                 await self._relay_probe(message, address)
             case ttypes.Position():
                 self._positions.record(
-                    address,
-                    Position(message.routing_version, message.revision),
-                    message.age_ms,
+                    address, read_position(message), message.age_ms
                 )
 
     def _merge(self, message: ttypes.MembershipNews) -> None:
@@ -340,11 +339,8 @@
             )
 
     def _make_position(self) -> ttypes.Position:
-        position = self._store_view.position
-        return ttypes.Position(
-            revision=position.targets,
-            routing_version=position.routing,
-            age_ms=round(self._store_view.freshness.age_ms),
+        return write_position(
+            self._store_view.position, self._store_view.freshness.age_ms
         )
 
 
--- a/hornbeampulley/node/_knowledge.py
+++ b/hornbeampulley/node/_knowledge.py
@@ -3,6 +3,7 @@
 import dataclasses
 from typing import Final
 
+from hornbeampulley.node.stored import Revision
 from hornbeampulley.routing import TargetState
 
 GONE: Final = 'gone'
@@ -10,16 +11,38 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Position:
-    """Latest revisions of the store that a node has applied.
+    """How much of the store a node has applied.
 
     Attributes
     ----------
-    routing, targets : int
-        Revisions of the routing table and of the targets.
+    routing, targets : Revision
+        Latest revisions of the routing table and of the targets.
+    version : int
+        Version of the routing table in force; 0 before one was read.
     """
 
-    routing: int = 0
-    targets: int = 0
+    routing: Revision = Revision()
+    targets: Revision = Revision()
+    version: int = 0
+
+    def is_ahead_of(self, other: 'Position') -> bool:
+        """Tell whether a node at this position may know more than another.
+
+        Parameters
+        ----------
+        other : Position
+            Position of the other node.
+
+        Returns
+        -------
+        bool
+            True if it is ahead in any respect.
+        """
+        return (
+            self.routing > other.routing
+            or self.targets > other.targets
+            or self.version > other.version
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeampulley/node/_peers.py
+++ b/hornbeampulley/node/_peers.py
@@ -7,10 +7,14 @@
 from hornbeampulley import decisions
 from hornbeampulley.clock import Clock
 from hornbeampulley.logs import log_event
-from hornbeampulley.node._knowledge import Position
 from hornbeampulley.node._lease_client import LeaseClient
 from hornbeampulley.node._quarantines import PoolQuarantine
-from hornbeampulley.node._relayed_items import ItemWriter, read_relayed_item
+from hornbeampulley.node._relayed_items import (
+    ItemWriter,
+    read_position,
+    read_relayed_item,
+    write_position,
+)
 from hornbeampulley.node._scheduling import Scheduling
 from hornbeampulley.node._store_view import StoreView
 from hornbeampulley.node._usage_cap_client import UsageCapClient
@@ -174,8 +178,7 @@
         link : Link
             Link to the peer.
         """
-        position = self._store_view.position
-        link.send(ttypes.Position(position.targets, position.routing))
+        link.send(write_position(self._store_view.position))
 
     def _register_home(self, link: Link, peer: str) -> None:
         """Register the link of a home and discard the state of an older one.
@@ -265,14 +268,15 @@
                 self._send_items(link, message)
 
     def _send_items(self, link: Link, message: ttypes.Position) -> None:
-        position = Position(message.routing_version, message.revision)
-        newer = tuple(self._store_view.list_newer(position))
+        newer = tuple(self._store_view.list_newer(read_position(message)))
         for start in range(0, len(newer), MAX_ITEMS):
             batch = newer[start : start + MAX_ITEMS]
             items = [self._item_writer.write(item) for item in batch]
             link.send(ttypes.StoredItems(0, items, 0))
-        own = self._store_view.position
-        link.send(ttypes.StoredItems(own.targets, [], own.routing))
+        own = write_position(self._store_view.position)
+        link.send(
+            ttypes.StoredItems(own.revision, [], own.routing_version, own)
+        )
 
     def _apply_items(self, message: ttypes.StoredItems, peer: str) -> None:
         items = tuple(read_relayed_item(item) for item in message.items)
@@ -284,9 +288,8 @@
             revision=message.revision,
         )
         self._store_view.apply_relayed_items(items)
-        self._store_view.advance_position(
-            Position(message.routing_version or 0, message.revision),
-        )
+        if message.position is not None:
+            self._store_view.advance_position(read_position(message.position))
 
 
 def _do_nothing() -> None:
--- a/hornbeampulley/node/_positions.py
+++ b/hornbeampulley/node/_positions.py
@@ -51,7 +51,7 @@
             if it has not told.
         """
         self._ahead.pop(address, None)
-        if not self._is_ahead(position):
+        if not position.is_ahead_of(self._store_view.position):
             self._confirm(age_ms)
             return
         self._ahead[address] = position
@@ -70,7 +70,7 @@
         self._ahead = {
             address: position
             for address, position in self._ahead.items()
-            if self._is_ahead(position)
+            if position.is_ahead_of(self._store_view.position)
         }
         return list(reversed(self._ahead))
 
@@ -79,10 +79,6 @@
             sent_ms = self._clock.now() - max(age_ms, 0)
             self._store_view.freshness.confirm(sent_ms)
 
-    def _is_ahead(self, position: Position) -> bool:
-        own = self._store_view.position
-        return position.routing > own.routing or position.targets > own.targets
-
 
 def _do_nothing() -> None:
     """Default of `PeerPositions.on_ahead`."""
--- a/hornbeampulley/node/_reading.py
+++ b/hornbeampulley/node/_reading.py
@@ -12,7 +12,9 @@
 from hornbeampulley.node._store_view import StoreView
 from hornbeampulley.node.stored import (
     HistoryLostError,
+    Revision,
     Store,
+    StoredChanges,
     StoreUnavailableError,
 )
 
@@ -21,6 +23,7 @@
 WAIT_MS: Final = 2500
 # Shorter where few hosts read, since the others rely on these being up to date.
 CHOSEN_READER_WAIT_MS: Final = 1500
+CHECK_WAIT_MS: Final = 1
 # Shortest wait, as a share: hosts that were woken by the same change do not all
 # ask again at the same moments.
 MIN_WAIT_SHARE: Final = 0.8
@@ -83,7 +86,7 @@
         self._is_targets = is_targets
         self._generator = generator
         self._wait_share = generator.uniform(MIN_WAIT_SHARE, 1)
-        self._revision: int | None = None
+        self._revision: Revision | None = None
         self._failures = 0
         # When the last call that failed was sent.
         self._failed_call_ms = 0.0
@@ -158,13 +161,25 @@
         changes = await self._store.watch(
             self._prefix,
             self._revision,
-            round(self.wait_ms * self._wait_share),
+            self._choose_wait(),
         )
+        self._check_epoch(changes)
         self._store_view.apply_items(changes.items, SOURCE)
         self._revision = max(self._revision, changes.revision)
 
+    def _choose_wait(self) -> int:
+        """Choose for how long the store may hold the next call, in ms.
+
+        After a failure the store may have come back from a copy, which only
+        its answer tells.
+        """
+        if self._failures:
+            return CHECK_WAIT_MS
+        return round(self.wait_ms * self._wait_share)
+
     async def _list(self) -> None:
         changes = await self._store.list_items(self._prefix)
+        self._check_epoch(changes)
         if self._is_targets:
             self._store_view.replace_targets(
                 changes.items,
@@ -175,11 +190,20 @@
             self._store_view.apply_items(changes.items, SOURCE)
         self._revision = changes.revision
 
+    def _check_epoch(self, changes: StoredChanges) -> None:
+        """Refuse an answer given before the store came back from a copy."""
+        known = self._store_view.epoch
+        if known is not None and changes.revision.epoch < known:
+            raise StoreUnavailableError(
+                f'the store answered from history {changes.revision.epoch}, '
+                f'but peers know history {known}; look at the store',
+            )
+
     def _resume_position(self) -> None:
         position = self._store_view.position
         known = position.targets if self._is_targets else position.routing
-        if known:
-            self._revision = max(known, self._revision or 0)
+        if known.number:
+            self._revision = max(known, self._revision or known)
 
     def _record_success(self) -> None:
         self.confirmed_ms = self._clock.now()
--- a/hornbeampulley/node/_store_view.py
+++ b/hornbeampulley/node/_store_view.py
@@ -3,7 +3,6 @@
 An item or a routing table is never replaced by an older one.
 """
 
-import dataclasses
 import logging
 from collections.abc import Callable, Iterable, Iterator
 from typing import Final
@@ -11,28 +10,23 @@
 from hornbeampulley.clock import Clock
 from hornbeampulley.logs import log_event
 from hornbeampulley.node._freshness import Freshness
-from hornbeampulley.node._held_removals import HeldRemovals
+from hornbeampulley.node._held_removals import REMOVAL_HOLD_MS, HeldRemovals
 from hornbeampulley.node._knowledge import GONE, Position, TargetNotice
-from hornbeampulley.node.stored import Decoder, StoredItem
+from hornbeampulley.node._target_items import TargetItems
+from hornbeampulley.node.stored import Decoder, Revision, StoredItem
 from hornbeampulley.routing import (
     RoutingTable,
+    RunStamp,
     TargetRecord,
     TargetTable,
 )
 
-TOMBSTONE_MS: Final = 60_000.0
 MASS_LOSS_SHARE: Final = 0.34
 MASS_LOSS_COUNT: Final = 2
 PEER: Final = 'peer'
 _log = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _KeptItem:
-    item: StoredItem
-    taken_ms: float
-
-
 class StoreView:
     """Applies items of the store, read from the store itself or from peers.
 
@@ -57,6 +51,8 @@
         How long ago the view is known to have been up to date.
     on_change : callable
         Called after items were applied.
+    epoch : int or None
+        Latest history of the store that is known; None at first.
     """
 
     def __init__(self, decoder: Decoder, clock: Clock) -> None:
@@ -66,11 +62,13 @@
         self.changes = 0
         self.freshness = Freshness(clock)
         self.on_change: Callable[[], None] = _do_nothing
+        self.epoch: int | None = None
         self._decoder = decoder
         self._clock = clock
-        self._items: dict[str, _KeptItem] = {}
-        self._routing_revision = 0
-        self._targets_revision = 0
+        self._items = TargetItems(clock)
+        self._table_item: StoredItem | None = None
+        self._routing_revision = Revision()
+        self._targets_revision = Revision()
         self._held_removals = HeldRemovals(clock)
 
     @property
@@ -80,8 +78,9 @@
 
     @property
     def position(self) -> Position:
-        """Latest revisions applied."""
-        return Position(self._routing_revision, self._targets_revision)
+        """How much of the store was applied."""
+        version = self.table.version if self.table else 0
+        return Position(self._routing_revision, self._targets_revision, version)
 
     def advance_position(self, position: Position) -> None:
         """Advance to a position, all items up to which were applied.
@@ -91,8 +90,8 @@
         position : Position
             Position of a peer that has sent all its newer items.
         """
-        self._routing_revision = max(self._routing_revision, position.routing)
-        self._targets_revision = max(self._targets_revision, position.targets)
+        self._enter_epoch(max(position.routing.epoch, position.targets.epoch))
+        self._advance(position.routing, position.targets)
 
     def record_outage(self, away_ms: float) -> None:
         """Hold removals back for a while, as expired items may come back.
@@ -115,15 +114,18 @@
             Source of the items, for the log.
         """
         known = [item for item in items if self._is_known_key(item.key)]
-        newer = [item for item in known if self._is_new(item)]
-        for item in known:
-            if item not in newer:
-                self._log_dropped(item, source)
-        self._detect_mass_loss(newer)
+        if known:
+            self._enter_epoch(known[-1].revision.epoch)
+        targets = [item for item in known if not self._is_routing(item)]
+        self._detect_mass_loss(targets)
         held_ms = self._held_removals.grace_ms
-        for item in newer:
-            self._apply_item(item, source, held_ms)
-            self._advance_past(item)
+        for item in known:
+            if self._is_routing(item):
+                self._apply_table(item, source)
+                self._advance(item.revision, Revision())
+            else:
+                self._apply_target(item, source, held_ms)
+                self._advance(Revision(), item.revision)
         self.on_change()
 
     def apply_relayed_items(self, items: Iterable[StoredItem]) -> None:
@@ -138,14 +140,21 @@
             Changes, in any order.
         """
         for item in items:
-            if self._is_known_key(item.key) and self._is_new(item):
-                self._apply_item(item, PEER, item.held_ms)
+            if not self._is_known_key(item.key):
+                continue
+            if self._is_routing(item):
+                self._apply_table(item, PEER)
+                continue
+            is_unknown = self._items.find(item.key) is None
+            self._apply_target(item, PEER, item.held_ms)
+            if is_unknown and not item.is_deleted:
+                self._doubt_if_missing(item)
         self.on_change()
 
     def replace_targets(
         self,
         items: Iterable[StoredItem],
-        revision: int,
+        revision: Revision,
         source: str,
     ) -> None:
         """Apply a full list of the targets; those not listed are removed.
@@ -154,22 +163,18 @@
         ----------
         items : iterable of StoredItem
             All items of targets in the store.
-        revision : int
+        revision : Revision
             Revision of the list; newer items are kept.
         source : str
             Source of the list, for the log.
         """
+        self._enter_epoch(revision.epoch)
         listed = tuple(items)
         present = {item.key for item in listed}
-        removed = [
-            StoredItem(key, b'', revision, is_deleted=True)
-            for key, kept in self._items.items()
-            if key.startswith(self._decoder.targets_prefix)
-            and key not in present
-            and not kept.item.is_deleted
-            and kept.item.revision <= revision
-        ]
+        removed = self._items.list_missing(present, revision)
         self.apply_items((*listed, *removed), source)
+        # An empty list too tells that the history is known.
+        self._advance(Revision(), Revision(revision.epoch))
 
     def get_notice(self, record: TargetRecord) -> TargetNotice:
         """Return what is known now about a target that was looked up before.
@@ -188,7 +193,7 @@
         known = self.targets.records.get(record.name)
         is_same_run = known is not None and known.born_ms == record.born_ms
         state = known.state.value if is_same_run else GONE
-        kept = self._items.get(f'{self._decoder.targets_prefix}{record.name}')
+        kept = self._items.find(f'{self._decoder.targets_prefix}{record.name}')
         taken_ms = kept.taken_ms if kept else 0
         return TargetNotice(
             state,
@@ -210,27 +215,25 @@
             Newer items, including the removals of the last minute with the
             time for which this node still holds them back.
         """
-        for kept in self._items.values():
-            is_routing = kept.item.key == self._decoder.routing_prefix
-            known = position.routing if is_routing else position.targets
-            if kept.item.revision > known:
-                yield self._held_removals.add_time_left(kept.item)
+        item = self._table_item
+        if item is not None and (
+            item.revision > position.routing
+            or self.table.version > position.version
+        ):
+            yield item
+        for item in self._items.list_newer(position.targets):
+            yield self._held_removals.add_time_left(item)
 
     def apply_overdue_removals(self) -> None:
         """Apply the removals whose time of being held back is over."""
         for item in self._held_removals.pop_due():
+            if self._items.is_news(item, None):
+                self._items.keep(item, None)
             self._remove(item, 'outage_over')
 
     def sweep(self) -> None:
         """Delete the records of old removals."""
-        now_ms = self._clock.now()
-        expired = [
-            key
-            for key, kept in self._items.items()
-            if kept.item.is_deleted and now_ms - kept.taken_ms > TOMBSTONE_MS
-        ]
-        for key in expired:
-            self._items.pop(key)
+        self._items.sweep()
 
     def _is_known_key(self, key: str) -> bool:
         """Tell other keys apart that begin like that of the routing table."""
@@ -238,13 +241,41 @@
         is_routing = key == decoder.routing_prefix
         return is_routing or key.startswith(decoder.targets_prefix)
 
-    def _is_new(self, item: StoredItem) -> bool:
-        kept = self._items.get(item.key)
-        return kept is None or item.revision > kept.item.revision
+    def _is_routing(self, item: StoredItem) -> bool:
+        return item.key == self._decoder.routing_prefix
+
+    def _advance(self, routing: Revision, targets: Revision) -> None:
+        self._routing_revision = max(self._routing_revision, routing)
+        self._targets_revision = max(self._targets_revision, targets)
+
+    def _enter_epoch(self, epoch: int) -> None:
+        """Hold removals back if the store has come back from a copy.
 
-    def _log_dropped(self, item: StoredItem, source: str) -> None:
-        kept = self._items[item.key].item
-        if kept == item:
+        What the copy lacks is written again, if it still holds.
+        """
+        known = self.epoch
+        if known is not None and epoch <= known:
+            return
+        self.epoch = epoch
+        if known is not None:
+            log_event(_log, 'store_restored', epoch=epoch, known=known)
+            self.record_outage(self._clock.now())
+
+    def _doubt_if_missing(self, item: StoredItem) -> None:
+        """Let a target go that a peer knows only from an earlier history.
+
+        The store has come back without it, so it has to write again.
+        """
+        if item.revision.epoch < self._targets_revision.epoch:
+            removal = StoredItem(
+                item.key, b'', self._targets_revision, is_deleted=True
+            )
+            self._held_removals.hold(removal, REMOVAL_HOLD_MS)
+
+    def _log_dropped(
+        self, item: StoredItem, kept: StoredItem, source: str
+    ) -> None:
+        if item.revision == kept.revision or item.content == kept.content:
             return
         log_event(
             _log,
@@ -257,46 +288,28 @@
 
     def _detect_mass_loss(self, items: list[StoredItem]) -> None:
         """Treat the loss of many records at once as an outage of the store."""
-        lost = sum(item.is_deleted for item in items)
+        lost = sum(
+            item.is_deleted and self._items.is_news(item, None)
+            for item in items
+        )
         known = len(self.targets.records)
         if lost >= MASS_LOSS_COUNT and lost >= known * MASS_LOSS_SHARE:
             log_event(_log, 'outage_suspected', lost=lost, known=known)
             self.record_outage(self._clock.now())
 
-    def _apply_item(
-        self,
-        item: StoredItem,
-        source: str,
-        held_ms: float,
-    ) -> None:
-        self._items[item.key] = _KeptItem(item, self._clock.now())
-        if item.key == self._decoder.routing_prefix:
-            self._apply_table(item, source)
-            return
-        if item.is_deleted:
-            self._apply_removal(item, source, held_ms)
-            return
-        record = self._decoder.read_target(item)
-        if record is None:
-            self._remove(item, source)
-            return
-        self._held_removals.drop(item.key)
-        self._apply_record(record, item, source)
-
-    def _advance_past(self, item: StoredItem) -> None:
-        if item.key == self._decoder.routing_prefix:
-            self._routing_revision = max(self._routing_revision, item.revision)
-        else:
-            self._targets_revision = max(self._targets_revision, item.revision)
-
     def _apply_table(self, item: StoredItem, source: str) -> None:
+        known = self._table_item
+        if known is not None and item.revision == known.revision:
+            return
         table = self._decoder.read_routing(item)
         if table is None:
             return
-        if self.table is not None and table.version <= self.table.version:
+        if known is not None and table.version <= self.table.version:
+            self._log_dropped(item, known, source)
             return
         self.table = table
         self.table_ms = self._clock.now()
+        self._table_item = item
         self.changes += 1
         log_event(
             _log,
@@ -306,6 +319,36 @@
             source=source,
         )
 
+    def _apply_target(
+        self,
+        item: StoredItem,
+        source: str,
+        held_ms: float,
+    ) -> None:
+        kept = self._items.find(item.key)
+        if kept is not None and item.revision == kept.item.revision:
+            return
+        record, stamp = self._read_record(item)
+        if not self._items.is_news(item, stamp):
+            self._log_dropped(item, kept.item, source)
+            return
+        self._items.keep(item, stamp)
+        if item.is_deleted:
+            self._apply_removal(item, source, held_ms)
+        elif record is None:
+            self._remove(item, source)
+        else:
+            self._held_removals.drop(item.key)
+            self._apply_record(record, item, source)
+
+    def _read_record(
+        self, item: StoredItem
+    ) -> tuple[TargetRecord | None, RunStamp | None]:
+        if item.is_deleted:
+            return None, item.removed_stamp
+        record = self._decoder.read_target(item)
+        return record, record.stamp if record else None
+
     def _apply_record(
         self,
         record: TargetRecord,
--- a/hornbeampulley/node/stored.py
+++ b/hornbeampulley/node/stored.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from hornbeampulley.errors import HornbeamError
-from hornbeampulley.routing import RoutingTable, TargetRecord
+from hornbeampulley.routing import RoutingTable, RunStamp, TargetRecord
 
 
 class StoreUnavailableError(HornbeamError):
@@ -15,6 +15,29 @@
     """The store no longer has the requested changes; list all items again."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Revision:
+    """Revision of the store, which counts within one of its histories.
+
+    A store that comes back from an older copy begins a new history, in which
+    it gives out numbers again.
+
+    Attributes
+    ----------
+    epoch : int
+        Number of the history; a later history has a higher one.
+    number : int
+        Number of the change within it.
+    """
+
+    epoch: int = 0
+    number: int = 0
+
+    def __str__(self) -> str:
+        """Return both numbers, for logs."""
+        return f'{self.epoch}/{self.number}'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredItem:
     """One item of the store, or its removal.
@@ -25,20 +48,24 @@
         Key of the item.
     content : bytes
         Content of the item; empty if it was removed.
-    revision : int
+    revision : Revision
         Revision of its last change.
     is_deleted : bool
         Whether it was removed.
     held_ms : float
         For a removal received from a peer: time in ms for which the peer
         still holds it back, as the item may come back.
+    removed_stamp : RunStamp or None
+        For a removal received from a peer: stamp of the record that was
+        removed; None if it is not known.
     """
 
     key: str
     content: bytes
-    revision: int
+    revision: Revision
     is_deleted: bool = False
     held_ms: float = 0
+    removed_stamp: RunStamp | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,12 +76,12 @@
     ----------
     items : tuple of StoredItem
         Items ordered by key if listed, by revision if watched.
-    revision : int
+    revision : Revision
         Revision of the store from which to continue watching.
     """
 
     items: tuple[StoredItem, ...]
-    revision: int
+    revision: Revision
 
 
 class Store(Protocol):
@@ -66,7 +93,7 @@
     async def watch(
         self,
         prefix: str,
-        revision: int,
+        revision: Revision,
         wait_ms: int,
     ) -> StoredChanges:
         """Wait for changes after a revision; return none on timeout."""
--- a/hornbeampulley/platform/_documents.py
+++ b/hornbeampulley/platform/_documents.py
@@ -233,4 +233,12 @@
         # Unix time of the start of this run.
         expect_count(entry, 'born', 0, MAX_BORN) if 'born' in entry else 0,
         read_number(entry, 'cold_remaining_ms'),
+        # Counts what the server has written of itself in this run.
+        _read_sequence(entry),
     )
+
+
+def _read_sequence(entry: dict[str, Any]) -> int | None:
+    if 'sequence' not in entry:
+        return None
+    return expect_count(entry, 'sequence', 0, MAX_VERSION)
--- a/hornbeampulley/routing/__init__.py
+++ b/hornbeampulley/routing/__init__.py
@@ -14,6 +14,7 @@
     choose_pool,
 )
 from hornbeampulley.routing._targets import (
+    RunStamp,
     TargetRecord,
     TargetState,
     TargetTable,
@@ -36,6 +37,7 @@
     'RetrySettings',
     'RoutingTable',
     'Split',
+    'RunStamp',
     'TargetRecord',
     'TargetState',
     'TargetTable',
--- a/hornbeampulley/routing/_targets.py
+++ b/hornbeampulley/routing/_targets.py
@@ -14,6 +14,24 @@
     DRAINING = 'draining'
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class RunStamp:
+    """Place of a record among all that a target has written of itself.
+
+    Unlike a revision of the store it holds in all histories of the store.
+
+    Attributes
+    ----------
+    born_ms : int
+        Wall time of the start of the target's run.
+    sequence : int
+        Number of records that the target had written in this run.
+    """
+
+    born_ms: int
+    sequence: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetRecord:
     """Registration record of a target.
@@ -36,6 +54,8 @@
         Wall time of its start, which tells its runs apart; 0 if not given.
     cold_ms : float
         Time in ms for which it is still slow after its start.
+    sequence : int or None
+        Number of records that it had written in this run; None if not given.
     """
 
     name: str
@@ -46,6 +66,14 @@
     state: TargetState = TargetState.READY
     born_ms: int = 0
     cold_ms: float = 0
+    sequence: int | None = dataclasses.field(default=None, compare=False)
+
+    @property
+    def stamp(self) -> RunStamp | None:
+        """Place of this record among those of the target; None if not given."""
+        if self.sequence is None:
+            return None
+        return RunStamp(self.born_ms, self.sequence)
 
 
 class TargetTable:
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -304,12 +304,11 @@
   5: i32 held_ms
   // Whether the content is compressed.
   6: optional bool is_packed
-}
-
-struct StoredItems {
-  1: i64 revision
-  2: list<StoredItem> items
-  3: i64 routing_version
+  // History of the store that the revision belongs to.
+  7: optional i64 epoch
+  // Of a deleted item: start of the run of the target and count of its writes.
+  8: optional i64 born_ms
+  9: optional i64 sequence
 }
 
 // The last revisions that a host has read: with its news of hosts, or on a link
@@ -319,6 +318,18 @@
   2: i64 routing_version
   // Time since a host that reads the store was last up to date, ms.
   3: optional i32 age_ms
+  // Histories of the store that the two revisions belong to.
+  4: optional i64 epoch
+  5: optional i64 routing_epoch
+  // Version of the routing table in force.
+  6: optional i64 table_version
+}
+
+struct StoredItems {
+  1: i64 revision
+  2: list<StoredItem> items
+  3: i64 routing_version
+  4: optional Position position
 }
 
 union Message {
--- a/tests/stored.py
+++ b/tests/stored.py
@@ -2,7 +2,7 @@
 
 import json
 
-from hornbeampulley.node.stored import StoredItem
+from hornbeampulley.node.stored import Revision, StoredItem
 
 ENTRY = {
     'service': 'p',
@@ -14,12 +14,25 @@
 }
 
 
-def server(name, revision, **changes):
+def at(number, epoch=0):
+    """Make a revision of the store."""
+    return Revision(epoch, number)
+
+
+def server(name, number, epoch=0, **changes):
     """Make the record of a target."""
     content = json.dumps(ENTRY | changes).encode()
-    return StoredItem(f'servers/{name}', content, revision)
+    return StoredItem(f'servers/{name}', content, at(number, epoch))
 
 
-def gone(name, revision):
+def gone(name, number, epoch=0):
     """Make the removal of a target's record."""
-    return StoredItem(f'servers/{name}', b'', revision, is_deleted=True)
+    key = f'servers/{name}'
+    return StoredItem(key, b'', at(number, epoch), is_deleted=True)
+
+
+def config(version, number, epoch=0):
+    """Make the operators' configuration."""
+    document = {'version': version, 'routes': [], 'services': []}
+    content = json.dumps(document).encode()
+    return StoredItem('op/config', content, at(number, epoch))
--- a/tests/test_node_filters.py
+++ b/tests/test_node_filters.py
@@ -14,6 +14,7 @@
 from hornbeampulley.node.stored import StoredItem
 from hornbeampulley.platform._documents import PlatformDecoder
 from tests.nodes import make_config
+from tests.stored import at
 
 
 def make_home(age_ms):
@@ -21,7 +22,7 @@
     clock = ManualClock(100_000)
     view = StoreView(PlatformDecoder(), clock)
     document = json.dumps(make_config()).encode()
-    view.apply_items([StoredItem('op/config', document, 2)], 'store')
+    view.apply_items([StoredItem('op/config', document, at(2))], 'store')
     view.freshness.confirm(clock.now() - age_ms)
     return types.SimpleNamespace(store_view=view, clock=clock)
 
--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -16,6 +16,7 @@
     unchunk,
     wait_until,
 )
+from tests.stored import at
 
 
 def test_a_stream_a_booking_and_a_look_up_are_answered():
@@ -273,7 +274,7 @@
         entry = fleet.backends['ledger-1'].describe(fleet.address(102), 8306)
         content = json.dumps(entry | {'state': 'draining'}).encode()
         fleet.nodes[number].store_view.apply_relayed_items(
-            [StoredItem('servers/ledger-1', content, 1 << 40)],
+            [StoredItem('servers/ledger-1', content, at(1 << 40, 1))],
         )
         for attempt in range(8):
             request_id = b'r%d' % attempt
--- a/tests/test_node_peers.py
+++ b/tests/test_node_peers.py
@@ -13,6 +13,7 @@
 from hornbeampulley.routing import make_configuration
 from hornbeampulley.wire.generated.peer import ttypes
 from tests.nodes import make_config
+from tests.stored import at
 
 HOME = '1' * 16
 ENTRY = {
@@ -48,7 +49,7 @@
 
 
 def make_item(key, document, revision):
-    return StoredItem(key, json.dumps(document).encode(), revision)
+    return StoredItem(key, json.dumps(document).encode(), at(revision))
 
 
 class NodeSide:
@@ -147,7 +148,7 @@
 def test_a_peer_that_is_behind_catches_up():
     ahead, behind = NodeSide(), NodeSide()
     ahead.load_items()
-    gone = StoredItem('servers/u', b'', 9, is_deleted=True)
+    gone = StoredItem('servers/u', b'', at(9), is_deleted=True)
     ahead.store_view.apply_items([gone], 'store')
     to_ahead = FakeLink()
     behind.handler.request_items(to_ahead)
@@ -158,14 +159,14 @@
     for message in to_behind.sent:
         behind.handler.receive(link, message)
     assert behind.store_view.table.version == 3
-    assert behind.store_view.position == Position(5, 9)
+    assert behind.store_view.position == Position(at(5), at(9), 3)
 
 
 def test_a_peer_catches_up_also_without_newer_items():
     ahead, behind = NodeSide(), NodeSide()
     ahead.load_items()
     behind.load_items()
-    gone = StoredItem('servers/u', b'', 9, is_deleted=True)
+    gone = StoredItem('servers/u', b'', at(9), is_deleted=True)
     ahead.store_view.apply_items([gone], 'store')
     ahead.clock.advance(120_000)
     ahead.store_view.sweep()
--- a/tests/test_node_reader_election.py
+++ b/tests/test_node_reader_election.py
@@ -15,6 +15,7 @@
 )
 from hornbeampulley.node._store_view import StoreView
 from hornbeampulley.platform._documents import PlatformDecoder
+from tests.stored import at
 from tests.test_node_membership import exchange_news, make
 
 PEER = '10.0.0.99'
@@ -88,15 +89,15 @@
     side = sides[0]
     for _ in range(8):
         clock.advance(250)
-        side.hear(age_ms=60_000, position=Position(3, 7))
+        side.hear(age_ms=60_000, position=Position(at(3), at(7)))
     assert side.election.is_reader()
 
 
 def test_a_peer_is_ahead_until_its_items_are_applied(many):
     _clock, (side, *_) = many
-    side.hear(position=Position(0, 7))
+    side.hear(position=Position(at(0), at(7)))
     assert side.positions.list_ahead() == [PEER]
-    side.positions._store_view.advance_position(Position(0, 7))
+    side.positions._store_view.advance_position(Position(at(0), at(7)))
     assert side.positions.list_ahead() == []
 
 
@@ -109,8 +110,8 @@
 # CONFIG: nothing told that a host was behind a peer that was up to date.
 def test_a_peer_that_is_ahead_does_not_show_that_the_view_is_fresh(many):
     _clock, (side, *_) = many
-    side.hear(age_ms=0, position=Position(0, 7))
+    side.hear(age_ms=0, position=Position(at(0), at(7)))
     assert side.freshness.age_ms == MAX_AGE_MS
-    side.positions._store_view.advance_position(Position(0, 7))
-    side.hear(age_ms=0, position=Position(0, 7))
+    side.positions._store_view.advance_position(Position(at(0), at(7)))
+    side.hear(age_ms=0, position=Position(at(0), at(7)))
     assert side.freshness.age_ms == 0
--- a/tests/test_node_reading.py
+++ b/tests/test_node_reading.py
@@ -15,6 +15,7 @@
     StoreUnavailableError,
 )
 from hornbeampulley.platform._documents import PlatformDecoder
+from tests.stored import at
 
 ENTRY = {
     'service': 'p',
@@ -42,12 +43,14 @@
         if self.error:
             raise self.error
         if prefix != 'servers/':
-            return StoredChanges((), self.revision)
+            return StoredChanges((), at(self.revision))
         items = tuple(
-            StoredItem(f'servers/{name}', json.dumps(ENTRY).encode(), revision)
+            StoredItem(
+                f'servers/{name}', json.dumps(ENTRY).encode(), at(revision)
+            )
             for name, revision in self.names.items()
         )
-        return StoredChanges(items, self.revision)
+        return StoredChanges(items, at(self.revision))
 
     async def watch(self, prefix, revision, wait_ms):
         self.watches += 1
@@ -57,9 +60,9 @@
         if self.error:
             raise self.error
         if prefix != 'servers/':
-            return StoredChanges((), self.revision)
+            return StoredChanges((), at(self.revision))
         removed, self.removed = self.removed, []
-        return StoredChanges(tuple(removed), self.revision)
+        return StoredChanges(tuple(removed), at(self.revision))
 
 
 def run(mock_run, scenario):
@@ -127,7 +130,7 @@
         store.error = StoreUnavailableError('down; ask later')
         await trio.sleep(2)
         store.error = None
-        store.removed = [StoredItem('servers/a', b'', 8, is_deleted=True)]
+        store.removed = [StoredItem('servers/a', b'', at(8), is_deleted=True)]
         await trio.sleep(1.5)
         assert 'a' in list_known(store_view)
         await trio.sleep(1.5)
@@ -142,7 +145,7 @@
         store.hangs = True
         await trio.sleep(1)
         store.hangs = False
-        store.removed = [StoredItem('servers/a', b'', 8, is_deleted=True)]
+        store.removed = [StoredItem('servers/a', b'', at(8), is_deleted=True)]
         for reader in readers:
             reader.retry_now()
         await trio.sleep(0.5)
@@ -156,7 +159,7 @@
     store.names.pop(name)
     store.revision = 9
     store.removed = [
-        StoredItem(f'servers/{name}', b'', 9, is_deleted=True),
+        StoredItem(f'servers/{name}', b'', at(9), is_deleted=True),
     ]
     store.error = StoreUnavailableError('cut; ask again')
 
--- a/tests/test_node_relay_size.py
+++ b/tests/test_node_relay_size.py
@@ -11,6 +11,7 @@
 from hornbeampulley.wire import encode_frame
 from hornbeampulley.wire.generated.peer import ttypes
 from tests.nodes import make_config, make_route
+from tests.stored import at
 from tests.test_node_peers import FakeLink
 
 # The users' grown deployments: routes added at once, the narrowest link of a
@@ -31,7 +32,7 @@
         make_route(f'r{number}', 'idempotent') for number in range(ROUTES)
     ]
     document = json.dumps(make_config(35, routes=routes)).encode()
-    view.apply_items([StoredItem('op/config', document, 78)], 'store')
+    view.apply_items([StoredItem('op/config', document, at(78))], 'store')
     handler = PeerMessageHandler(Scheduling(clock, print), view, clock)
     link = FakeLink()
     handler.receive(link, ttypes.Position(0, 0))
--- a/tests/test_node_relayed_items.py
+++ b/tests/test_node_relayed_items.py
@@ -7,14 +7,19 @@
 from hypothesis import strategies as st
 
 from hornbeampulley.errors import WireError
+from hornbeampulley.node._knowledge import Position
 from hornbeampulley.node._relayed_items import (
     MAX_CONTENT_BYTES,
     ItemWriter,
+    read_position,
     read_relayed_item,
+    write_position,
 )
 from hornbeampulley.node.stored import StoredItem
+from hornbeampulley.routing import RunStamp
 from hornbeampulley.wire import decode_body, encode_frame
 from hornbeampulley.wire.generated.peer import ttypes
+from tests.stored import at
 
 
 def relay(item):
@@ -24,15 +29,38 @@
     return read_relayed_item(received.items[0])
 
 
-@given(st.binary(max_size=4000), st.booleans(), st.integers(0, 5000))
-def test_an_item_arrives_as_it_was_read(content, is_deleted, held_ms):
-    item = StoredItem('servers/a', content, 7, is_deleted, held_ms)
+STAMPS = st.builds(RunStamp, st.integers(0, 1 << 60), st.integers(0, 1 << 60))
+
+
+@given(
+    st.binary(max_size=4000),
+    st.integers(0, 9),
+    st.booleans(),
+    st.integers(0, 5000),
+    st.none() | STAMPS,
+)
+def test_an_item_arrives_as_it_was_read(
+    content, epoch, is_deleted, held_ms, stamp
+):
+    item = StoredItem(
+        'servers/a', content, at(7, epoch), is_deleted, held_ms, stamp
+    )
     assert relay(item) == item
 
 
+@given(st.tuples(*[st.integers(0, 1 << 60)] * 5))
+def test_a_position_arrives_as_it_was(numbers):
+    targets, epoch, routing, routing_epoch, version = numbers
+    position = Position(at(routing, routing_epoch), at(targets, epoch), version)
+    (received,) = decode_body(
+        encode_frame([write_position(position, 12)])[4:]
+    ).messages
+    assert read_position(received) == position
+
+
 def test_what_many_peers_ask_for_is_compressed_once():
     writer = ItemWriter()
-    item = StoredItem('op/config', b'{"routes": []}' * 500, 7)
+    item = StoredItem('op/config', b'{"routes": []}' * 500, at(7))
     assert writer.write(item).content is writer.write(item).content
 
 
--- a/tests/test_node_store_view.py
+++ b/tests/test_node_store_view.py
@@ -1,27 +1,19 @@
 """Tests of the view of routing table and targets."""
 
-import json
-
 from hypothesis import given
 from hypothesis import strategies as st
 
 from hornbeampulley.clock import ManualClock
 from hornbeampulley.node._knowledge import Position
 from hornbeampulley.node._store_view import StoreView
-from hornbeampulley.node.stored import StoredItem
 from hornbeampulley.platform._documents import PlatformDecoder
-from tests.stored import gone, server
+from tests.stored import at, config, gone, server
 
 
 def make(clock=None):
     return StoreView(PlatformDecoder(), clock or ManualClock())
 
 
-def config(version, revision):
-    document = {'version': version, 'routes': [], 'services': []}
-    return StoredItem('op/config', json.dumps(document).encode(), revision)
-
-
 def test_a_removal_takes_effect_at_once():
     store_view = make()
     store_view.apply_items(
@@ -133,14 +125,14 @@
     store_view = make()
     store_view.apply_items([server(name, 1) for name in 'abcd'], 'store')
     listed = [server(name, 1) for name in 'bcd']
-    store_view.replace_targets(listed, 9, 'store')
+    store_view.replace_targets(listed, at(9), 'store')
     assert sorted(store_view.targets.records) == ['b', 'c', 'd']
 
 
 def test_a_list_does_not_remove_what_is_newer():
     store_view = make()
     store_view.apply_relayed_items([server('a', 12)])
-    store_view.replace_targets([], 9, 'store')
+    store_view.replace_targets([], at(9), 'store')
     assert 'a' in store_view.targets.records
 
 
@@ -158,8 +150,8 @@
     view = make()
     view.apply_relayed_items([server('t', 9)])
     assert view.position == Position()
-    view.advance_position(Position(0, 9))
-    assert view.position == Position(0, 9)
+    view.advance_position(Position(at(0), at(9)))
+    assert view.position == Position(at(0), at(9))
 
 
 def test_a_peer_gets_the_items_that_it_has_not_applied():
@@ -167,8 +159,8 @@
     store_view.apply_items(
         [config(3, 5), server('a', 6), gone('b', 7)], 'store'
     )
-    assert store_view.position == Position(routing=5, targets=7)
-    newer = list(store_view.list_newer(Position(routing=5, targets=6)))
+    assert store_view.position == Position(at(5), at(7), 3)
+    newer = list(store_view.list_newer(Position(at(5), at(6), 3)))
     assert newer == [gone('b', 7)]
     assert len(list(store_view.list_newer(Position()))) == 3
 
@@ -221,3 +213,69 @@
     store_view.apply_overdue_removals()
     living = {name for name, (_, is_gone) in newest.items() if not is_gone}
     assert set(store_view.targets.records) == living
+
+
+# CONFIG, DRAIN: revisions of a store that came back older were compared with
+# those known from before.
+def test_an_item_of_a_later_history_replaces_one_with_a_higher_number():
+    store_view = make()
+    store_view.apply_items([config(3, 14, epoch=1)], 'store')
+    store_view.apply_items([config(4, 14, epoch=2)], 'store')
+    assert store_view.table.version == 4
+    assert store_view.position.routing == at(14, 2)
+
+
+def test_a_host_that_read_only_the_copy_gets_the_table_in_force():
+    early, late = make(), make()
+    early.apply_items([config(3, 14, epoch=1)], 'store')
+    for store_view in (early, late):
+        store_view.apply_items([config(2, 9, epoch=2)], 'store')
+    assert early.position.is_ahead_of(late.position)
+    late.apply_relayed_items(early.list_newer(late.position))
+    assert late.table.version == 3
+
+
+def test_a_host_that_read_only_the_copy_learns_who_has_left():
+    early, late = make(), make()
+    early.apply_items([server('a', 5, 1, sequence=3), gone('a', 8, 1)], 'store')
+    for store_view in (early, late):
+        store_view.replace_targets(
+            [server('a', 5, 2, sequence=3)], at(6, 2), 'store'
+        )
+    assert not early.targets.records
+    late.apply_relayed_items(early.list_newer(Position()))
+    assert not late.targets.records
+
+
+def test_a_target_of_an_earlier_history_has_to_write_again():
+    clock = ManualClock()
+    store_view = make(clock)
+    store_view.replace_targets(
+        [server('a', 5, 2, sequence=3)], at(6, 2), 'store'
+    )
+    store_view.apply_relayed_items([server('b', 8, 1, sequence=1)])
+    assert 'b' in store_view.targets.records
+    clock.advance(1900)
+    store_view.apply_overdue_removals()
+    assert 'b' not in store_view.targets.records
+    store_view.apply_items([server('b', 9, 2, sequence=1)], 'store')
+    assert 'b' in store_view.targets.records
+
+
+STAMPS = st.lists(
+    st.tuples(st.integers(1, 3), st.integers(0, 6)), min_size=1, max_size=5
+)
+
+
+# One record out of each history: those of later ones come from older copies.
+@given(stamps=STAMPS, data=st.data())
+def test_what_a_target_wrote_last_holds_in_any_order(stamps, data):
+    items = [
+        server('a', 20 - epoch, epoch, born=born, sequence=sequence)
+        for epoch, (born, sequence) in enumerate(stamps, start=1)
+    ]
+    store_view = make()
+    for item in data.draw(st.permutations(items)):
+        store_view.apply_relayed_items([item])
+    (record,) = store_view.targets.records.values()
+    assert (record.born_ms, record.sequence) == max(stamps)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -10,6 +10,7 @@
 from hornbeampulley.node.stored import StoredItem
 from hornbeampulley.platform._documents import PlatformDecoder
 from hornbeampulley.routing import CallKind, Split, TargetState
+from tests.stored import at
 
 DECODER = PlatformDecoder()
 ENTRY = {
@@ -69,12 +70,12 @@
 
 def read_config(document):
     content = json.dumps(document).encode()
-    return DECODER.read_routing(StoredItem('op/config', content, 1))
+    return DECODER.read_routing(StoredItem('op/config', content, at(1)))
 
 
 def read_server(document):
     content = json.dumps(document).encode()
-    return DECODER.read_target(StoredItem('servers/i-1', content, 1))
+    return DECODER.read_target(StoredItem('servers/i-1', content, at(1)))
 
 
 def test_reads_routes():
@@ -175,8 +176,8 @@
 
 @pytest.mark.parametrize('content', [b'', b'\xff\xfe', b'[1]', b'5', b'{"a"'])
 def test_bytes_that_are_no_document_are_refused(content):
-    assert DECODER.read_target(StoredItem('servers/i', content, 1)) is None
-    assert DECODER.read_routing(StoredItem('op/config', content, 1)) is None
+    assert DECODER.read_target(StoredItem('servers/i', content, at(1))) is None
+    assert DECODER.read_routing(StoredItem('op/config', content, at(1))) is None
 
 
 @pytest.mark.parametrize(
@@ -184,20 +185,22 @@
 )
 def test_a_name_that_no_header_can_hold_is_refused(name):
     content = json.dumps(ENTRY).encode()
-    item = StoredItem(f'servers/{name}', content, 1)
+    item = StoredItem(f'servers/{name}', content, at(1))
     assert DECODER.read_target(item) is None
 
 
 def test_a_key_that_is_not_of_a_server_names_none():
     content = json.dumps(ENTRY).encode()
-    assert DECODER.read_target(StoredItem('op/config-x', content, 1)) is None
+    assert (
+        DECODER.read_target(StoredItem('op/config-x', content, at(1))) is None
+    )
 
 
 @pytest.mark.parametrize('depth', [1000, 200_000])
 def test_a_deeply_nested_document_is_refused(depth):
     content = b'[' * depth + b']' * depth
-    assert DECODER.read_target(StoredItem('servers/i', content, 1)) is None
-    assert DECODER.read_routing(StoredItem('op/config', content, 1)) is None
+    assert DECODER.read_target(StoredItem('servers/i', content, at(1))) is None
+    assert DECODER.read_routing(StoredItem('op/config', content, at(1))) is None
 
 
 @pytest.mark.parametrize(
@@ -238,5 +241,5 @@
 
 def test_other_keys_of_operators_are_no_routing():
     content = json.dumps(CONFIG).encode()
-    item = StoredItem('op/config-old', content, 1)
+    item = StoredItem('op/config-old', content, at(1))
     assert DECODER.read_routing(item) is None
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -9,6 +9,7 @@
 from hornbeampulley.platform._store import StoreClient
 from standins.metadata import MetadataStore
 from tests.nodes import STORE_PORT, Fleet
+from tests.stored import at
 
 
 def run(scenario):
@@ -34,7 +35,7 @@
         store.put('other', {})
         changes = await client.list_items('servers/')
         assert len(changes.items) == 5
-        assert changes.revision == store.revision
+        assert changes.revision == at(store.revision, 1)
 
     run(scenario)
 
@@ -42,7 +43,7 @@
 def test_a_watch_returns_changes_and_removals():
     async def scenario(store, client):
         store.put('servers/a', {})
-        since = store.revision
+        since = at(store.revision, 1)
         store.put('servers/b', {})
         store.delete('servers/a')
         changes = await client.watch('servers/', since, 1000)
@@ -54,7 +55,7 @@
 
 def test_a_watch_without_changes_ends():
     async def scenario(store, client):
-        changes = await client.watch('servers/', store.revision, 100)
+        changes = await client.watch('servers/', at(store.revision, 1), 100)
         assert changes.items == ()
 
     run(scenario)
@@ -64,7 +65,7 @@
     async def scenario(store, client):
         store.forgotten = 5
         with pytest.raises(HistoryLostError):
-            await client.watch('servers/', 1, 100)
+            await client.watch('servers/', at(1, 1), 100)
 
     run(scenario)
 
@@ -91,7 +92,7 @@
 @pytest.mark.parametrize('value', ['%%%', 5, None, 'not base64'])
 def test_an_item_that_can_not_be_read_does_not_hold_up_the_others(value):
     async def scenario(store, client):
-        since = store.revision
+        since = at(store.revision, 1)
         for name in ('a', 'b', 'c', 'd'):
             store.put(f'servers/{name}', {})
         store._items['servers/b']['value'] = value
@@ -100,6 +101,6 @@
         for changes in (listed, changed):
             names = [item.key for item in changes.items]
             assert names == ['servers/a', 'servers/c', 'servers/d']
-            assert changes.revision == store.revision
+            assert changes.revision == at(store.revision, 1)
 
     run(scenario)
