Let a host that starts ask a peer for all that it knows

A host that started just after the store had come back from a copy read the copy only: an older table, targets that had left. Its position in the new history was that of its peers, so nothing told it to ask.

--- a/hornbeampulley/node/_filters.py
+++ b/hornbeampulley/node/_filters.py
@@ -42,11 +42,11 @@
         The request; its table is set.
     """
     call.table = home.store_view.table
-    if call.table is None:
+    if call.table is None or not home.store_view.is_complete:
         raise CallError(
             503,
             'not_ready',
-            'this host does not know the routing table yet; come back soon',
+            'this host does not know yet what is in force; come back soon',
             NOT_READY_MS,
         )
     if home.refuses_new:
--- a/hornbeampulley/node/_following.py
+++ b/hornbeampulley/node/_following.py
@@ -9,6 +9,7 @@
 from hornbeampulley.node._catch_up import CatchUp
 from hornbeampulley.node._membership import Membership
 from hornbeampulley.node._mesh import Mesh
+from hornbeampulley.node._peer_sync import PeerSync
 from hornbeampulley.node._positions import PeerPositions
 from hornbeampulley.node._reader_election import ReaderElection
 from hornbeampulley.node._reading import (
@@ -18,7 +19,6 @@
 )
 from hornbeampulley.node._store_view import StoreView
 from hornbeampulley.node.stored import Store
-from hornbeampulley.wire import Link
 
 
 class StoreFollower:
@@ -35,7 +35,7 @@
     mesh : Mesh
         Links to the other nodes.
     request_items : callable
-        Called with a link to request newer items on it.
+        Called with a link to request newer items on it; a position may follow.
     clock : Clock
         Monotonic clock.
     generator : random.Random
@@ -47,6 +47,8 @@
         One reader for each prefix.
     positions : PeerPositions
         Which peers are ahead.
+    peer_sync : PeerSync
+        Asks a peer for what the store no longer tells.
     """
 
     def __init__(
@@ -55,7 +57,7 @@
         store_view: StoreView,
         membership: Membership,
         mesh: Mesh,
-        request_items: Callable[[Link], None],
+        request_items: Callable[..., None],
         clock: Clock,
         generator: random.Random,
     ) -> None:
@@ -73,6 +75,9 @@
         self._catch_up = CatchUp(
             membership, mesh, self.positions, request_items, clock
         )
+        self.peer_sync = PeerSync(
+            membership, mesh, store_view, request_items, clock, generator
+        )
 
     def start(self, nursery: trio.Nursery) -> None:
         """Start the readers; they read once this host has to.
@@ -100,6 +105,7 @@
 
     def fetch_newer(self) -> None:
         """Request items from a peer that is ahead in reading the store."""
+        self.peer_sync.run()
         if self._catch_up.run() and self._catch_up.is_reader:
             for reader in self.readers:
                 reader.retry_now()
--- a/hornbeampulley/node/_membership.py
+++ b/hornbeampulley/node/_membership.py
@@ -50,6 +50,8 @@
         Whether it has not answered lately.
     processor_capacity : float
         Processor time per second of its host, in cores of the slowest kind.
+    started_ms : int
+        Wall time of its start.
     """
 
     incarnation: str
@@ -60,6 +62,7 @@
     is_draining: bool
     is_suspect: bool = False
     processor_capacity: float = 1
+    started_ms: int = 0
 
 
 class Membership:
@@ -299,6 +302,7 @@
         Endpoint(record.address, member.peer_port),
         member.draining,
         processor_capacity=record.processor_capacity,
+        started_ms=record.started_ms,
     )
 
 
--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -117,6 +117,7 @@
         """Whether the node accepts requests."""
         return (
             self.store_view.table is not None
+            and self.store_view.is_complete
             and not self.membership.is_draining
         )
 
@@ -126,6 +127,8 @@
         start = self._nursery.start_soon
         start(self.gossip.run)
         self.follower.start(self._nursery)
+        if self._has_peers():
+            self.follower.peer_sync.start()
         start(serve_peers, self.mesh, listen.peers)
         start(repeat, self._tick, TICK_MS)
         start(repeat, self._sweep, SWEEP_MS)
@@ -208,7 +211,9 @@
             self.clock,
             self._generator,
         )
-        self._message_handler.on_ready = self.follower.fetch_newer
+        handler = self._message_handler
+        handler.on_ready = self.follower.fetch_newer
+        handler.on_items_sent = self.follower.peer_sync.record_answer
         self.gossip = Gossip(
             self.membership,
             self.store_view,
@@ -254,6 +259,10 @@
             self.counters,
         )
 
+    def _has_peers(self) -> bool:
+        own = self.settings.host.address
+        return any(seed.address != own for seed in self.settings.peers.seeds)
+
     def _make_host_record(self) -> HostRecord:
         host = self.settings.host
         listen = self.settings.listen
--- a/hornbeampulley/node/_peers.py
+++ b/hornbeampulley/node/_peers.py
@@ -7,6 +7,7 @@
 from hornbeampulley import decisions
 from hornbeampulley.clock import Clock
 from hornbeampulley.logs import log_event
+from hornbeampulley.node._knowledge import Position
 from hornbeampulley.node._lease_client import LeaseClient
 from hornbeampulley.node._quarantines import PoolQuarantine
 from hornbeampulley.node._relayed_items import (
@@ -50,6 +51,8 @@
     ----------
     on_ready : callable
         Called when a link opened by this node is ready.
+    on_items_sent : callable
+        Called with the incarnation of a peer that has sent all its newer items.
     """
 
     def __init__(
@@ -61,6 +64,7 @@
         self.lease_client: LeaseClient | None = None
         self.caps: UsageCapClient | None = None
         self.on_ready: Callable[[], None] = _do_nothing
+        self.on_items_sent: Callable[[str], None] = _ignore
         self._scheduling = scheduling
         self._store_view = store_view
         self._clock = clock
@@ -170,15 +174,20 @@
             self.lease_client.own_incarnation
         )
 
-    def request_items(self, link: Link) -> None:
+    def request_items(
+        self, link: Link, position: Position | None = None
+    ) -> None:
         """Request the store items of a peer that this node has not read.
 
         Parameters
         ----------
         link : Link
             Link to the peer.
+        position : Position, optional
+            Position after which items are requested, in place of the current
+            one.
         """
-        link.send(write_position(self._store_view.position))
+        link.send(write_position(position or self._store_view.position))
 
     def _register_home(self, link: Link, peer: str) -> None:
         """Register the link of a home and discard the state of an older one.
@@ -290,7 +299,12 @@
         self._store_view.apply_relayed_items(items)
         if message.position is not None:
             self._store_view.advance_position(read_position(message.position))
+            self.on_items_sent(peer)
 
 
 def _do_nothing() -> None:
     """Default of `PeerMessageHandler.on_ready`."""
+
+
+def _ignore(_peer: str) -> None:
+    """Default of `PeerMessageHandler.on_items_sent`."""
--- a/hornbeampulley/node/_store_view.py
+++ b/hornbeampulley/node/_store_view.py
@@ -53,6 +53,10 @@
         Called after items were applied.
     epoch : int or None
         Latest history of the store that is known; None at first.
+    left_position : Position
+        Position when the latest history became known.
+    is_complete : bool
+        False while peers may know what the store no longer tells.
     """
 
     def __init__(self, decoder: Decoder, clock: Clock) -> None:
@@ -63,6 +67,8 @@
         self.freshness = Freshness(clock)
         self.on_change: Callable[[], None] = _do_nothing
         self.epoch: int | None = None
+        self.left_position = Position()
+        self.is_complete = True
         self._decoder = decoder
         self._clock = clock
         self._items = TargetItems(clock)
@@ -257,6 +263,7 @@
         if known is not None and epoch <= known:
             return
         self.epoch = epoch
+        self.left_position = self.position
         if known is not None:
             log_event(_log, 'store_restored', epoch=epoch, known=known)
             self.record_outage(self._clock.now())
