--- /dev/null
+++ b/tests/test_node_stream_versions.py
@@ -0,0 +1,223 @@
+"""End-to-end tests of streams while targets of two software versions serve.
+
+What two versions write does not fit together, and targets do not check it: a
+stream goes on only at the version that began it.
+"""
+
+import time
+
+from tests.nodes import BACKEND_PORT, EVENTS, run_nodes, unchunk, wait_until
+
+OLD = 'v1'
+NEW = 'v1.1'
+
+
+async def set_versions(fleet, **versions):
+    """Let engines, by their numbers, serve in software versions."""
+    for name, version in versions.items():
+        number = name.removeprefix('engines_')
+        backend = fleet.backends[f'engines-{number}']
+        place = list(fleet.backends).index(backend.name)
+        entry = backend.describe(fleet.address(100 + place), BACKEND_PORT)
+        changed = {**entry, 'version': version, 'sequence': 2}
+        fleet.store.put(f'servers/{backend.name}', changed)
+    revision = fleet.store.revision
+    await wait_until(
+        lambda: all(
+            node.store_view.position.targets.number >= revision
+            for node in fleet.nodes
+        )
+    )
+
+
+async def wait_known(fleet, count):
+    """Wait until all nodes know all targets."""
+    await wait_until(
+        lambda: all(
+            len(node.store_view.targets.records) == count
+            for node in fleet.nodes
+        )
+    )
+
+
+def get_engines(fleet):
+    return [
+        backend
+        for name, backend in fleet.backends.items()
+        if name.startswith('engines')
+    ]
+
+
+async def begin_and_break(fleet, request_id=b'r1', number=0):
+    """Let a stream break off after its first event; return its engine."""
+    engines = get_engines(fleet)
+    for engine in engines:
+        engine.behaviour.breaks_after = 1
+    status, _, body = await fleet.call(
+        '/stream/a', number, b'p', request_id=request_id
+    )
+    for engine in engines:
+        engine.behaviour.breaks_after = -1
+    assert status == 200
+    assert unchunk(body) == EVENTS[0]
+    (begun,) = [one for one in engines if one.runs[request_id]]
+    return begun
+
+
+# ORDER: the host itself went on at a target of another version after a break.
+def test_a_broken_stream_does_not_go_on_at_another_version():
+    async def scenario(fleet):
+        await set_versions(fleet, engines_1=OLD, engines_2=NEW)
+        begun = await begin_and_break(fleet)
+        (other,) = [one for one in get_engines(fleet) if one is not begun]
+        assert not other.runs
+
+    run_nodes(scenario)
+
+
+# The same version serves elsewhere: the stream goes on there.
+def test_a_broken_stream_goes_on_at_its_version():
+    async def scenario(fleet):
+        for number in (3, 4):
+            fleet.add_backend(f'engines-{number}', 'engines')
+        await wait_known(fleet, 6)
+        await set_versions(
+            fleet, engines_1=OLD, engines_2=OLD, engines_3=NEW, engines_4=NEW
+        )
+        engines = get_engines(fleet)
+        for engine in engines:
+            engine.behaviour.breaks_after = 1
+            engine.behaviour.pause_ms = 50
+
+        async def mend():
+            await wait_until(
+                lambda: sum(len(one.runs) for one in engines) > 1, 0.001
+            )
+            for engine in engines:
+                engine.behaviour.breaks_after = -1
+
+        fleet.nursery.start_soon(mend)
+        status, _, body = await fleet.call('/stream/a', body=b'p')
+        assert status == 200
+        ran = {one.name for one in engines if one.runs}
+        assert ran in ({'engines-1', 'engines-2'}, {'engines-3', 'engines-4'})
+        assert unchunk(body) == b''.join(EVENTS)
+
+    run_nodes(scenario)
+
+
+# ORDER: a caller took a stream up at another host, which sent it anywhere.
+def test_a_stream_that_is_taken_up_goes_on_at_its_version():
+    async def scenario(fleet):
+        await set_versions(fleet, engines_1=OLD, engines_2=NEW)
+        for number in range(6):
+            first = b'a%d' % number
+            begun = await begin_and_break(fleet, first)
+            status, _, body = await fleet.call(
+                '/stream/a',
+                1,
+                b'p',
+                request_id=b'b%d' % number,
+                resumes=first.decode(),
+                last_event_id='1',
+            )
+            assert status == 200
+            assert unchunk(body) == b''.join(EVENTS[1:])
+            assert begun.runs[b'b%d' % number] == 1
+
+    run_nodes(scenario, count=2)
+
+
+def test_a_chain_of_take_ups_names_the_first_attempt():
+    async def scenario(fleet):
+        await set_versions(fleet, engines_1=OLD, engines_2=NEW)
+        begun = await begin_and_break(fleet, b'a')
+        for engine in get_engines(fleet):
+            engine.behaviour.breaks_after = 2
+        await fleet.call(
+            '/stream/a',
+            1,
+            b'p',
+            request_id=b'b',
+            resumes='a',
+            last_event_id='1',
+        )
+        for engine in get_engines(fleet):
+            engine.behaviour.breaks_after = -1
+        status, _, body = await fleet.call(
+            '/stream/a',
+            0,
+            b'p',
+            request_id=b'c',
+            resumes='a',
+            last_event_id='2',
+        )
+        assert status == 200
+        assert unchunk(body) == EVENTS[2]
+        assert begun.runs[b'c'] == 1
+
+    run_nodes(scenario, count=2)
+
+
+# ORDER: the targets of the version had left; the stream went on at another.
+def test_a_stream_whose_version_has_left_is_refused():
+    async def scenario(fleet):
+        await set_versions(fleet, engines_1=OLD, engines_2=NEW)
+        begun = await begin_and_break(fleet)
+        fleet.store.delete(f'servers/{begun.name}')
+        await wait_known(fleet, 3)
+        (other,) = [one for one in get_engines(fleet) if one is not begun]
+        status, _, _ = await fleet.call(
+            '/stream/a', 0, b'p', b'b', resumes='r1', last_event_id='1'
+        )
+        assert status == 503
+        assert not other.runs
+
+    run_nodes(scenario)
+
+
+# ORDER: nobody knows where such a stream began, as all hosts were lost, or the
+# id is another workspace's or made up.
+def test_a_stream_of_unknown_origin_does_not_go_on_beside_two_versions():
+    async def scenario(fleet):
+        await set_versions(fleet, engines_1=OLD, engines_2=NEW)
+        for headers in ({'resumes': 'never-seen'}, {}):
+            status, _, _ = await fleet.call(
+                '/stream/a', 0, b'p', b'b', last_event_id='1', **headers
+            )
+            assert status == 503
+        assert not any(one.runs for one in get_engines(fleet))
+
+    run_nodes(scenario)
+
+
+def test_a_stream_of_unknown_origin_goes_on_where_one_version_has_served():
+    async def scenario(fleet):
+        status, _, body = await fleet.call(
+            '/stream/a', 0, b'p', b'b', resumes='x', last_event_id='1'
+        )
+        assert status == 200
+        assert unchunk(body) == b''.join(EVENTS[1:])
+
+    run_nodes(scenario)
+
+
+# ORDER: the old version had just left when all hosts were lost.
+def test_a_stream_of_unknown_origin_does_not_go_on_after_a_release():
+    async def scenario(fleet):
+        for number in (1, 2):
+            backend = fleet.backends[f'engines-{number}']
+            place = list(fleet.backends).index(backend.name)
+            entry = backend.describe(fleet.address(100 + place), BACKEND_PORT)
+            born = round(time.time() * 1000) - 3000
+            changed = {**entry, 'version': NEW, 'born': born, 'sequence': 1}
+            fleet.store.put(f'servers/{backend.name}', changed)
+        revision = fleet.store.revision
+        first = fleet.nodes[0].store_view
+        await wait_until(lambda: first.position.targets.number >= revision)
+        status, _, _ = await fleet.call(
+            '/stream/a', 0, b'p', b'b', resumes='x', last_event_id='1'
+        )
+        assert status == 503
+
+    run_nodes(scenario)
