Bind a stream to the software version that began it

What callers saw: streams held events from targets of two software versions, joined in one answer or over the attempts of a caller, with nothing to show it.

Cause: an attempt was treated as one of equals. A lease named a pool only; no record of a target held its version, and nobody read which attempt had begun a stream.

Now the first event of a resumable stream binds the request to the version of its target: the decision core leases only targets of that version and refuses at once if none is left. The home tells owner and standby of the pool where each stream began, before the caller has the first event, and again to each new owner; it is kept for as long as the caller may come back. A request that takes a stream up names it by a hash of attempt, workspace, route and pool. A stream that nobody knows goes on only where the pool is known to have had one version for as long as a stream may last.

--- a/hornbeampulley/configuration.py
+++ b/hornbeampulley/configuration.py
@@ -161,6 +161,8 @@
         Capacity of its prefix cache in prompt blocks; 0 if unknown.
     model : str
         Model that it should serve; empty for plain services.
+    software : str
+        Version of its software; empty if not known.
     """
 
     name: str
@@ -174,6 +176,7 @@
     checks_fencing: bool = False
     cache_blocks: int = 0
     model: str = ''
+    software: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeampulley/decisions/_actions.py
+++ b/hornbeampulley/decisions/_actions.py
@@ -14,6 +14,7 @@
     QUARANTINED = 'quarantined'
     DUPLICATE_KEY = 'duplicate_key'
     NO_TARGET = 'no_target'
+    OTHER_SOFTWARE = 'other_software'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +35,8 @@
         Whether the request was preempted earlier and is resumed.
     expected_ms : float
         Expected time from dispatch to the end of the answer.
+    software : str
+        Version of the software that the target must have; empty for any.
     """
 
     request_id: str
@@ -42,6 +45,7 @@
     valid_ms: float
     resume: bool = False
     expected_ms: float = 0
+    software: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeampulley/decisions/_dispatch.py
+++ b/hornbeampulley/decisions/_dispatch.py
@@ -18,6 +18,8 @@
 SCARCITY_WEIGHT: Final = 1.0
 # Requests skipped in one round; bounds the time that a round takes.
 MAX_SKIPS: Final = 8
+# The same for requests that only one software version can go on with.
+MAX_BOUND_SKIPS: Final = 64
 
 
 class _Placement(NamedTuple):
@@ -50,21 +52,28 @@
         self._dispatch_isolated()
         queue = self._state.queue
         skips = 0
-        while skips < MAX_SKIPS:
+        bound_skips = 0
+        while skips < MAX_SKIPS and bound_skips < MAX_BOUND_SKIPS:
             rank = queue.choose_rank(self._state.fleet.has_free_slot)
             if rank is None:
                 break
-            skips += not self._dispatch_one(rank)
+            request = queue.find_next(rank)
+            is_skipped = not self._dispatch_one(request)
+            if request.reserve.software:
+                bound_skips += is_skipped
+            else:
+                skips += is_skipped
         queue.restore_skipped()
 
-    def _dispatch_one(self, rank: int) -> bool:
+    def _dispatch_one(self, request: Request) -> bool:
         """Process the next request of a rank; return False if it is skipped."""
         queue = self._state.queue
-        request = queue.find_next(rank)
         fingerprint = request.reserve.fingerprint
         if self._state.quarantine.is_quarantined(fingerprint):
             queue.dequeue(request)
             self._state.refuse(request, Reason.QUARANTINED)
+        elif request.reserve.software:
+            return self._dispatch_bound(request)
         elif self._state.quarantine.is_suspect(fingerprint):
             queue.dequeue(request)
             queue.isolate(request)
@@ -74,6 +83,14 @@
             return self._dispatch_or_skip(request)
         return True
 
+    def _dispatch_bound(self, request: Request) -> bool:
+        """Process a request that only one software version can go on with."""
+        if self._state.fleet.has_software(request.reserve.software):
+            return self._dispatch_or_skip(request)
+        self._state.queue.dequeue(request)
+        self._state.refuse(request, Reason.OTHER_SOFTWARE)
+        return True
+
     def _dispatch_or_skip(self, request: Request) -> bool:
         placement = self._choose_target(request)
         if placement is None:
@@ -165,18 +182,17 @@
         match: PrefixMatch,
     ) -> list[TargetState]:
         fleet = self._state.fleet
+        software = request.reserve.software
+        if software:
+            candidates = fleet.list_of_software(software, request.rank)
+            return _leave_out(candidates, request.reserve.avoided)
         candidates = fleet.list_candidates(request.rank)
         for name in self._state.index.list_holders(match):
             target = fleet.find(name)
             if target is not None and target not in candidates:
                 if fleet.can_accept(target, request.rank):
                     candidates.append(target)
-        others = [
-            target
-            for target in candidates
-            if target.name != request.reserve.avoided
-        ]
-        return others or candidates
+        return _leave_out(candidates, request.reserve.avoided)
 
     def _score(
         self,
@@ -293,5 +309,14 @@
                 LEASE_VALID_MS,
                 request.resume,
                 expected_ms,
+                request.reserve.software,
             ),
         )
+
+
+def _leave_out(
+    candidates: list[TargetState], avoided: str
+) -> list[TargetState]:
+    """Leave out a target, unless it is the only one."""
+    others = [target for target in candidates if target.name != avoided]
+    return others or candidates
--- a/hornbeampulley/decisions/_events.py
+++ b/hornbeampulley/decisions/_events.py
@@ -66,6 +66,12 @@
     prompt_parts : tuple of int
         Ids of the parts of the prompt, in order, the last of which is the
         request's own; empty if the caller names none or its answer has begun.
+    software : str
+        Version of the software that has begun its answer, which no other one
+        can go on with; empty if none has.
+    stream : int or None
+        Name of the stream that its caller takes up again; None for others.
+        The node of the scheduler finds out its version.
     """
 
     request_id: str
@@ -87,6 +93,8 @@
     avoided: str = ''
     expected_tokens: int = 0
     prompt_parts: tuple[int, ...] = ()
+    software: str = ''
+    stream: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeampulley/decisions/_fleet.py
+++ b/hornbeampulley/decisions/_fleet.py
@@ -212,6 +212,22 @@
             heapq.heappush(heap, valid)
         return [self._states[one.name] for one in found]
 
+    def has_software(self, software: str) -> bool:
+        """Tell whether a target of a software version takes requests."""
+        return any(
+            state.target.software == software and not state.is_leaving
+            for state in self._states.values()
+        )
+
+    def list_of_software(self, software: str, rank: int) -> list[TargetState]:
+        """List the targets of a software version with a free slot."""
+        return [
+            state
+            for state in self._states.values()
+            if state.target.software == software
+            and self.can_accept(state, rank)
+        ]
+
     def start(
         self,
         state: TargetState,
--- a/hornbeampulley/decisions/_state.py
+++ b/hornbeampulley/decisions/_state.py
@@ -133,7 +133,7 @@
         return request.latest_start_ms - self.now_ms
 
     def _estimate_retry_delay(self, request: Request, reason: Reason) -> float:
-        if reason is Reason.DUPLICATE_KEY:
+        if reason in {Reason.DUPLICATE_KEY, Reason.OTHER_SOFTWARE}:
             return 0
         if reason is Reason.QUARANTINED:
             parts = request.reserve.prompt_parts
--- a/hornbeampulley/node/_calls.py
+++ b/hornbeampulley/node/_calls.py
@@ -76,6 +76,9 @@
     resends : int
         Number of times that it was sent again after an attempt that did not
         run.
+    software : str
+        Version of the software of the target that sent the first event of a
+        stream that may be resumed; empty before.
     may_have_run : bool
         Whether a target may have begun to execute it.
     events : EventSplitter
@@ -102,6 +105,7 @@
     targets: list[str] = dataclasses.field(default_factory=list)
     last_target: str = ''
     resends: int = 0
+    software: str = ''
     may_have_run: bool = False
     events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
     first_ms: float = 0
@@ -118,6 +122,17 @@
         """Whether the answer is an event stream."""
         return self.route is not None and self.route.kind is CallKind.STREAM
 
+    @property
+    def is_taken_up(self) -> bool:
+        """Whether its caller takes up a stream that has broken off."""
+        is_resumable = self.route is not None and self.route.is_resumable
+        return is_resumable and self.metadata.resumes_after is not None
+
+    @property
+    def first_attempt(self) -> bytes:
+        """Id of the attempt that brought the first event; its own at first."""
+        return self.metadata.first_attempt or self.metadata.request_id
+
     @property
     def engine(self) -> EngineSpec | None:
         """Properties of the engines of its pool; None for plain services."""
--- a/hornbeampulley/node/_exchanges.py
+++ b/hornbeampulley/node/_exchanges.py
@@ -159,6 +159,7 @@
             target_age_ms=round(notice.age_ms),
             view_age_ms=round(notice.view_age_ms),
             reused=connection.uses > 0,
+            software=target.software or None,
         )
         result: list[Attempt] = []
         errors: list[ResponseBrokenError] = []
--- a/hornbeampulley/node/_filters.py
+++ b/hornbeampulley/node/_filters.py
@@ -80,7 +80,8 @@
             'check host and path',
         )
     call.route = route
-    call.pool = choose_pool(route, call.metadata.request_id)
+    # What takes a stream up goes to the pool that began it.
+    call.pool = choose_pool(route, call.first_attempt)
     limit_ms = call.metadata.time_limit_ms
     if limit_ms is None:
         limit_ms = route.timeout_ms
@@ -198,6 +199,8 @@
         request=call.name,
         route=call.route.name if call.route else None,
         workspace=call.workspace_name or None,
+        resumes=(call.metadata.first_attempt or b'').decode('latin-1') or None,
+        software=call.software or None,
         rank=call.rank,
         status=call.status,
         outcome=call.outcome or 'caller_left',
--- a/hornbeampulley/node/_lease_client.py
+++ b/hornbeampulley/node/_lease_client.py
@@ -13,6 +13,8 @@
 from hornbeampulley.node._owners import OwnerFinder
 from hornbeampulley.node._reservations import Reservation
 from hornbeampulley.node._scheduling import Scheduling
+from hornbeampulley.node._stream_origin_messages import write_stream_origins
+from hornbeampulley.node._stream_origins import StreamOrigin
 from hornbeampulley.wire.generated.peer import ttypes
 from hornbeampulley.wire.scheduling import (
     write_event,
@@ -189,6 +191,21 @@
         if owner != self.own_incarnation:
             self._send_message(owner, write_target_signals(signals))
 
+    def report_stream(self, pool: str, origin: StreamOrigin) -> None:
+        """Tell where a stream began to the schedulers that may need it.
+
+        Parameters
+        ----------
+        pool : str
+            Pool that serves it.
+        origin : StreamOrigin
+            The stream and its software version.
+        """
+        self._scheduling.origins.keep(origin, is_own=True)
+        message = write_stream_origins((origin,))
+        for scheduler in self._finder.list_schedulers(f'pool/{pool}'):
+            self._send_message(scheduler, message)
+
     def handle_report(self, message: ttypes.TargetReport) -> None:
         """Pass a report about a target to the scheduler of this node.
 
--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -4,6 +4,7 @@
 import logging
 import os
 import random
+import time
 from typing import Final
 
 import trio
@@ -179,6 +180,7 @@
                 slack=bounds.cap_slack,
                 window_ms=bounds.cap_window_ms,
             ),
+            Clock(time.time),
         )
         self._message_handler = PeerMessageHandler(
             self.scheduling, self.store_view, self.clock
@@ -352,12 +354,11 @@
         ):
             return
         self._configured_changes = store_view.changes
-        self.scheduling.signals.drop_old_runs(store_view.targets.records)
+        records = store_view.targets.records
+        self.scheduling.signals.drop_old_runs(records)
+        self.scheduling.software_history.update(records.values())
         self.scheduling.configure(
             store_view.table,
-            make_configuration(
-                store_view.table,
-                store_view.targets.records.values(),
-            ),
+            make_configuration(store_view.table, records.values()),
             store_view.targets.list_draining(),
         )
--- a/hornbeampulley/node/_owners.py
+++ b/hornbeampulley/node/_owners.py
@@ -83,6 +83,22 @@
                 return None
         return self.own_incarnation
 
+    def list_schedulers(self, key: str) -> list[str]:
+        """List the other nodes that own a key or would take it over.
+
+        Parameters
+        ----------
+        key : str
+            Key of the owned object.
+
+        Returns
+        -------
+        list of str
+            Their incarnations.
+        """
+        ranked = self._membership.rank_owners(key)[: STANDBYS + 1]
+        return [one for one in ranked if one != self.own_incarnation]
+
     def keep_links(self) -> None:
         """Keep links to owners and standbys of the keys in use."""
         limit_ms = self._clock.now() - USED_MS
@@ -91,7 +107,5 @@
                 self._used_ms.pop(key)
                 continue
             self.find(key)
-            ranked = self._membership.rank_owners(key)
-            for candidate in ranked[: STANDBYS + 1]:
-                if candidate != self.own_incarnation:
-                    self._mesh.get_link(candidate)
+            for candidate in self.list_schedulers(key):
+                self._mesh.get_link(candidate)
--- a/hornbeampulley/node/_peers.py
+++ b/hornbeampulley/node/_peers.py
@@ -18,6 +18,10 @@
 )
 from hornbeampulley.node._scheduling import Scheduling
 from hornbeampulley.node._store_view import StoreView
+from hornbeampulley.node._stream_origin_messages import (
+    read_stream_origins,
+    write_stream_origins,
+)
 from hornbeampulley.node._usage_cap_client import UsageCapClient
 from hornbeampulley.wire import Link
 from hornbeampulley.wire.generated.peer import ttypes
@@ -32,6 +36,7 @@
 )
 
 MAX_ITEMS: Final = 200
+MAX_ORIGINS: Final = 1000
 _log = logging.getLogger(__name__)
 
 
@@ -103,6 +108,7 @@
                 ttypes.Quarantine()
                 | ttypes.PartQuarantine()
                 | ttypes.TargetSignals()
+                | ttypes.StreamOrigins()
             ):
                 self._apply_news(message, peer)
             case _:
@@ -117,8 +123,9 @@
             Link that this node has opened to a scheduler.
         """
         # An owner that has not met the parts that crash targets, or the targets
-        # that leave, learns them.
+        # that leave, learns them; and where the streams of this home began.
         self._send_known(link)
+        self._send_origins(link)
         self.lease_client.handle_link_ready()
         self.on_ready()
 
@@ -214,6 +221,9 @@
                 )
             case ttypes.TargetSignals():
                 self._apply_signals(message, peer)
+            case ttypes.StreamOrigins():
+                for origin in read_stream_origins(message):
+                    self._scheduling.origins.keep(origin)
 
     def _apply_signals(self, message: ttypes.TargetSignals, peer: str) -> None:
         told = read_target_signals(message)
@@ -231,6 +241,12 @@
         for fingerprint in self._scheduling.quarantines.contents:
             link.send(ttypes.Quarantine(fingerprint))
 
+    def _send_origins(self, link: Link) -> None:
+        origins = tuple(self._scheduling.origins.list_own())
+        for start in range(0, len(origins), MAX_ORIGINS):
+            batch = origins[start : start + MAX_ORIGINS]
+            link.send(write_stream_origins(batch))
+
     def send_to_homes(self, message: Any) -> None:
         """Send a message to all homes that have a link to this scheduler.
 
--- a/hornbeampulley/node/_reserves.py
+++ b/hornbeampulley/node/_reserves.py
@@ -8,6 +8,7 @@
 from hornbeampulley.node._calls import Call
 from hornbeampulley.node._home import Home
 from hornbeampulley.node._prefixes import make_block_hashes
+from hornbeampulley.node._stream_origins import UNNAMED, make_stream_name
 from hornbeampulley.routing import get_service_name, get_tier_name
 from hornbeampulley.wire.scheduling import PART_MASK
 
@@ -52,9 +53,38 @@
         avoided=call.last_target,
         expected_tokens=_get_expected_tokens(call),
         prompt_parts=_list_suspect_parts(call),
+        software=call.software,
+        stream=_find_stream(call),
     )
 
 
+def make_call_stream_name(call: Call) -> int:
+    """Make the name of the stream that a request begins or takes up.
+
+    Parameters
+    ----------
+    call : Call
+        Request whose route, workspace and pool are set.
+
+    Returns
+    -------
+    int
+        Its name; `UNNAMED` if the caller does not say which one it takes up.
+    """
+    if call.is_taken_up and not call.metadata.first_attempt:
+        return UNNAMED
+    return make_stream_name(
+        call.first_attempt, call.workspace_name, call.route.name, call.pool
+    )
+
+
+def _find_stream(call: Call) -> int | None:
+    """Return the stream whose version the scheduler has to find out."""
+    if not call.is_taken_up or call.software:
+        return None
+    return make_call_stream_name(call)
+
+
 def _list_suspect_parts(call: Call) -> tuple[int, ...]:
     """List the parts that may crash a target; none if its answer has begun."""
     parts = call.metadata.parts
--- a/hornbeampulley/node/_scheduling.py
+++ b/hornbeampulley/node/_scheduling.py
@@ -9,6 +9,12 @@
 from hornbeampulley.configuration import Configuration
 from hornbeampulley.logs import log_event
 from hornbeampulley.node._quarantines import PoolQuarantine, QuarantineStore
+from hornbeampulley.node._software_history import SoftwareHistory
+from hornbeampulley.node._stream_binding import (
+    bind_stream,
+    make_unknown_refusal,
+)
+from hornbeampulley.node._stream_origins import StreamOrigins
 from hornbeampulley.node._target_signals import SignalStore
 from hornbeampulley.routing import CapSettings, RoutingTable, TokenBucket
 
@@ -44,6 +50,8 @@
         Sends an action to a home.
     caps : CapSettings, optional
         Initial fill and tolerance of usage caps.
+    wall : Clock, optional
+        Wall time; the monotonic clock if not given.
 
     Attributes
     ----------
@@ -54,6 +62,10 @@
         Quarantined parts of prompts, by any scheduler.
     signals : SignalStore
         What targets have said of themselves.
+    origins : StreamOrigins
+        Software versions that began streams.
+    software_history : SoftwareHistory
+        Software versions of the targets.
     """
 
     def __init__(
@@ -61,11 +73,14 @@
         clock: Clock,
         send: ActionSender,
         caps: CapSettings | None = None,
+        wall: Clock | None = None,
     ) -> None:
         self._caps = caps or CapSettings()
         self.has_failed = False
         self.quarantines = QuarantineStore(clock)
         self.signals = SignalStore(clock)
+        self.origins = StreamOrigins(clock)
+        self.software_history = SoftwareHistory(clock, wall or clock)
         self._clock = clock
         self._send = send
         self._pools: dict[str, _Pool] = {}
@@ -123,6 +138,9 @@
         """
         request_id = event.request_id
         if isinstance(event, decisions.Reserve):
+            event = self._bind(event)
+            if event is None:
+                return
             self._pool_of_request[request_id] = find_pool(event.service)
         name = self._pool_of_request.get(request_id)
         if name is None:
@@ -131,6 +149,18 @@
             self._pool_of_request.pop(request_id)
         self._handle(self._get_or_open_pool(name), event)
 
+    def _bind(self, reserve: decisions.Reserve) -> decisions.Reserve | None:
+        """Bind a stream that is taken up, or refuse it."""
+        name = find_pool(reserve.service)
+        bound = bind_stream(
+            reserve, name, self.origins, self.software_history, self._table
+        )
+        if bound is None:
+            pool = self._get_or_open_pool(name)
+            owned_ms = self._clock.now() - pool.opened_ms
+            self._send(reserve.home, make_unknown_refusal(reserve, owned_ms))
+        return bound
+
     def handle_report(self, pool: str, event: decisions.Event) -> None:
         """Handle a report of a home about a target.
 
@@ -261,6 +291,7 @@
     def tick(self) -> None:
         """Process timers of all pools, and close pools that are not used."""
         now_ms = self._clock.now()
+        self.origins.sweep()
         for name, pool in tuple(self._pools.items()):
             if not pool.is_takeover_ended:
                 self._end_takeover(pool, now_ms)
--- a/hornbeampulley/node/_serving.py
+++ b/hornbeampulley/node/_serving.py
@@ -12,13 +12,17 @@
 from hornbeampulley.node._exchanges import Attempt
 from hornbeampulley.node._home import Home
 from hornbeampulley.node._lease_client import Reservation
-from hornbeampulley.node._reserves import make_reserve
+from hornbeampulley.node._reserves import make_call_stream_name, make_reserve
+from hornbeampulley.node._stream_origins import UNNAMED, StreamOrigin
+from hornbeampulley.routing import TargetRecord
 
 MAX_RESENDS: Final = 4
 RETRY_MS: Final = 200.0
 # A second attempt is made only if at least this much time is left.
 MIN_LEFT_MS: Final = 50.0
 MAX_LOGGED_PARTS: Final = 16
+# Where a stream began is known this much longer than its caller waits.
+TAKE_UP_MARGIN_MS: Final = 2000.0
 # Statuses that promise a caller that its request was not executed. A target
 # that uses one without rejecting the request is not trusted with that.
 _NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
@@ -86,6 +90,9 @@
     target = home.store_view.targets.records.get(lease.target)
     if target is None:
         return Attempt(decisions.Outcome.NOT_SENT, 'unknown target')
+    if lease.software and target.software != lease.software:
+        # The view of the scheduler differs from that of this home.
+        return Attempt(decisions.Outcome.NOT_SENT, 'other software version')
     log_event(
         _log,
         'lease_taken',
@@ -99,12 +106,28 @@
 
     def on_first_part(first_ms: float) -> None:  # noqa: WPS430
         reservation.first_ms = first_ms
+        _bind_stream(home, call, target)
         home.lease_client.report_progress(reservation, first_ms)
 
     reservation.sent_ms = home.clock.now()
     return await home.sender.send(call, target, on_first_part)
 
 
+def _bind_stream(home: Home, call: Call, target: TargetRecord) -> None:
+    """Bind a stream that may be resumed to the version of its first target.
+
+    The schedulers are told before the caller gets the first event.
+    """
+    if call.software or not call.route.is_resumable or not target.software:
+        return
+    call.software = target.software
+    stream = make_call_stream_name(call)
+    if stream != UNNAMED:
+        left_ms = max(call.ends_ms - home.clock.now(), 0) + TAKE_UP_MARGIN_MS
+        origin = StreamOrigin(stream, target.software, left_ms)
+        home.lease_client.report_stream(call.pool, origin)
+
+
 def _check_resend(home: Home, call: Call, attempt: Attempt) -> None:
     """Limit how often a request that was not executed is sent again."""
     call.resends += 1
@@ -253,10 +276,22 @@
         retry_after_ms=round(refusal.retry_after_ms),
     )
     call.may_have_run = call.may_have_run or refusal.ran
+    if refusal.reason is decisions.Reason.OTHER_SOFTWARE:
+        return _make_stream_lost_error(call, refusal.retry_after_ms)
     retry_ms = max(refusal.retry_after_ms, RETRY_MS)
     return _make_refusal_error(call, refusal.reason.value, retry_ms)
 
 
+def _make_stream_lost_error(call: Call, retry_ms: float) -> CallError:
+    return CallError(
+        502 if call.may_have_run else 503,
+        decisions.Reason.OTHER_SOFTWARE.value,
+        'the stream can not go on: no target is known to have the software '
+        'version that began it; send the request anew',
+        retry_ms,
+    )
+
+
 def _make_refusal_error(call: Call, reason: str, retry_ms: float) -> CallError:
     if call.may_have_run:
         return CallError(
--- a/hornbeampulley/node/dialect.py
+++ b/hornbeampulley/node/dialect.py
@@ -48,6 +48,8 @@
         Parts of the prompt prefix, in order.
     resumes_after : bytes or None
         Id of the last event that the caller has received of a broken stream.
+    first_attempt : bytes or None
+        Id of the attempt that brought the first event of that stream.
     """
 
     request_id: bytes
@@ -60,6 +62,7 @@
     hinted_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
     resumes_after: bytes | None = None
+    first_attempt: bytes | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeampulley/pipeline/_problems.py
+++ b/hornbeampulley/pipeline/_problems.py
@@ -18,6 +18,7 @@
     Reason.QUARANTINED: 422,
     Reason.DUPLICATE_KEY: 409,
     Reason.NO_TARGET: 503,
+    Reason.OTHER_SOFTWARE: 503,
 }
 _DETAIL_OF_REASON: Final = {
     Reason.SHED: 'the pool has no room for this request; send it again under '
@@ -30,6 +31,8 @@
     'before; look up its outcome',
     Reason.NO_TARGET: 'no target of the pool can take the request; send it '
     'again under a new id after the time given',
+    Reason.OTHER_SOFTWARE: 'no target has the software version that began the '
+    'answer; send the request anew',
 }
 
 
--- a/hornbeampulley/platform/_documents.py
+++ b/hornbeampulley/platform/_documents.py
@@ -235,9 +235,15 @@
         read_number(entry, 'cold_remaining_ms'),
         # Counts what the server has written of itself in this run.
         _read_sequence(entry),
+        # Version of the software, not of the weights.
+        _read_software(entry),
     )
 
 
+def _read_software(entry: dict[str, Any]) -> str:
+    return expect_text(entry, 'version') if 'version' in entry else ''
+
+
 def _read_sequence(entry: dict[str, Any]) -> int | None:
     if 'sequence' not in entry:
         return None
--- a/hornbeampulley/platform/_headers.py
+++ b/hornbeampulley/platform/_headers.py
@@ -30,6 +30,8 @@
 PROMPT_PARTS: Final = b'prompt-prefix'
 OUTPUT_HINT: Final = b'length-hint'
 LAST_EVENT: Final = b'last-event-id'
+# Id of the attempt that brought the first event of a stream taken up again.
+FIRST_ATTEMPT: Final = b'resumes'
 NOT_RUN: Final = b'not-executed'
 # Running requests, waiting requests and slots.
 LOAD: Final = b'server-load'
@@ -100,6 +102,7 @@
             ),
             parts=tuple(_read_parts(find_header(headers, PROMPT_PARTS))),
             resumes_after=find_header(headers, LAST_EVENT),
+            first_attempt=find_header(headers, FIRST_ATTEMPT),
         )
 
     def read_zone(self, request: Request) -> str:
--- a/hornbeampulley/routing/_targets.py
+++ b/hornbeampulley/routing/_targets.py
@@ -56,6 +56,8 @@
         Time in ms for which it is still slow after its start.
     sequence : int or None
         Number of records that it had written in this run; None if not given.
+    software : str
+        Version of its software; empty if not given.
     """
 
     name: str
@@ -67,6 +69,7 @@
     born_ms: int = 0
     cold_ms: float = 0
     sequence: int | None = dataclasses.field(default=None, compare=False)
+    software: str = ''
 
     @property
     def stamp(self) -> RunStamp | None:
--- a/hornbeampulley/routing/_translation.py
+++ b/hornbeampulley/routing/_translation.py
@@ -124,6 +124,7 @@
         _find_kind(table, record.pool),
         record.slots,
         cache_blocks=_count_cache_blocks(table, record.pool),
+        software=record.software,
     )
 
 
--- a/hornbeampulley/wire/_actions.py
+++ b/hornbeampulley/wire/_actions.py
@@ -46,6 +46,7 @@
                 stamp.session if stamp else 0,
                 stamp.heard if stamp else 0,
                 round_up_ms(action.expected_ms),
+                action.software or None,
             )
         case decisions.Refuse():
             return ttypes.Refuse(
@@ -97,6 +98,7 @@
         float(message.valid_ms),
         message.resume,
         float(message.expected_ms or 0),
+        message.software or '',
     )
 
 
--- a/hornbeampulley/wire/_events.py
+++ b/hornbeampulley/wire/_events.py
@@ -73,6 +73,8 @@
         begin_by_in_ms=_convert_to_duration(event.begin_by_ms, now_ms),
         expected_tokens=event.expected_tokens,
         prompt_parts=pack_parts(event.prompt_parts),
+        software=event.software or None,
+        stream=event.stream,
     )
 
 
@@ -302,6 +304,8 @@
         avoided=message.avoided or '',
         expected_tokens=message.expected_tokens or 0,
         prompt_parts=unpack_parts(message.prompt_parts or b''),
+        software=message.software or '',
+        stream=message.stream,
     )
 
 
--- a/hornbeampulley/wire/peer.thrift
+++ b/hornbeampulley/wire/peer.thrift
@@ -57,6 +57,10 @@
   20: optional i32 expected_tokens
   // Ids of the parts of the prompt, packed.
   21: optional binary prompt_parts
+  // Version of the software that began the answer; the stream that the caller
+  // takes up, 0 if it does not name it.
+  22: optional string software
+  23: optional i64 stream
 }
 
 struct Withdraw {
@@ -93,6 +97,8 @@
   6: i32 session
   7: i64 heard
   8: optional i32 expected_ms
+  // Version of the software that the target must have.
+  9: optional string software
 }
 
 struct Refuse {
@@ -124,6 +130,16 @@
   4: i32 period_ms
 }
 
+// From a home to the schedulers of a pool: the software versions that began
+// streams, for callers that take them up at other homes.
+struct StreamOrigin {
+  1: i64 stream
+  2: string software
+  3: i32 left_ms
+}
+
+struct StreamOrigins { 1: list<StreamOrigin> origins }
+
 struct FateQuery {
   1: string request_id
   2: string asker
@@ -368,6 +384,7 @@
   33: ProbeRequest probe_request
   34: PartQuarantine part_quarantine
   35: TargetSignals target_signals
+  36: StreamOrigins stream_origins
 }
 
 struct Frame {
