Answer what can not end within the grace time of a planned stop

Cause: the drain ended with the process, whatever was open.

Now requests still open 200 ms before the end get an answer: 503 with Retry-After if they were not run, else 502; only streams that have begun are cut. Once new requests are refused, a lease is not used if the answer is expected after that moment.

--- a/hornbeampulley/node/_drain.py
+++ b/hornbeampulley/node/_drain.py
@@ -15,6 +15,8 @@
 # Share of the grace time after which draining stops; the remainder is left
 # for the exit of the process.
 END_SHARE: Final = 0.87
+# Time in which the answers to requests that could not end reach their callers.
+LAST_ANSWERS_MS: Final = 200.0
 STEP_MS: Final = 50.0
 QUIET_MS: Final = 300.0
 _log = logging.getLogger(__name__)
@@ -23,6 +25,9 @@
 async def drain_node(node: Node) -> None:
     """Finish the open requests and refuse new ones within the grace time.
 
+    What can't end by then is answered by an error; only streams that have begun
+    are cut.
+
     Returns early once no caller has been connected for `QUIET_MS`.
 
     Parameters
@@ -38,10 +43,14 @@
     log_event(_log, 'drain_started', open=node.lease_client.open_count)
     await trio.sleep(to_seconds(grace_ms * ACCEPT_SHARE))
     node.home.refuses_new = True
+    end_ms = started_ms + grace_ms * END_SHARE
+    node.home.ends_ms = end_ms - LAST_ANSWERS_MS
     _close_idle(node)
     quiet_since_ms = node.clock.now()
-    while node.clock.now() < started_ms + grace_ms * END_SHARE:
+    while node.clock.now() < end_ms:
         await trio.sleep(to_seconds(STEP_MS))
+        if node.clock.now() >= node.home.ends_ms:
+            node.home.end_calls()
         _close_idle(node)
         if node.options.connections:
             quiet_since_ms = node.clock.now()
--- a/hornbeampulley/node/_home.py
+++ b/hornbeampulley/node/_home.py
@@ -8,6 +8,8 @@
 import math
 from typing import Final
 
+import trio
+
 from hornbeampulley.clock import MS_PER_SECOND
 from hornbeampulley.http1 import Header
 from hornbeampulley.logs import log_event
@@ -48,6 +50,11 @@
     ----------
     refuses_new : bool
         Whether new requests are refused because the node shuts down.
+    ends_ms : float
+        Time when the open requests end because the node shuts down, in ms;
+        infinite while it does not.
+    open_calls : set of trio.CancelScope
+        Scopes of the requests that are being served.
     """
 
     def __init__(
@@ -69,6 +76,13 @@
         self.counters = counters
         self.clock = sender.clock
         self.refuses_new = False
+        self.ends_ms = math.inf
+        self.open_calls: set[trio.CancelScope] = set()
+
+    def end_calls(self) -> None:
+        """End all open requests with error responses."""
+        for scope in tuple(self.open_calls):
+            scope.cancel()
 
     async def refuse(self, call: Call, error: CallError) -> None:
         """Answer a request with an error response.
--- a/hornbeampulley/node/_serving.py
+++ b/hornbeampulley/node/_serving.py
@@ -18,6 +18,8 @@
 
 MAX_RESENDS: Final = 4
 RETRY_MS: Final = 200.0
+# The same where another host can serve the request at once.
+MOVE_MS: Final = 50.0
 # A second attempt is made only if at least this much time is left.
 MIN_LEFT_MS: Final = 50.0
 MAX_LOGGED_PARTS: Final = 16
@@ -46,9 +48,15 @@
     """
     home.retries.count_request(call.pool, home.clock.now())
     left_ms = call.ends_ms - home.clock.now()
-    with trio.move_on_after(to_seconds(max(left_ms, 0))):
-        await _serve(home, call)
+    with trio.move_on_after(to_seconds(max(left_ms, 0))) as scope:
+        home.open_calls.add(scope)
+        try:
+            await _serve(home, call)
+        finally:
+            home.open_calls.discard(scope)
         return
+    if home.clock.now() >= home.ends_ms:
+        raise _make_ended_error(call)
     raise _make_timeout_error(call)
 
 
@@ -93,6 +101,10 @@
     if lease.software and target.software != lease.software:
         # The view of the scheduler differs from that of this home.
         return Attempt(decisions.Outcome.NOT_SENT, 'other software version')
+    ends_ms = home.clock.now() + lease.expected_ms
+    if ends_ms > home.ends_ms and not call.reply.is_started:
+        # It can't end before this host does, but it can on another one.
+        raise _make_ended_error(call)
     log_event(
         _log,
         'lease_taken',
@@ -307,6 +319,23 @@
     )
 
 
+def _make_ended_error(call: Call) -> CallError:
+    if call.may_have_run:
+        return CallError(
+            502,
+            'draining',
+            'this host has shut down while a target worked on the request; '
+            'whether it ran is not known',
+        )
+    return CallError(
+        503,
+        'draining',
+        'this host is shutting down and the request was not run; send it to '
+        'another host',
+        MOVE_MS,
+    )
+
+
 def _make_timeout_error(call: Call) -> CallError:
     if call.may_have_run:
         return CallError(
