--- a/tests/node_processes.py
+++ b/tests/node_processes.py
@@ -121,7 +121,7 @@
         for process in self.running.values():
             process.kill()
 
-    async def call(self, number, path, request_id, body=b'x'):
+    async def call(self, number, path, request_id, body=b'x', **headers):
         """Send a request; return status and body, or 0 and no body."""
         try:
             with trio.move_on_after(6):
@@ -130,6 +130,7 @@
                     path,
                     body=body,
                     request_id=request_id,
+                    **headers,
                 )
                 return status, answer
         except (OSError, trio.BrokenResourceError):
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -9,7 +9,7 @@
     list_booking_violations,
     run_processes,
 )
-from tests.nodes import wait_until
+from tests.nodes import BACKEND_PORT, EVENTS, unchunk, wait_until
 from tests.proxies import Mode
 
 CALLERS = 6
@@ -111,3 +111,87 @@
         check_bookings(nodes, statuses)
 
     run_processes(scenario, tmp_path)
+
+
+async def begin_stream(nodes, **versions):
+    """Let a stream break off after an event while engines have versions.
+
+    Returns the engine that began it, and the other one.
+    """
+    fleet = nodes.fleet
+    for name, version in versions.items():
+        backend = fleet.backends[name.replace('_', '-')]
+        place = list(fleet.backends).index(backend.name)
+        entry = backend.describe(fleet.address(50 + place), BACKEND_PORT)
+        changed = {**entry, 'version': version, 'sequence': 2}
+        fleet.store.put(f'servers/{backend.name}', changed)
+    await trio.sleep(0.5)
+    engines = [fleet.backends[f'engines-{number}'] for number in (1, 2)]
+    for engine in engines:
+        engine.behaviour.breaks_after = 1
+    await nodes.call(0, '/stream/a', b'first')
+    for engine in engines:
+        engine.behaviour.breaks_after = -1
+    engines.sort(key=lambda engine: -engine.runs[b'first'])
+    return engines
+
+
+async def take_up(nodes, number, request_id):
+    return await nodes.call(
+        number, '/stream/a', request_id, resumes='first', last_event_id='1'
+    )
+
+
+# ORDER: all hosts were killed while two versions served; streams taken up again
+# were joined from both.
+def test_no_stream_changes_its_version_when_all_nodes_are_killed(tmp_path):
+    async def scenario(nodes):
+        _begun, other = await begin_stream(
+            nodes, engines_1='v1', engines_2='v2'
+        )
+        for number in range(NODES):
+            nodes.signal(number, signal.SIGKILL)
+        for number in range(NODES):
+            await nodes.running[number].wait()
+            await nodes.start(number)
+        for number in range(NODES):
+            await nodes.wait_served(number)
+            status, _ = await take_up(nodes, number, b'up%d' % number)
+            assert status == 503
+        assert not other.runs
+
+    run_processes(scenario, tmp_path)
+
+
+# LOST: the same where one version has served all the time; all streams were lost.
+def test_a_stream_of_the_only_version_goes_on_when_all_are_killed(tmp_path):
+    async def scenario(nodes):
+        await begin_stream(nodes)
+        for number in range(NODES):
+            nodes.signal(number, signal.SIGKILL)
+        for number in range(NODES):
+            await nodes.running[number].wait()
+            await nodes.start(number)
+        await nodes.wait_served(0)
+        status, body = await take_up(nodes, 0, b'up')
+        assert status == 200
+        assert unchunk(body) == b''.join(EVENTS[1:])
+
+    run_processes(scenario, tmp_path)
+
+
+# LOST: the host that began a stream is killed, then each of the others in turn.
+def test_a_stream_goes_on_at_its_version_when_its_home_is_killed(tmp_path):
+    async def scenario(nodes):
+        begun, other = await begin_stream(nodes, engines_1='v1', engines_2='v2')
+        await nodes.replace(0)
+        await nodes.wait_served(0)
+        for number in (1, 2, 0):
+            name = b'up%d' % number
+            status, body = await take_up(nodes, number, name)
+            assert status == 200
+            assert unchunk(body) == b''.join(EVENTS[1:])
+            assert begun.runs[name] == 1
+        assert not other.runs
+
+    run_processes(scenario, tmp_path)
