Keep a limit that a target names anew with each answer

What targets saw: each answer that named the limit again let a further request through; in the worst 4 s, 30 at a limit of 3 a second (allowed 23), 401 at 20 (allowed 125).

Cause: setting the limit cut what the target had used up back to one interval from now. A constant limit is no news to the owner of the pool and was kept; one that wavers, or that comes beside a back-off, is news at each answer and host.

Now the throttle remembers the last starts, and the latest limit only decides how many of them are allowed in which time, so that what a target says can't give credit.

Evidence: ten cases of tests/test_throttle.py failed before, none now.

--- a/hornbeampulley/decisions/_throttle.py
+++ b/hornbeampulley/decisions/_throttle.py
@@ -1,12 +1,15 @@
 """When a target takes requests, by what it has said of itself."""
 
 import math
+from collections import deque
 from typing import Final
 
 from hornbeampulley.clock import MS_PER_SECOND
 
-# Requests that a limited target did not get in this time may follow at once.
+# As many requests as the limit allows in this time may go at once, one at least.
 BURST_MS: Final = 250.0
+# Limits that allow more than that count as none.
+MAX_BURST: Final = 250
 # A target without any requests could not say that its limit has ended.
 MIN_RATE_LIMIT: Final = 0.2
 
@@ -14,22 +17,31 @@
 class Throttle:
     """Spaces the requests of a target, and keeps it free while it wants none.
 
+    The last few starts are remembered, whatever the target says meanwhile; its
+    latest limit decides how many of them are allowed in which time.
+
     Attributes
     ----------
     rate_limit : float or None
-        Requests per second that it takes; None if it has named no limit.
+        Requests per second that it takes; None if it names no limit.
     """
 
     def __init__(self) -> None:
         self.rate_limit: float | None = None
         self._back_off_until_ms = -math.inf
-        # Time up to which the limit is used up.
-        self._used_until_ms = -math.inf
+        # None before it has named its first limit, as most targets name none.
+        self._starts_ms: deque[float] | None = None
 
     @property
     def open_ms(self) -> float:
         """Time from which it takes the next request."""
-        return max(self._back_off_until_ms, self._used_until_ms - BURST_MS)
+        if self.rate_limit is None:
+            return self._back_off_until_ms
+        burst = math.ceil(self.rate_limit * BURST_MS / MS_PER_SECOND)
+        if burst > len(self._starts_ms):
+            return self._back_off_until_ms
+        free_ms = self._starts_ms[-burst] + burst * self._interval_ms
+        return max(self._back_off_until_ms, free_ms)
 
     def set(
         self, rate_limit: float | None, back_off_ms: float, now_ms: float
@@ -46,13 +58,12 @@
             The current time.
         """
         self._back_off_until_ms = now_ms + back_off_ms
+        self.rate_limit = rate_limit
         if rate_limit is None:
-            self.rate_limit = None
-            self._used_until_ms = -math.inf
             return
         self.rate_limit = max(rate_limit, MIN_RATE_LIMIT)
-        latest_ms = now_ms + self._interval_ms
-        self._used_until_ms = min(self._used_until_ms, latest_ms)
+        if self._starts_ms is None:
+            self._starts_ms = deque(maxlen=MAX_BURST)
 
     def record_start(self, now_ms: float) -> None:
         """Record that the target gets a request.
@@ -62,9 +73,8 @@
         now_ms : float
             The current time.
         """
-        if self.rate_limit is not None:
-            start_ms = max(self._used_until_ms, now_ms)
-            self._used_until_ms = start_ms + self._interval_ms
+        if self._starts_ms is not None:
+            self._starts_ms.append(now_ms)
 
     def bound_slots(self, slots: int, mean_ms: float) -> int:
         """Return how many of its slots the limit can keep busy.
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -1,8 +1,18 @@
 """Tests of the decision core on what targets say of themselves."""
 
+import itertools
+
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
+from hornbeampulley.clock import ManualClock
 from hornbeampulley.decisions import Lease, Refuse, TargetSignals, Tick
+from hornbeampulley.decisions._throttle import Throttle
+from hornbeampulley.endpoints import Endpoint
+from hornbeampulley.node._target_signals import SignalStore
+from hornbeampulley.node.dialect import ResponseMetadata
+from hornbeampulley.routing import TargetRecord
 from tests.pools import Pool, make_reserve
 
 
@@ -102,3 +112,146 @@
     for _ in range(8):
         pool.reserve('gold', deadline_ms=3000)
     assert any(isinstance(one, Refuse) for one in pool.actions)
+
+
+def find_allowed(rate):
+    return 1.5 * rate * WINDOW_MS / 1000 + 5
+
+
+class AnsweringTarget:
+    """A throttled target that is always asked, and speaks with each answer."""
+
+    def __init__(self, words):
+        self.throttle = Throttle()
+        self.starts_ms = []
+        self._words = itertools.cycle(words)
+        self._answers_ms = []
+
+    def run(self, duration_ms, answer_ms=50, step_ms=5):
+        self._speak(0)
+        for now_ms in range(0, duration_ms, step_ms):
+            while self._answers_ms and self._answers_ms[0] <= now_ms:
+                self._answers_ms.pop(0)
+                self._speak(now_ms)
+            if now_ms >= self.throttle.open_ms:
+                self.throttle.record_start(now_ms)
+                self.starts_ms.append(now_ms)
+                self._answers_ms.append(now_ms + answer_ms)
+
+    def _speak(self, now_ms):
+        rate, back_off_ms = next(self._words)
+        self.throttle.set(rate, back_off_ms, now_ms)
+
+
+# LIMIT: each answer that named the limit anew let one more request through.
+@pytest.mark.parametrize('rate', [0.05, 1.5, 3, 5, 8, 20])
+def test_a_limit_that_each_answer_names_is_kept(rate):
+    target = AnsweringTarget([(rate, 0)])
+    target.run(20_000)
+    most = find_most_in_window(target.starts_ms)
+    assert most <= find_allowed(rate)
+    assert len(target.starts_ms) >= 0.8 * rate * 20 - 1
+
+
+# LIMIT: the same where the figure wavers, as each one was news.
+@pytest.mark.parametrize(
+    'words',
+    [
+        [(4.9, 0), (5.0, 0), (5.1, 0)],
+        [(4, 0), (6, 0)],
+        [(5, 0), (5, 40)],
+        [(0, 0), (0.05, 0)],
+    ],
+)
+def test_a_limit_that_wavers_is_kept(words):
+    target = AnsweringTarget(words)
+    target.run(20_000)
+    most = find_most_in_window(target.starts_ms)
+    assert most <= find_allowed(max(rate for rate, _ in words))
+
+
+def test_a_limit_that_ends_and_comes_back_at_once_is_kept():
+    throttle = Throttle()
+    starts_ms = []
+    for now_ms in range(0, 20_000, 5):
+        throttle.set(None, 0, now_ms)
+        throttle.set(5, 0, now_ms)
+        if now_ms >= throttle.open_ms:
+            throttle.record_start(now_ms)
+            starts_ms.append(now_ms)
+    assert find_most_in_window(starts_ms) <= find_allowed(5)
+
+
+def test_a_limit_that_rises_is_used_soon_and_without_a_rush():
+    throttle = Throttle()
+    throttle.set(0.2, 0, 0)
+    throttle.record_start(0)
+    throttle.set(8, 0, 1000)
+    assert throttle.open_ms <= 1125
+    starts_ms = []
+    for now_ms in range(1000, 9000, 5):
+        if now_ms >= throttle.open_ms:
+            throttle.record_start(now_ms)
+            starts_ms.append(now_ms)
+    assert find_most_in_window(starts_ms) <= 8 * WINDOW_MS / 1000 + 3
+
+
+def test_a_huge_limit_that_falls_does_not_close_the_target_for_long():
+    throttle = Throttle()
+    throttle.set(1e9, 0, 0)
+    for _ in range(1000):
+        throttle.record_start(0)
+    throttle.set(5, 0, 0)
+    assert throttle.open_ms <= WINDOW_MS + 1000
+
+
+RATES = st.sampled_from([0, 0.05, 0.5, 1.4, 3, 5, 8, 20])
+
+
+@given(
+    words=st.lists(
+        st.tuples(RATES, st.sampled_from([0, 0, 30, 400])), min_size=1
+    ),
+    answer_ms=st.sampled_from([10, 50, 400]),
+)
+def test_over_any_window_the_highest_limit_named_is_kept(words, answer_ms):
+    target = AnsweringTarget(words)
+    target.run(12_000, answer_ms)
+    if target.starts_ms:
+        most = find_most_in_window(target.starts_ms)
+        assert most <= find_allowed(max(rate for rate, _ in words))
+
+
+# LIMIT: several hosts hear the answers, and each tells the owner of the pool.
+@given(
+    rates=st.lists(st.sampled_from([4.9, 5.0, 5.1]), min_size=3, max_size=7),
+    data=st.data(),
+)
+@settings(max_examples=20)
+def test_a_limit_that_three_hosts_hear_is_kept(rates, data):
+    clock = ManualClock()
+    owner, *homes = [SignalStore(clock) for _ in range(4)]
+    throttle = Throttle()
+    record = TargetRecord('t0', 'p', Endpoint('10.0.0.1', 80), 'z', 8)
+    words = itertools.cycle(rates)
+    hears = itertools.cycle(
+        data.draw(st.lists(st.sampled_from(homes), min_size=1, max_size=5))
+    )
+    starts_ms = []
+    for now_ms in range(0, 12_000, 10):
+        clock.advance_to(now_ms)
+        said = ResponseMetadata(
+            b'r',
+            is_rejection=False,
+            is_other_target=False,
+            is_stream=False,
+            rate_limit=next(words),
+        )
+        told = next(hears).learn(record, said, now_ms)
+        news = told and owner.keep(told, 'home')
+        if news:
+            throttle.set(news.rate_limit, news.back_off_ms, now_ms)
+        if now_ms >= throttle.open_ms:
+            throttle.record_start(now_ms)
+            starts_ms.append(now_ms)
+    assert find_most_in_window(starts_ms) <= find_allowed(5.1)
