--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -338,6 +338,7 @@
     def _sweep(self) -> None:
         self.connections.close_stale()
         self.store_view.sweep()
+        self.scheduling.origins.sweep()
         self.mesh.sweep()
         self.follower.sweep()
 
--- a/hornbeampulley/node/_scheduling.py
+++ b/hornbeampulley/node/_scheduling.py
@@ -291,7 +291,6 @@
     def tick(self) -> None:
         """Process timers of all pools, and close pools that are not used."""
         now_ms = self._clock.now()
-        self.origins.sweep()
         for name, pool in tuple(self._pools.items()):
             if not pool.is_takeover_ended:
                 self._end_takeover(pool, now_ms)
--- a/hornbeampulley/node/_stream_origins.py
+++ b/hornbeampulley/node/_stream_origins.py
@@ -108,14 +108,16 @@
                 )
 
     def sweep(self) -> None:
-        """Drop the streams that can't be taken up any more."""
+        """Drop streams that can't be taken up any more, oldest first.
+
+        It stops at the first one that can, so that its cost does not grow with
+        the number of streams; those behind it are dropped a little later.
+        """
         now_ms = self._clock.now()
-        ended = [
-            stream
-            for stream, kept in self._kept.items()
-            if kept.until_ms <= now_ms
-        ]
-        for stream in ended:
+        while self._kept:
+            stream = next(iter(self._kept))
+            if self._kept[stream].until_ms > now_ms:
+                return
             self._kept.pop(stream)
 
 
--- a/tests/test_node_stream_origins.py
+++ b/tests/test_node_stream_origins.py
@@ -43,6 +43,19 @@
     assert origins.find(7) is None
 
 
+def test_streams_that_have_ended_take_no_memory():
+    clock = ManualClock()
+    origins = StreamOrigins(clock)
+    for stream, left_ms in enumerate((1000, 5000, 1000), start=1):
+        origins.keep(StreamOrigin(stream, 'v1', left_ms))
+    clock.advance(1001)
+    origins.sweep()
+    assert list(origins._kept) == [2, 3]
+    clock.advance(4000)
+    origins.sweep()
+    assert not origins._kept
+
+
 def test_only_own_streams_are_told_to_the_next_owner():
     clock = ManualClock()
     origins = StreamOrigins(clock)
