--- a/hornbeampulley/node/_peers.py
+++ b/hornbeampulley/node/_peers.py
@@ -282,13 +282,13 @@
             case ttypes.TargetReport():
                 self.lease_client.handle_report(message)
             case ttypes.Draw():
-                wait_ms = self._scheduling.draw(
+                wait_ms = self._scheduling.caps.draw(
                     message.workspace,
                     message.units,
                 )
                 link.send(ttypes.Grant(message.number, wait_ms))
             case ttypes.Refund():
-                self._scheduling.refund(message.workspace, message.units)
+                self._scheduling.caps.refund(message.workspace, message.units)
             case ttypes.Position():
                 self._send_items(link, message)
 
--- a/hornbeampulley/node/_scheduling.py
+++ b/hornbeampulley/node/_scheduling.py
@@ -8,6 +8,7 @@
 from hornbeampulley.clock import Clock
 from hornbeampulley.configuration import Configuration
 from hornbeampulley.logs import log_event
+from hornbeampulley.node._cap_buckets import CapBuckets
 from hornbeampulley.node._quarantines import PoolQuarantine, QuarantineStore
 from hornbeampulley.node._software_history import SoftwareHistory
 from hornbeampulley.node._stream_binding import (
@@ -16,7 +17,7 @@
 )
 from hornbeampulley.node._stream_origins import StreamOrigins
 from hornbeampulley.node._target_signals import SignalStore
-from hornbeampulley.routing import CapSettings, RoutingTable, TokenBucket
+from hornbeampulley.routing import CapSettings, RoutingTable
 
 TAKEOVER_MS: Final = 300.0
 IDLE_POOL_MS: Final = 20_000.0
@@ -62,6 +63,8 @@
         Quarantined parts of prompts, by any scheduler.
     signals : SignalStore
         What targets have said of themselves.
+    caps : CapBuckets
+        Usage caps of workspaces.
     origins : StreamOrigins
         Software versions that began streams.
     software_history : SoftwareHistory
@@ -75,7 +78,7 @@
         caps: CapSettings | None = None,
         wall: Clock | None = None,
     ) -> None:
-        self._caps = caps or CapSettings()
+        self.caps = CapBuckets(clock, caps)
         self.has_failed = False
         self.quarantines = QuarantineStore(clock)
         self.signals = SignalStore(clock)
@@ -88,7 +91,6 @@
         self._configuration: Configuration | None = None
         self._leaving: frozenset[str] = frozenset()
         self._table: RoutingTable | None = None
-        self._buckets: dict[str, TokenBucket] = {}
 
     @property
     def version(self) -> int:
@@ -117,14 +119,10 @@
         leaving : frozenset of str
             Names of the targets that get no new requests.
         """
-        now_ms = self._clock.now()
         self._table = table
         self._configuration = configuration
         self._leaving = leaving
-        for name, bucket in self._buckets.items():
-            workspace = table.workspaces.get(name)
-            if workspace is not None:
-                bucket.set_cap(workspace.cap, now_ms)
+        self.caps.configure(table)
         for pool in tuple(self._pools.values()):
             self._configure_pool(pool)
 
@@ -247,47 +245,6 @@
         for pool in tuple(self._pools.values()):
             self._handle(pool, decisions.HomeLost(home))
 
-    def draw(self, workspace: str, units: float) -> float:
-        """Draw on the usage cap of a workspace.
-
-        Parameters
-        ----------
-        workspace : str
-            Name of the workspace.
-        units : float
-            Units that the request uses.
-
-        Returns
-        -------
-        float
-            0 if granted, otherwise the time in ms until the draw can succeed.
-        """
-        known = self._table and self._table.workspaces.get(workspace)
-        if not known or not known.cap.is_limited:
-            return 0
-        now_ms = self._clock.now()
-        if workspace not in self._buckets:
-            self._buckets[workspace] = TokenBucket(
-                known.cap,
-                now_ms,
-                self._caps,
-            )
-        return self._buckets[workspace].draw(units, now_ms)
-
-    def refund(self, workspace: str, units: float) -> None:
-        """Refund the units of a request that never ran.
-
-        Parameters
-        ----------
-        workspace : str
-            Name of the workspace.
-        units : float
-            Units that the request had drawn.
-        """
-        bucket = self._buckets.get(workspace)
-        if bucket is not None:
-            bucket.put_back(units)
-
     def tick(self) -> None:
         """Process timers of all pools, and close pools that are not used."""
         now_ms = self._clock.now()
--- a/hornbeampulley/node/_store_view.py
+++ b/hornbeampulley/node/_store_view.py
@@ -12,7 +12,8 @@
 from hornbeampulley.node._freshness import Freshness
 from hornbeampulley.node._held_removals import REMOVAL_HOLD_MS, HeldRemovals
 from hornbeampulley.node._knowledge import GONE, Position, TargetNotice
-from hornbeampulley.node._target_items import TargetItems
+from hornbeampulley.node._routing_view import RoutingView
+from hornbeampulley.node._target_items import TargetItems, log_dropped
 from hornbeampulley.node.stored import Decoder, Revision, StoredItem
 from hornbeampulley.routing import (
     RoutingTable,
@@ -39,12 +40,8 @@
 
     Attributes
     ----------
-    table : RoutingTable or None
-        Routing table in force; None before one was read.
     targets : TargetTable
         Registered targets.
-    table_ms : float
-        Time when the routing table came into force, in ms.
     changes : int
         Number of changes of routing table and targets so far.
     freshness : Freshness
@@ -60,8 +57,6 @@
     """
 
     def __init__(self, decoder: Decoder, clock: Clock) -> None:
-        self.table: RoutingTable | None = None
-        self.table_ms = 0.0
         self.targets = TargetTable()
         self.changes = 0
         self.freshness = Freshness(clock)
@@ -72,11 +67,21 @@
         self._decoder = decoder
         self._clock = clock
         self._items = TargetItems(clock)
-        self._table_item: StoredItem | None = None
+        self._routing = RoutingView(decoder, clock)
         self._routing_revision = Revision()
         self._targets_revision = Revision()
         self._held_removals = HeldRemovals(clock)
 
+    @property
+    def table(self) -> RoutingTable | None:
+        """Routing table in force; None before one was read."""
+        return self._routing.table
+
+    @property
+    def table_ms(self) -> float:
+        """Time when the routing table came into force, in ms."""
+        return self._routing.taken_ms
+
     @property
     def prefixes(self) -> tuple[str, str]:
         """Key prefixes of the routing table and of the targets."""
@@ -85,8 +90,11 @@
     @property
     def position(self) -> Position:
         """How much of the store was applied."""
-        version = self.table.version if self.table else 0
-        return Position(self._routing_revision, self._targets_revision, version)
+        return Position(
+            self._routing_revision,
+            self._targets_revision,
+            self._routing.version,
+        )
 
     def advance_position(self, position: Position) -> None:
         """Advance to a position, all items up to which were applied.
@@ -221,12 +229,9 @@
             Newer items, including the removals of the last minute with the
             time for which this node still holds them back.
         """
-        item = self._table_item
-        if item is not None and (
-            item.revision > position.routing
-            or self.table.version > position.version
-        ):
-            yield item
+        table_item = self._routing.find_newer(position)
+        if table_item is not None:
+            yield table_item
         for item in self._items.list_newer(position.targets):
             yield self._held_removals.add_time_left(item)
 
@@ -279,20 +284,6 @@
             )
             self._held_removals.hold(removal, REMOVAL_HOLD_MS)
 
-    def _log_dropped(
-        self, item: StoredItem, kept: StoredItem, source: str
-    ) -> None:
-        if item.revision == kept.revision or item.content == kept.content:
-            return
-        log_event(
-            _log,
-            'item_dropped',
-            key=item.key,
-            revision=item.revision,
-            known=kept.revision,
-            source=source,
-        )
-
     def _detect_mass_loss(self, items: list[StoredItem]) -> None:
         """Treat the loss of many records at once as an outage of the store."""
         lost = sum(
@@ -305,26 +296,8 @@
             self.record_outage(self._clock.now())
 
     def _apply_table(self, item: StoredItem, source: str) -> None:
-        known = self._table_item
-        if known is not None and item.revision == known.revision:
-            return
-        table = self._decoder.read_routing(item)
-        if table is None:
-            return
-        if known is not None and table.version <= self.table.version:
-            self._log_dropped(item, known, source)
-            return
-        self.table = table
-        self.table_ms = self._clock.now()
-        self._table_item = item
-        self.changes += 1
-        log_event(
-            _log,
-            'routing_taken',
-            version=table.version,
-            revision=item.revision,
-            source=source,
-        )
+        if self._routing.apply(item, source):
+            self.changes += 1
 
     def _apply_target(
         self,
@@ -337,7 +310,7 @@
             return
         record, stamp = self._read_record(item)
         if not self._items.is_news(item, stamp):
-            self._log_dropped(item, kept.item, source)
+            log_dropped(item, kept.item, source)
             return
         self._items.keep(item, stamp)
         if item.is_deleted:
--- a/hornbeampulley/node/_target_items.py
+++ b/hornbeampulley/node/_target_items.py
@@ -1,14 +1,17 @@
 """Latest item of each target, out of all histories of the store."""
 
 import dataclasses
+import logging
 from collections.abc import Collection, Iterator
 from typing import Final
 
 from hornbeampulley.clock import Clock
+from hornbeampulley.logs import log_event
 from hornbeampulley.node.stored import Revision, StoredItem
 from hornbeampulley.routing import RunStamp
 
 TOMBSTONE_MS: Final = 60_000.0
+_log = logging.getLogger(__name__)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -173,3 +176,27 @@
         is_same = later.content == earlier.item.content
         return not (is_same or earlier.item.is_deleted)
     return stamp > earlier.stamp
+
+
+def log_dropped(item: StoredItem, known: StoredItem, source: str) -> None:
+    """Log that an item was ignored, as a later one is known.
+
+    Parameters
+    ----------
+    item : StoredItem
+        Received item.
+    known : StoredItem
+        The later one.
+    source : str
+        Source of the received item.
+    """
+    if item.revision == known.revision or item.content == known.content:
+        return
+    log_event(
+        _log,
+        'item_dropped',
+        key=item.key,
+        revision=item.revision,
+        known=known.revision,
+        source=source,
+    )
--- a/hornbeampulley/node/_usage_cap_client.py
+++ b/hornbeampulley/node/_usage_cap_client.py
@@ -89,7 +89,7 @@
         """
         owner = await self._wait_for_owner(workspace)
         if owner == self.own_incarnation:
-            return self._scheduling.draw(workspace, units)
+            return self._scheduling.caps.draw(workspace, units)
         link = self._mesh.get_link(owner) if owner else None
         if link is not None:
             wait_ms = await self._request_draw(link, workspace, units)
@@ -110,7 +110,7 @@
         """
         owner = self._finder.find(self._make_key(workspace))
         if owner == self.own_incarnation:
-            self._scheduling.refund(workspace, units)
+            self._scheduling.caps.refund(workspace, units)
             return
         link = self._mesh.get_link(owner) if owner else None
         if link is not None:
