--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -228,6 +228,29 @@
     run_nodes(scenario, count=2)
 
 
+# CONFIG, DRAIN: its numbers were those of before, so that nothing was newer.
+def test_a_node_that_the_store_turns_away_learns_of_a_restore_from_its_peers():
+    async def scenario(fleet):
+        node = fleet.nodes[1]
+        copy = fleet.store.revision
+        fleet.store.put(KEY_OF_CONFIG, make_config(2))
+        fleet.store.put(KEY_OF_CONFIG, make_config(3))
+        await wait_for_version(fleet, 3)
+        for reader in node.follower.readers:
+            reader._store = Unreachable()
+            reader.retry_now()
+        fleet.store.restore(copy)
+        fleet.store.put(KEY_OF_CONFIG, make_config(4, routes=[]))
+        entry = fleet.backends['ledger-1'].describe(fleet.address(102), 8306)
+        changes = {'state': 'draining', 'sequence': 2}
+        fleet.store.put('servers/ledger-1', entry | changes)
+        await wait_for_version(fleet, 4)
+        known = node.store_view.targets
+        await wait_until(lambda: 'ledger-1' in known.list_draining())
+
+    run_nodes(scenario, count=2)
+
+
 def test_a_draining_target_gets_no_new_request():
     async def scenario(fleet):
         backend = fleet.backends['ledger-1']
