Tell all hosts of a small deployment where streams began

Cause: home, owner and standby of the pool knew where a stream began; the eighth host was none of them. Had it been the owner, it would have told the hosts that came back only of its own streams.

Now the owner and the next ones in rank are told, eight hosts with the home, four where there are over 200, and each tells all it knows to each node that it links to. A host that knows a stream itself binds it before it asks the owner.

--- a/hornbeampulley/node/_lease_client.py
+++ b/hornbeampulley/node/_lease_client.py
@@ -192,7 +192,9 @@
             self._send_message(owner, write_target_signals(signals))
 
     def report_stream(self, pool: str, origin: StreamOrigin) -> None:
-        """Tell where a stream began to the schedulers that may need it.
+        """Tell where a stream began to the nodes that may own its pool next.
+
+        What is sent before there is a link is told once the link is ready.
 
         Parameters
         ----------
@@ -201,10 +203,25 @@
         origin : StreamOrigin
             The stream and its software version.
         """
-        self._scheduling.origins.keep(origin, is_own=True)
+        self._scheduling.origins.keep(origin)
         message = write_stream_origins((origin,))
-        for scheduler in self._finder.list_schedulers(f'pool/{pool}'):
-            self._send_message(scheduler, message)
+        for keeper in self._finder.list_keepers(f'pool/{pool}'):
+            self._send_message(keeper, message)
+
+    def find_software(self, stream: int) -> str | None:
+        """Return the version that began a stream, if this node knows it.
+
+        Parameters
+        ----------
+        stream : int
+            Name of the stream.
+
+        Returns
+        -------
+        str or None
+            None if the owner of the pool has to be asked.
+        """
+        return self._scheduling.origins.find(stream)
 
     def handle_report(self, message: ttypes.TargetReport) -> None:
         """Pass a report about a target to the scheduler of this node.
--- a/hornbeampulley/node/_owners.py
+++ b/hornbeampulley/node/_owners.py
@@ -9,6 +9,11 @@
 # Candidates tried, in the order of their ranks, before this node takes over.
 MAX_CANDIDATES: Final = 12
 STANDBYS: Final = 1
+# Other hosts that know where the streams of a pool began, so that most hosts may
+# be lost at once; fewer where the messages for it would add up.
+KEEPERS: Final = 7
+MANY_HOSTS: Final = 200
+KEEPERS_OF_MANY: Final = 3
 # Time for which a link that is being opened is waited for.
 LINK_WAIT_MS: Final = 150.0
 # Owners of keys that were not used for this long are not linked to.
@@ -83,8 +88,8 @@
                 return None
         return self.own_incarnation
 
-    def list_schedulers(self, key: str) -> list[str]:
-        """List the other nodes that own a key or would take it over.
+    def list_keepers(self, key: str) -> list[str]:
+        """List the other nodes that would own a key, one after the other.
 
         Parameters
         ----------
@@ -94,10 +99,12 @@
         Returns
         -------
         list of str
-            Their incarnations.
+            Incarnations of the owner and the next ones.
         """
-        ranked = self._membership.rank_owners(key)[: STANDBYS + 1]
-        return [one for one in ranked if one != self.own_incarnation]
+        is_large = len(self._membership.live) > MANY_HOSTS
+        count = KEEPERS_OF_MANY if is_large else KEEPERS
+        ranked = self._membership.rank_owners(key)[: count + 1]
+        return [one for one in ranked if one != self.own_incarnation][:count]
 
     def keep_links(self) -> None:
         """Keep links to owners and standbys of the keys in use."""
@@ -107,5 +114,7 @@
                 self._used_ms.pop(key)
                 continue
             self.find(key)
-            for candidate in self.list_schedulers(key):
-                self._mesh.get_link(candidate)
+            ranked = self._membership.rank_owners(key)
+            for candidate in ranked[: STANDBYS + 1]:
+                if candidate != self.own_incarnation:
+                    self._mesh.get_link(candidate)
--- a/hornbeampulley/node/_peers.py
+++ b/hornbeampulley/node/_peers.py
@@ -123,7 +123,7 @@
             Link that this node has opened to a scheduler.
         """
         # An owner that has not met the parts that crash targets, or the targets
-        # that leave, learns them; and where the streams of this home began.
+        # that leave, learns them; and where streams began.
         self._send_known(link)
         self._send_origins(link)
         self.lease_client.handle_link_ready()
@@ -242,7 +242,7 @@
             link.send(ttypes.Quarantine(fingerprint))
 
     def _send_origins(self, link: Link) -> None:
-        origins = tuple(self._scheduling.origins.list_own())
+        origins = tuple(self._scheduling.origins.list_all())
         for start in range(0, len(origins), MAX_ORIGINS):
             batch = origins[start : start + MAX_ORIGINS]
             link.send(write_stream_origins(batch))
--- a/hornbeampulley/node/_reserves.py
+++ b/hornbeampulley/node/_reserves.py
@@ -53,7 +53,7 @@
         avoided=call.last_target,
         expected_tokens=_get_expected_tokens(call),
         prompt_parts=_list_suspect_parts(call),
-        software=call.software,
+        software=call.software or _find_software(home, call),
         stream=_find_stream(call),
     )
 
@@ -78,6 +78,14 @@
     )
 
 
+def _find_software(home: Home, call: Call) -> str:
+    """Return the version that began a stream, if this node knows it."""
+    stream = _find_stream(call)
+    if stream is None:
+        return ''
+    return home.lease_client.find_software(stream) or ''
+
+
 def _find_stream(call: Call) -> int | None:
     """Return the stream whose version the scheduler has to find out."""
     if not call.is_taken_up or call.software:
--- a/hornbeampulley/node/_stream_origins.py
+++ b/hornbeampulley/node/_stream_origins.py
@@ -1,7 +1,8 @@
 """Which software version began a stream, for callers that take it up again.
 
-Homes tell it with the first event to the owner of the pool and to the host that
-would take over. What they tell is kept for as long as a caller may come back.
+Homes tell it with the first event to the owner of the pool and to those that would
+own it next, and all of them to each new one. It is kept for as long as a caller may
+come back.
 """
 
 import dataclasses
@@ -42,7 +43,6 @@
 class _Kept:
     software: str
     until_ms: float
-    is_own: bool
 
 
 class StreamOrigins:
@@ -58,19 +58,17 @@
         self._clock = clock
         self._kept: dict[int, _Kept] = {}
 
-    def keep(self, origin: StreamOrigin, *, is_own: bool = False) -> None:
+    def keep(self, origin: StreamOrigin) -> None:
         """Keep where a stream began.
 
         Parameters
         ----------
         origin : StreamOrigin
             The stream and its software version.
-        is_own : bool
-            Whether this node has forwarded it.
         """
         until_ms = self._clock.now() + origin.left_ms
         self._kept.pop(origin.stream, None)
-        self._kept[origin.stream] = _Kept(origin.software, until_ms, is_own)
+        self._kept[origin.stream] = _Kept(origin.software, until_ms)
         if len(self._kept) > MAX_STREAMS:
             self._kept.pop(next(iter(self._kept)))
 
@@ -92,17 +90,17 @@
             return None
         return kept.software
 
-    def list_own(self) -> Iterator[StreamOrigin]:
-        """List the streams that this node has forwarded.
+    def list_all(self) -> Iterator[StreamOrigin]:
+        """List the streams that may still be taken up.
 
         Yields
         ------
         StreamOrigin
-            Those that may still be taken up.
+            Each with the time that is left.
         """
         now_ms = self._clock.now()
         for stream, kept in self._kept.items():
-            if kept.is_own and kept.until_ms > now_ms:
+            if kept.until_ms > now_ms:
                 yield StreamOrigin(
                     stream, kept.software, kept.until_ms - now_ms
                 )
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -2,6 +2,7 @@
 
 import signal
 
+import pytest
 import trio
 
 from tests.node_processes import (
@@ -195,3 +196,29 @@
         assert not other.runs
 
     run_processes(scenario, tmp_path)
+
+
+# LOST: all hosts but one were killed, and the one that was left, or those that came
+# back, did not know the streams.
+@pytest.mark.parametrize('survivor', range(NODES))
+def test_a_stream_goes_on_when_all_hosts_but_one_are_killed(tmp_path, survivor):
+    async def scenario(nodes):
+        begun, other = await begin_stream(nodes, engines_1='v1', engines_2='v2')
+        lost = [number for number in range(NODES) if number != survivor]
+        for number in lost:
+            nodes.signal(number, signal.SIGKILL)
+        for number in lost:
+            await nodes.running[number].wait()
+        await nodes.wait_served(survivor)
+        for number in lost:
+            await nodes.start(number)
+        for number in (survivor, *lost):
+            await nodes.wait_served(number)
+            name = b'up%d' % number
+            status, body = await take_up(nodes, number, name)
+            assert status == 200
+            assert unchunk(body) == b''.join(EVENTS[1:])
+            assert begun.runs[name] == 1
+        assert not other.runs
+
+    run_processes(scenario, tmp_path)
