Let the soak restore the store and replace engines by other versions

Streams last longer, are taken up at the next nodes when they break off, and must hold one version only.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -51,6 +51,8 @@
         answer; empty to disable.
     signals : tuple of (bytes, bytes)
         Headers of all answers in which it tells of itself.
+    mark : bytes
+        Text in each event of the streams that begin from now on.
     """
 
     events: int = 3
@@ -63,6 +65,7 @@
     has_stray_answer: bool = False
     deadly_part: bytes = b''
     signals: tuple[tuple[bytes, bytes], ...] = ()
+    mark: bytes = b''
 
 
 class Backend:
@@ -183,6 +186,7 @@
     ) -> None:
         kind = (b'content-type', b'text/event-stream')
         await reply.start(200, [*headers, kind])
+        mark = self.behaviour.mark
         last = int(find_header(request.headers, b'last-event-id') or 0)
         for number in range(last + 1, self.behaviour.events + 1):
             await trio.sleep(self.behaviour.pause_ms / 1000)
@@ -191,7 +195,9 @@
                 return
             if number == self.behaviour.trickles_after + 1:
                 await _trickle(reply)
-            await reply.write(b'id: %d\ndata: t%d\n\n' % (number, number))
+            await reply.write(
+                b'id: %d\ndata: t%d%s\n\n' % (number, number, mark)
+            )
         await reply.finish()
 
 
--- a/tests/node_processes.py
+++ b/tests/node_processes.py
@@ -56,6 +56,7 @@
         self.store_proxies = []
         self.backend_proxies = []
         self.version = 1
+        self.document = make_config()
 
     def address(self, number):
         """Return the address of a node."""
@@ -84,10 +85,22 @@
             *make_config()['routes'],
             make_route(name, 'idempotent', max_attempts=2),
         ]
-        document = make_config(self.version, routes=routes)
-        self.fleet.store.put(KEY_OF_CONFIG, document)
+        self.document = make_config(self.version, routes=routes)
+        self.fleet.store.put(KEY_OF_CONFIG, self.document)
         return f'/{name}/a'
 
+    def register(self, backend, name='', **changes):
+        """Write the entry of a backend, which may start under a new name."""
+        old = backend.name
+        place = list(self.fleet.backends.values()).index(backend)
+        address = self.fleet.address(50 + place)
+        backend.name = name or old
+        entry = backend.describe(address, BACKEND_PORT) | changes
+        self.fleet.store.put(f'servers/{backend.name}', entry)
+        if name:
+            self.fleet.store.delete(f'servers/{old}')
+        return entry
+
     async def start(self, number):
         """Start a node, possibly after an earlier run has ended."""
         path = self.folder / f'node-{number}.ini'
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -8,6 +8,7 @@
 import dataclasses
 import pathlib
 import random
+import re
 import signal
 import sys
 import tempfile
@@ -16,6 +17,7 @@
 import trio
 
 from hornbeampulley.registry import Registry
+from standins.metadata import KEY_OF_CONFIG
 from tests.node_processes import (
     NODES,
     Processes,
@@ -28,10 +30,15 @@
 MAX_FAULT_S: Final = 2.5
 MAX_PAUSE_S: Final = 0.8
 STREAM_EVENTS: Final = 12
+# Long enough for streams to be hit by faults.
+EVENT_PAUSE_MS: Final = 15
 # Longest time until a node serves requests again after all faults.
 RECOVERY_S: Final = 30
 CONFIG_S: Final = 5
 HTTP_OK: Final = 200
+# Id of a whole event, and the software version in its text.
+EVENT_ID: Final = re.compile(rb'id: (\d+)\ndata: t\d+(?:@[\w.]+)?\n\n')
+MARK: Final = re.compile(rb'\ndata: t\d+(@[\w.]+)?\n\n')
 
 faults: Registry = Registry('fault')
 """Faults by name; each has ended when its function returns."""
@@ -51,21 +58,44 @@
         Status received by the caller of each booking, by request id.
     violations : list of str
         Violated guarantees.
+    first_revision : int
+        Revision of the store before any fault.
     busy : set
         Numbers of the nodes with a fault in progress.
     is_over : bool
         Whether the callers stop.
     answered : int
         Number of successful answers.
+    taken_up : int
+        Number of broken streams that went on at another attempt.
+    releases : int
+        Number of engines that were replaced by another software version.
+    entries : dict
+        Latest entry of each backend, by its place among them.
     """
 
     nodes: Processes
     generator: random.Random
     statuses: dict[bytes, int] = dataclasses.field(default_factory=dict)
     violations: list[str] = dataclasses.field(default_factory=list)
+    first_revision: int = 0
     busy: set[int] = dataclasses.field(default_factory=set)
     is_over: bool = False
     answered: int = 0
+    taken_up: int = 0
+    releases: int = 0
+    entries: dict[int, dict] = dataclasses.field(default_factory=dict)
+
+    def register(self, place, backend, name='', **changes):
+        """Write the entry of a backend, with a higher count each time."""
+        before = self.entries.get(place, {'sequence': 1})
+        kept = {
+            field: before[field]
+            for field in ('version', 'born')
+            if field in before
+        }
+        changes = kept | changes | {'sequence': before['sequence'] + 1}
+        self.entries[place] = self.nodes.register(backend, name, **changes)
 
     def take_node(self):
         """Choose a node without a fault; None if it is the last one."""
@@ -165,6 +195,39 @@
         await soak.wait(0.3)
 
 
+@faults.register('restore')
+async def restore_store(soak, _number):
+    """Let the store come back from a copy; all is written again bit by bit."""
+    store = soak.nodes.fleet.store
+    lost = soak.generator.randint(0, 6)
+    store.is_down = True
+    await soak.wait(1)
+    store.restore(max(store.revision - lost, soak.first_revision))
+    store.is_down = False
+    for place, backend in enumerate(soak.nodes.fleet.backends.values()):
+        await soak.wait(0.3)
+        soak.register(place, backend)
+    store.put(KEY_OF_CONFIG, soak.nodes.document)
+
+
+@faults.register('release')
+async def release_engine(soak, _number):
+    """Replace an engine by one of another software version, or of the old."""
+    soak.releases += 1
+    place = soak.generator.randrange(2)
+    backend = list(soak.nodes.fleet.backends.values())[place]
+    version = soak.generator.choice(('v1', 'v1.1'))
+    # Streams that have begun go on with the old mark.
+    backend.behaviour.mark = b'@%s' % version.encode()
+    soak.register(
+        place,
+        backend,
+        f'engines-r{soak.releases}',
+        version=version,
+        born=soak.releases + 1,
+    )
+
+
 async def inject_faults(soak, length_s):
     """Inject faults, several of which may overlap."""
     ends_s = trio.current_time() + length_s
@@ -200,10 +263,35 @@
             body=request_id,
         )
         check_answer(soak, kind, request_id, status, body)
+        if kind == 'stream':
+            await take_up(soak, number, request_id, body)
         if kind == 'once':
             soak.statuses[request_id] = status
 
 
+async def take_up(soak, number, request_id, body):
+    """Take a broken stream up at the next nodes; its version must not change."""
+    marks = set(MARK.findall(body))
+    for attempt in range(1, NODES):
+        ids = EVENT_ID.findall(body)
+        if not ids or not is_chunked(body) or body.endswith(b'\r\n0\r\n\r\n'):
+            return
+        status, body = await soak.nodes.call(
+            (number + attempt) % NODES,
+            '/stream/a',
+            b'%s-%d' % (request_id, attempt),
+            body=request_id,
+            resumes=request_id.decode(),
+            last_event_id=ids[-1].decode(),
+        )
+        if status != HTTP_OK:
+            return
+        soak.taken_up += 1
+        marks |= set(MARK.findall(body))
+        if len(marks) > 1:
+            soak.violations.append(f'{request_id}: joined from {marks}')
+
+
 def check_answer(soak, kind, request_id, status, body):
     """Check that a successful answer is complete and to this request."""
     if status != HTTP_OK:
@@ -219,6 +307,8 @@
     if not body.endswith(b'\r\n0\r\n\r\n'):
         # Broken off; the caller detects that the stream is incomplete.
         return
+    if len(set(MARK.findall(body))) > 1:
+        soak.violations.append(f'{request_id}: two versions in {body!r}')
     ids = [b'id: %d\n' % number for number in range(1, STREAM_EVENTS + 1)]
     if [body.count(one) for one in ids] != [1] * STREAM_EVENTS:
         soak.violations.append(
@@ -274,8 +364,10 @@
     async def scenario(nodes):
         soak = Soak(nodes, random.Random(seed))
         results.append(soak)
+        soak.first_revision = nodes.fleet.store.revision
         for backend in nodes.fleet.backends.values():
             backend.behaviour.events = STREAM_EVENTS
+            backend.behaviour.pause_ms = EVENT_PAUSE_MS
         async with trio.open_nursery() as nursery:
             for caller in range(CALLERS):
                 nursery.start_soon(call_all, soak, caller)
@@ -299,7 +391,10 @@
             print(f'seed {seed}: {error!r}; logs in {folder}', flush=True)
             continue
         verdict = soak.violations or 'ok'
-        counts = f'{len(soak.statuses)} bookings, {soak.answered} answered'
+        counts = (
+            f'{len(soak.statuses)} bookings, {soak.answered} answered, '
+            f'{soak.taken_up} taken up'
+        )
         print(f'seed {seed}: {counts}, {verdict}; {folder}', flush=True)
 
 
