Take the first history that a host hears of for no restore

A host that met a peer that had read nothing yet took history 0 for known, and the first one that it read for a return of the store from a copy: a false store_restored, and removals held for 1.8 s after the start. Found while reading the change; the new test in tests/test_node_store_view.py failed before.

--- a/hornbeampulley/node/_reading.py
+++ b/hornbeampulley/node/_reading.py
@@ -23,6 +23,7 @@
 WAIT_MS: Final = 2500
 # Shorter where few hosts read, since the others rely on these being up to date.
 CHOSEN_READER_WAIT_MS: Final = 1500
+# The store answers such a call at once.
 CHECK_WAIT_MS: Final = 1
 # Shortest wait, as a share: hosts that were woken by the same change do not all
 # ask again at the same moments.
--- a/hornbeampulley/node/_store_view.py
+++ b/hornbeampulley/node/_store_view.py
@@ -104,7 +104,9 @@
         position : Position
             Position of a peer that has sent all its newer items.
         """
-        self._enter_epoch(max(position.routing.epoch, position.targets.epoch))
+        newest = max(position.routing, position.targets)
+        if newest > Revision():
+            self._enter_epoch(newest.epoch)
         self._advance(position.routing, position.targets)
 
     def record_outage(self, away_ms: float) -> None:
--- a/tests/test_node_store_view.py
+++ b/tests/test_node_store_view.py
@@ -262,6 +262,15 @@
     assert 'b' in store_view.targets.records
 
 
+# A peer that has just started and read nothing knows of no history.
+def test_a_first_history_is_no_restore():
+    store_view = make()
+    store_view.advance_position(Position())
+    store_view.apply_items([server('a', 1, 1), server('b', 2, 1)], 'store')
+    store_view.apply_items([gone('a', 3, 1)], 'store')
+    assert list(store_view.targets.records) == ['b']
+
+
 STAMPS = st.lists(
     st.tuples(st.integers(1, 3), st.integers(0, 6)), min_size=1, max_size=5
 )
