--- a/tests/stores.py
+++ b/tests/stores.py
@@ -52,11 +52,12 @@
 class Pool:
     """Opens a channel for each call."""
 
-    def __init__(self, store):
+    def __init__(self, store, channel=Channel):
         self._store = store
+        self._channel = channel
 
     async def acquire(self, _name, _endpoint):
-        return Channel(self._store)
+        return self._channel(self._store)
 
     def release(self, _name, _channel, _keep_alive):
         """Drop the channel."""
--- a/tests/test_node_silent_store.py
+++ b/tests/test_node_silent_store.py
@@ -16,6 +16,7 @@
 from hornbeampulley.platform._documents import PlatformDecoder
 from hornbeampulley.platform._store import StoreClient
 from tests.nodes import make_config
+from tests.stores import Pool
 
 # The users' bounds: after a disturbance of the store hosts count as in touch
 # again, and then a change has to be in force.
@@ -127,19 +128,6 @@
             await trio.sleep_forever()
 
 
-class Pool:
-    """Opens a channel for each call."""
-
-    def __init__(self, store):
-        self._store = store
-
-    async def acquire(self, _name, _endpoint):
-        return Channel(self._store)
-
-    def release(self, _name, _channel, _keep_alive):
-        """Drop the channel."""
-
-
 def run(mock_run, returns_s, scenario):
     """Read a store that was silent until some moment."""
 
@@ -149,7 +137,7 @@
         store.put('servers/a', ENTRY)
         clock = Clock(trio.current_time)
         client = StoreClient(Endpoint('10.0.0.9', 1), clock)
-        client._pool = Pool(store)
+        client._pool = Pool(store, Channel)
         view = StoreView(PlatformDecoder(), clock)
         readers = make_readers(
             client,
