--- a/tests/test_node_target_signals.py
+++ b/tests/test_node_target_signals.py
@@ -1,8 +1,11 @@
 """Tests of what targets say of themselves in their answers."""
 
 import functools
+import itertools
+import math
 
 import pytest
+import trio
 
 from hornbeampulley.clock import ManualClock
 from hornbeampulley.decisions import TargetSignals
@@ -211,6 +214,36 @@
     run_nodes(scenario, count=3)
 
 
+# LIMIT: a limit that wavered was news at each host, and each news let one more
+# request through.
+def test_all_hosts_together_keep_to_a_limit_that_wavers():
+    rates = itertools.cycle((7.9, 8.0, 8.1))
+    highest = 8.1
+
+    async def scenario(fleet):
+        for number in range(3):
+            await fleet.call('/look/a', number)
+        limited = fleet.backends['ledger-1']
+        limited.behaviour.signals = ((b'server-limit', b'8.0'),)
+        before = len(limited.seen)
+        while len(limited.seen) == before:
+            await fleet.call('/look/a')
+        for node in fleet.nodes:
+            await wait_until(functools.partial(has_limit, node))
+        before = len(limited.seen)
+        began_s = trio.current_time()
+        for number in range(300):
+            named = b'%.1f' % next(rates)
+            limited.behaviour.signals = ((b'server-limit', named),)
+            assert (await fleet.call('/look/a', number % 3))[0] == 200
+        # The rule speaks of 4 s; a slower machine only sends less in that time.
+        windows = math.ceil((trio.current_time() - began_s) / 4)
+        allowed = windows * (1.5 * highest * 4 + 5)
+        assert len(limited.seen) - before <= allowed
+
+    run_nodes(scenario, count=3)
+
+
 def has_limit(node):
     return any(one.rate_limit for one in node.scheduling.signals.list_all())
 
