Tell a host that starts where streams began before it answers requests

Now what a host asks of a peer when it starts brings where streams began, too, and it answers requests only after that. The new test failed before.

--- a/hornbeampulley/node/_peers.py
+++ b/hornbeampulley/node/_peers.py
@@ -293,7 +293,11 @@
                 self._send_items(link, message)
 
     def _send_items(self, link: Link, message: ttypes.Position) -> None:
-        newer = tuple(self._store_view.list_newer(read_position(message)))
+        position = read_position(message)
+        if position == Position():
+            # A host that has just started answers requests after this.
+            self._send_origins(link)
+        newer = tuple(self._store_view.list_newer(position))
         for start in range(0, len(newer), MAX_ITEMS):
             batch = newer[start : start + MAX_ITEMS]
             items = [self._item_writer.write(item) for item in batch]
--- a/tests/test_node_stream_origins.py
+++ b/tests/test_node_stream_origins.py
@@ -167,6 +167,19 @@
     assert len(finder.list_keepers('pool/p')) == KEEPERS_OF_MANY
 
 
+# LOST: a host that came back owned the pool before a peer had linked to it.
+def test_a_host_that_starts_learns_of_streams_before_it_answers():
+    async def scenario(fleet):
+        await set_versions(fleet, engines_1=OLD, engines_2=NEW)
+        await begin_and_break(fleet, b'a')
+        await wait_until(lambda: all(map(_knows_stream, fleet.nodes)))
+        node = fleet.add_node()
+        await wait_until(lambda: node.is_ready)
+        assert _knows_stream(node)
+
+    run_nodes(scenario, count=2)
+
+
 def _knows_stream(node):
     name = make_stream_name(b'a', 'w', 'stream', 'engines')
     return node.scheduling.origins.find(name) is not None
