--- a/review/5/case.py
+++ b/review/5/case.py
@@ -15,7 +15,8 @@
 # Place of the part that crashes servers among the parts; the last never does.
 POSITION = int(os.environ.get('POSITION', '36'))
 DEADLY = 'dead0001'
-PAUSE_S = 0.5
+SOUND_PER_S = 8
+DEADLY_EACH = 8        # one of so many requests has the deadly part
 LASTS_S = 45
 DOWN_S = 3.0
 STABLE_S = 3.0
@@ -79,8 +80,8 @@
     async with asyncio.TaskGroup() as group:
         while loop.time() < end:
             number += 1
-            group.create_task(ask(number, number % 2 == 0))
-            await asyncio.sleep(PAUSE_S / 2)
+            group.create_task(ask(number, number % DEADLY_EACH == 0))
+            await asyncio.sleep(1 / SOUND_PER_S)
     fifth = crashes[4] if len(crashes) >= 5 else loop.time()
     late = [one for one in arrivals if one[0] > fifth + STABLE_S]
     fleet.record.say(
