--- a/review/1/case.py
+++ b/review/1/case.py
@@ -22,7 +22,7 @@
     end = loop.time() + LIMIT_MS / 1000
     first = attempt = fleet.make_attempt()
     events, tries = [], 0
-    body = json.dumps({'events': EVENTS}).encode()
+    body = json.dumps({'events': EVENTS, 'number': number}).encode()
     while loop.time() < end and tries < 20:
         tries += 1
         headers = {'Model': 'm', 'Token-Usage': '100,400',
