Conclude a stream's version only from versions followed without a gap

A host that stood still while another version joined took the only version that it had heard of for the only one.

Cause: absence was concluded from a view that can't show it. A list of the store does not tell what left before it, old targets do not prove that no other served, and the age of the view was not asked. Several changes in one answer counted as their last.

Now: versions are followed change by change; a list read anew, a new history, or an unknown removal starts the time anew; a stream of unknown origin waits until the store has answered a call sent after the request came. All changes since the store's first, where it still has them, prove a version as well.

--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -4,7 +4,6 @@
 import logging
 import os
 import random
-import time
 from typing import Final
 
 import trio
@@ -46,6 +45,7 @@
 from hornbeampulley.node._settings import NodeSettings
 from hornbeampulley.node._store_view import StoreView
 from hornbeampulley.node._usage_cap_client import UsageCapClient
+from hornbeampulley.node._version_check import VersionCheck
 from hornbeampulley.routing import (
     CapSettings,
     HostRetryBudget,
@@ -180,7 +180,7 @@
                 slack=bounds.cap_slack,
                 window_ms=bounds.cap_window_ms,
             ),
-            Clock(time.time),
+            self.store_view.software_history,
         )
         self._message_handler = PeerMessageHandler(
             self.scheduling, self.store_view, self.clock
@@ -204,8 +204,18 @@
         self._message_handler.caps = self.caps
 
     def _build_follower(self, adapter: Adapter) -> None:
+        store = adapter.make_store(self.settings.store.address, self.clock)
+        self.version_check = VersionCheck(
+            store,
+            self.store_view,
+            adapter.decoder,
+            self.clock,
+            self._nursery,
+        )
+        self.version_check.on_checked = self.scheduling.finish_version_check
+        self.scheduling.unknown_streams.request_check = self._check_versions
         self.follower = StoreFollower(
-            adapter.make_store(self.settings.store.address, self.clock),
+            store,
             self.store_view,
             self.membership,
             self.mesh,
@@ -306,6 +316,9 @@
         self.lease_client.report_signals(signals)
         self._message_handler.send_to_homes(write_target_signals(signals))
 
+    def _check_versions(self) -> None:
+        self.version_check.request(self.scheduling.longest_stream_ms)
+
     def _serve(self, endpoint: Endpoint, options: ServerOptions) -> None:
         self._nursery.start_soon(
             functools.partial(
@@ -357,7 +370,6 @@
         self._configured_changes = store_view.changes
         records = store_view.targets.records
         self.scheduling.signals.drop_old_runs(records)
-        self.scheduling.software_history.update(records.values())
         self.scheduling.configure(
             store_view.table,
             make_configuration(store_view.table, records.values()),
--- a/hornbeampulley/node/_software_history.py
+++ b/hornbeampulley/node/_software_history.py
@@ -1,56 +1,161 @@
 """Which software versions the targets of a pool have had lately."""
 
+import math
 from collections.abc import Iterable
 from typing import Final
 
 from hornbeampulley.clock import Clock
 from hornbeampulley.routing import TargetRecord
 
-# The wall clocks of targets and hosts differ by less.
-CLOCK_SLACK_MS: Final = 5000.0
 # Ends of versions are remembered for this long.
 KEEP_MS: Final = 120_000.0
 
+PoolVersion = tuple[str, str]
+"""Name of a pool and version of the software of a target of it."""
+
 
 class SoftwareHistory:
-    """Tells whether all targets of a pool have had one version for some time.
+    """Follows the targets of all pools change by change.
+
+    What a list of the targets does not show may have left just before it. So a
+    version is known to be the only one only for a time that was followed without
+    a gap, or if all changes that the store has ever had were read.
 
     Parameters
     ----------
     clock : Clock
         Monotonic clock.
-    wall : Clock
-        Wall time, for comparison with the starts of targets.
     """
 
-    def __init__(self, clock: Clock, wall: Clock) -> None:
+    def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._wall = wall
         self._since_ms: float | None = None
-        self._records: tuple[TargetRecord, ...] = ()
-        self._ended_ms: dict[tuple[str, str], float] = {}
+        self._current: dict[str, PoolVersion] = {}
+        self._ended_ms: dict[PoolVersion, float] = {}
+        self._unknown_end_ms = -math.inf
+
+    def begin(self) -> None:
+        """Record that all targets are known from now on, if not begun yet."""
+        if self._since_ms is None:
+            self.restart()
 
-    def update(self, records: Iterable[TargetRecord]) -> None:
-        """Take over the targets that are registered now.
+    def restart(self) -> None:
+        """Record that changes may have been missed before now."""
+        self._since_ms = self._clock.now()
+
+    def record(self, record: TargetRecord) -> None:
+        """Record that a target is registered.
 
         Parameters
         ----------
-        records : iterable of TargetRecord
-            All registered targets.
+        record : TargetRecord
+            Its latest record.
         """
-        now_ms = self._clock.now()
-        if self._since_ms is None:
-            self._since_ms = now_ms
-        before = {(one.pool, one.software) for one in self._records}
-        self._records = tuple(records)
-        now = {(one.pool, one.software) for one in self._records}
-        ended = dict.fromkeys(before - now, now_ms)
-        oldest_ms = now_ms - KEEP_MS
-        self._ended_ms = {
-            version: ended_ms
-            for version, ended_ms in {**self._ended_ms, **ended}.items()
-            if version not in now and ended_ms > oldest_ms
-        }
+        version = (record.pool, record.software)
+        known = self._current.get(record.name)
+        if known is not None and known != version:
+            self._end(known)
+        self._current[record.name] = version
+
+    def record_removal(self, name: str) -> None:
+        """Record that a target is not registered any more.
+
+        Parameters
+        ----------
+        name : str
+            Name of the target.
+        """
+        known = self._current.pop(name, None)
+        if known is not None:
+            self._end(known)
+
+    def record_unknown_removal(self) -> None:
+        """Record the removal of a target that was never known here."""
+        self._unknown_end_ms = self._clock.now()
+
+    def replay(
+        self, changes: Iterable[tuple[str, TargetRecord | None]]
+    ) -> bool:
+        """Learn all changes that the store has ever had.
+
+        When they were made is not known, so that a version that has ended counts
+        as ended now.
+
+        Parameters
+        ----------
+        changes : iterable of (str, TargetRecord or None)
+            Names of targets with their records, None if removed, oldest first.
+
+        Returns
+        -------
+        bool
+            False if registered targets are not among them, so that the changes
+            are not all.
+        """
+        replayed = SoftwareHistory(self._clock)
+        for name, record in changes:
+            if record is None:
+                replayed.record_removal(name)
+            else:
+                replayed.record(record)
+        if not self._current.keys() <= replayed.get_names():
+            return False
+        self._ended_ms.update(replayed.get_ended())
+        self._unknown_end_ms = -math.inf
+        self._since_ms = -math.inf
+        return True
+
+    def get_names(self) -> set[str]:
+        """Return the names of the registered targets."""
+        return set(self._current)
+
+    def get_ended(self) -> dict[PoolVersion, float]:
+        """Return when targets of a version ended last, in ms."""
+        return dict(self._ended_ms)
+
+    def covers(self, window_ms: float) -> bool:
+        """Tell whether the time up to the last change was followed whole.
+
+        Parameters
+        ----------
+        window_ms : float
+            Length in ms of the time in question, which ends now.
+
+        Returns
+        -------
+        bool
+            Whether no change within it can have been missed.
+        """
+        limit_ms = self._clock.now() - window_ms
+        return (
+            self._since_ms is not None
+            and self._since_ms <= limit_ms
+            and self._unknown_end_ms < limit_ms
+        )
+
+    def list_versions(self, pool: str, window_ms: float) -> set[str]:
+        """List the versions that targets of a pool are known to have had.
+
+        Parameters
+        ----------
+        pool : str
+            Name of the pool.
+        window_ms : float
+            Length in ms of the time in question, which ends now.
+
+        Returns
+        -------
+        set of str
+            Known versions; there may be others unless the time is covered.
+        """
+        limit_ms = self._clock.now() - window_ms
+        ended = [
+            version
+            for version, ended_ms in self._ended_ms.items()
+            if ended_ms >= limit_ms
+        ]
+        versions = (*self._current.values(), *ended)
+        return {software for name, software in versions if name == pool}
 
     def find_only(self, pool: str, window_ms: float) -> str | None:
         """Return the only version that targets of a pool have had lately.
@@ -67,20 +172,18 @@
         str or None
             None if there were several, or if that is not known.
         """
-        records = [one for one in self._records if one.pool == pool]
-        versions = {one.software for one in records}
-        if len(versions) != 1:
+        versions = self.list_versions(pool, window_ms)
+        if len(versions) != 1 or not self.covers(window_ms):
             return None
-        limit_ms = self._clock.now() - window_ms
-        for (name, _software), ended_ms in self._ended_ms.items():
-            if name == pool and ended_ms >= limit_ms:
-                return None
-        has_watched = self._since_ms is not None and self._since_ms <= limit_ms
-        if has_watched or self._are_old(records, window_ms):
-            return versions.pop()
-        return None
-
-    def _are_old(self, records: list[TargetRecord], window_ms: float) -> bool:
-        """Tell whether no target has started since: then none was replaced."""
-        limit_ms = self._wall.now() - window_ms - CLOCK_SLACK_MS
-        return all(one.born_ms < limit_ms for one in records)
+        return versions.pop()
+
+    def _end(self, version: PoolVersion) -> None:
+        """Record that a target of a version has ended."""
+        now_ms = self._clock.now()
+        self._ended_ms[version] = now_ms
+        oldest_ms = now_ms - KEEP_MS
+        self._ended_ms = {
+            known: ended_ms
+            for known, ended_ms in self._ended_ms.items()
+            if ended_ms > oldest_ms
+        }
--- a/hornbeampulley/node/_store_view.py
+++ b/hornbeampulley/node/_store_view.py
@@ -13,7 +13,12 @@
 from hornbeampulley.node._held_removals import REMOVAL_HOLD_MS, HeldRemovals
 from hornbeampulley.node._knowledge import GONE, Position, TargetNotice
 from hornbeampulley.node._routing_view import RoutingView
-from hornbeampulley.node._target_items import TargetItems, log_dropped
+from hornbeampulley.node._software_history import SoftwareHistory
+from hornbeampulley.node._target_items import (
+    TOMBSTONE_MS,
+    TargetItems,
+    log_dropped,
+)
 from hornbeampulley.node.stored import Decoder, Revision, StoredItem
 from hornbeampulley.routing import (
     RoutingTable,
@@ -54,6 +59,8 @@
         Position when the latest history became known.
     is_complete : bool
         False while peers may know what the store no longer tells.
+    software_history : SoftwareHistory
+        Software versions of the targets.
     """
 
     def __init__(self, decoder: Decoder, clock: Clock) -> None:
@@ -64,6 +71,7 @@
         self.epoch: int | None = None
         self.left_position = Position()
         self.is_complete = True
+        self.software_history = SoftwareHistory(clock)
         self._decoder = decoder
         self._clock = clock
         self._items = TargetItems(clock)
@@ -107,7 +115,11 @@
         newest = max(position.routing, position.targets)
         if newest > Revision():
             self._enter_epoch(newest.epoch)
+        if self.freshness.age_ms > TOMBSTONE_MS:
+            # Peers have forgotten what was removed before.
+            self.software_history.restart()
         self._advance(position.routing, position.targets)
+        self.software_history.begin()
 
     def record_outage(self, away_ms: float) -> None:
         """Hold removals back for a while, as expired items may come back.
@@ -188,6 +200,8 @@
         listed = tuple(items)
         present = {item.key for item in listed}
         removed = self._items.list_missing(present, revision)
+        # What came and left before is not in the list.
+        self.software_history.restart()
         self.apply_items((*listed, *removed), source)
         # An empty list too tells that the history is known.
         self._advance(Revision(), Revision(revision.epoch))
@@ -273,6 +287,7 @@
         self.left_position = self.position
         if known is not None:
             log_event(_log, 'store_restored', epoch=epoch, known=known)
+            self.software_history.restart()
             self.record_outage(self._clock.now())
 
     def _doubt_if_missing(self, item: StoredItem) -> None:
@@ -315,6 +330,8 @@
             log_dropped(item, kept.item, source)
             return
         self._items.keep(item, stamp)
+        if item.is_deleted and kept is None:
+            self.software_history.record_unknown_removal()
         if item.is_deleted:
             self._apply_removal(item, source, held_ms)
         elif record is None:
@@ -341,6 +358,7 @@
             return
         self.changes += 1
         known = self.targets.records[record.name]
+        self.software_history.record(known)
         log_event(
             _log,
             'target_taken',
@@ -377,6 +395,7 @@
         if not self.targets.remove(name):
             return
         self.changes += 1
+        self.software_history.record_removal(name)
         log_event(
             _log,
             'target_removed',
--- a/hornbeampulley/node/_stream_binding.py
+++ b/hornbeampulley/node/_stream_binding.py
@@ -1,6 +1,7 @@
 """Binds requests that take up a stream to the software version that began it."""
 
 import dataclasses
+import enum
 from typing import Final
 
 from hornbeampulley import decisions
@@ -14,47 +15,68 @@
 RETRY_MS: Final = 300.0
 
 
+class Evidence(enum.Enum):
+    """What is known of a stream whose origin nobody has told."""
+
+    SEVERAL_VERSIONS = 'several_versions'
+    ONE_VERSION = 'one_version'
+    MISSING_HISTORY = 'missing_history'
+
+
 def bind_stream(
-    reserve: decisions.Reserve,
-    pool: str,
-    origins: StreamOrigins,
-    history: SoftwareHistory,
-    table: RoutingTable | None,
+    reserve: decisions.Reserve, origins: StreamOrigins
 ) -> decisions.Reserve | None:
     """Set the version that a request needs if it takes up a stream.
 
-    A stream that nobody knows may go on if all targets of the pool have had one
-    version for as long as a stream may last.
-
     Parameters
     ----------
     reserve : Reserve
         Announcement of the request.
-    pool : str
-        Name of its pool.
     origins : StreamOrigins
         Where streams began.
-    history : SoftwareHistory
-        Versions of the targets.
-    table : RoutingTable or None
-        Routing table in force.
 
     Returns
     -------
     Reserve or None
-        The announcement; None if the version can't be found out.
+        The announcement; None if nobody has told where the stream began.
     """
     if reserve.stream is None or reserve.software:
         return reserve
     software = origins.find(reserve.stream)
-    if software is None:
-        window_ms = _find_longest_stream(table)
-        software = history.find_only(pool, window_ms)
     if software is None:
         return None
     return dataclasses.replace(reserve, software=software)
 
 
+def weigh_history(
+    history: SoftwareHistory, pool: str, window_ms: float
+) -> Evidence:
+    """Weigh what the versions of a pool tell of a stream.
+
+    Only if all targets have had one version for as long as a stream may last, the
+    stream began at it.
+
+    Parameters
+    ----------
+    history : SoftwareHistory
+        Versions of the targets.
+    pool : str
+        Name of the pool.
+    window_ms : float
+        Longest duration of a stream, in ms.
+
+    Returns
+    -------
+    Evidence
+        What they tell.
+    """
+    if len(history.list_versions(pool, window_ms)) > 1:
+        return Evidence.SEVERAL_VERSIONS
+    if history.covers(window_ms):
+        return Evidence.ONE_VERSION
+    return Evidence.MISSING_HISTORY
+
+
 def make_unknown_refusal(
     reserve: decisions.Reserve, owned_ms: float
 ) -> decisions.Refuse:
@@ -81,7 +103,19 @@
     )
 
 
-def _find_longest_stream(table: RoutingTable | None) -> float:
+def find_longest_stream(table: RoutingTable | None) -> float:
+    """Return the longest time for which a stream may last.
+
+    Parameters
+    ----------
+    table : RoutingTable or None
+        Routing table in force.
+
+    Returns
+    -------
+    float
+        Time in ms; 0 if no route has streams that may be taken up.
+    """
     routes = table.routes if table else ()
     return max(
         (route.timeout_ms for route in routes if route.is_resumable), default=0
--- a/tests/test_node_stream_origins.py
+++ b/tests/test_node_stream_origins.py
@@ -11,7 +11,6 @@
     STANDBYS,
     OwnerFinder,
 )
-from hornbeampulley.node._software_history import SoftwareHistory
 from hornbeampulley.node._stream_binding import (
     NEWS_MS,
     bind_stream,
@@ -113,10 +112,7 @@
 def test_a_request_that_takes_up_no_stream_is_free():
     clock = ManualClock()
     event = decisions.Reserve('r', 'h', 'w', 'a@p', 't')
-    bound = bind_stream(
-        event, 'p', StreamOrigins(clock), SoftwareHistory(clock, clock), None
-    )
-    assert bound is event
+    assert bind_stream(event, StreamOrigins(clock)) is event
 
 
 def test_a_new_owner_may_still_learn_of_a_stream():
--- a/tests/test_node_stream_versions.py
+++ b/tests/test_node_stream_versions.py
@@ -6,10 +6,22 @@
 
 import time
 
-from tests.nodes import BACKEND_PORT, EVENTS, run_nodes, unchunk, wait_until
+import pytest
+import trio
+
+from tests.nodes import (
+    BACKEND_PORT,
+    EVENTS,
+    Fleet,
+    run_nodes,
+    unchunk,
+    wait_until,
+)
 
 OLD = 'v1'
 NEW = 'v1.1'
+# A little longer than the timeout of the route of streams.
+LONGEST_STREAM_S = 5.1
 
 
 async def set_versions(fleet, **versions):
@@ -221,3 +233,90 @@
         assert status == 503
 
     run_nodes(scenario)
+
+
+async def start_after_release(fleet, *, is_forgotten):
+    """Start a host just after the older of two versions has left.
+
+    No other host knows of it, and all targets that are left are old.
+    """
+    later = Fleet(fleet.nursery)
+    later.start_store()
+    for number in (1, 2):
+        later.add_backend(f'engines-{number}', 'engines')
+    entry = later.backends['engines-1'].describe(
+        later.address(100), BACKEND_PORT
+    )
+    changed = {**entry, 'version': NEW, 'sequence': 2}
+    later.store.put('servers/engines-1', changed)
+    later.store.delete('servers/engines-2')
+    later.backends.pop('engines-2')
+    if is_forgotten:
+        later.store.forgotten = later.store.revision
+    later.add_node()
+    await later.wait_ready()
+    return later
+
+
+# ORDER: all hosts were killed just after a version had left. The streams that it had
+# begun went on at the other version, whose targets were old enough.
+@pytest.mark.parametrize('is_forgotten', [False, True])
+def test_no_stream_goes_on_after_a_version_left_and_all_hosts_were_lost(
+    is_forgotten,
+):
+    async def scenario(fleet):
+        later = await start_after_release(fleet, is_forgotten=is_forgotten)
+        status, _, _ = await later.call(
+            '/stream/a', 0, b'p', b'b', resumes='x', last_event_id='1'
+        )
+        assert status == 503
+        assert not later.backends['engines-1'].runs
+
+    run_nodes(scenario)
+
+
+# ORDER: a host did not hear from the store while targets of another version joined,
+# and took the only version that it had heard of for the only one.
+@pytest.mark.parametrize('heard', ['nothing', 'an old answer'])
+def test_a_host_that_is_out_of_step_does_not_join_two_versions(heard):
+    async def scenario(fleet):
+        node = fleet.nodes[0]
+        await trio.sleep(LONGEST_STREAM_S)
+        for reader in node.follower.readers:
+            reader.set_active(is_active=False)
+            reader.set_active = ignore
+        backend = fleet.add_backend('engines-3', 'engines')
+        entry = backend.describe(
+            fleet.address(100 + len(fleet.backends) - 1), BACKEND_PORT
+        )
+        fleet.store.put(
+            'servers/engines-3', {**entry, 'version': NEW, 'sequence': 2}
+        )
+        if heard == 'an old answer':
+            # As after a pause, at whose end an answer from before it is read.
+            node.store_view.freshness.confirm(node.clock.now())
+        assert 'engines-3' not in node.store_view.targets.records
+        status, _, _ = await fleet.call(
+            '/stream/a', 0, b'p', b'b', resumes='x', last_event_id='1'
+        )
+        assert status == 503
+        assert not any(one.runs for one in get_engines(fleet))
+
+    run_nodes(scenario)
+
+
+# The store does not answer: what it knows by now is not known here.
+def test_a_stream_of_unknown_origin_is_refused_while_the_store_is_away():
+    async def scenario(fleet):
+        fleet.store.is_down = True
+        status, head, _ = await fleet.call(
+            '/stream/a', 0, b'p', b'b', resumes='x', last_event_id='1'
+        )
+        assert status == 503
+        assert not any(one.runs for one in get_engines(fleet))
+
+    run_nodes(scenario)
+
+
+def ignore(**_options):
+    """Leave a reader as it is."""
