Let an owner grant of a cap the part of the hosts that it reaches

Cause: a host that reaches no owner owned the bucket itself, a new one with the whole rate and a part of the tolerance. The local bucket, meant for that, was used only while an owner is linked and silent, and divided by the hosts that live, which on a host cut off is soon one.

Ruled out: parts for the hosts cut off only (1.5 caps in a half split, beyond the tolerance); refusing on the smaller side (workspaces within their cap).

Now each owner grants the part of the hosts that it reaches out of all that it knows, so that the parts of all sides add up to the whole.

--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -34,6 +34,7 @@
 from hornbeampulley.node._gossip import Gossip
 from hornbeampulley.node._home import Home
 from hornbeampulley.node._host_records import make_host_record, make_member
+from hornbeampulley.node._host_share import HostShare
 from hornbeampulley.node._lease_client import LeaseClient
 from hornbeampulley.node._membership import Membership
 from hornbeampulley.node._mesh import Mesh, serve_peers
@@ -185,6 +186,8 @@
         self._message_handler = PeerMessageHandler(
             self.scheduling, self.store_view, self.clock
         )
+        host_share = HostShare(self.membership, self.clock)
+        self._message_handler.host_share = host_share
         self.mesh.handler = self._message_handler
         owners = OwnerFinder(self.membership, self.mesh, self.clock)
         self.lease_client = LeaseClient(
@@ -198,6 +201,7 @@
             owners,
             self.mesh,
             self.scheduling,
+            host_share,
             self.clock,
         )
         self._message_handler.lease_client = self.lease_client
--- a/hornbeampulley/node/_peers.py
+++ b/hornbeampulley/node/_peers.py
@@ -7,6 +7,7 @@
 from hornbeampulley import decisions
 from hornbeampulley.clock import Clock
 from hornbeampulley.logs import log_event
+from hornbeampulley.node._host_share import HostShare
 from hornbeampulley.node._knowledge import Position
 from hornbeampulley.node._lease_client import LeaseClient
 from hornbeampulley.node._quarantines import PoolQuarantine
@@ -68,6 +69,7 @@
     ) -> None:
         self.lease_client: LeaseClient | None = None
         self.caps: UsageCapClient | None = None
+        self.host_share: HostShare | None = None
         self.on_ready: Callable[[], None] = _do_nothing
         self.on_items_sent: Callable[[str], None] = _ignore
         self._scheduling = scheduling
@@ -145,6 +147,8 @@
         peer = link.peer.incarnation
         if self._homes.get(peer) is link:
             self._homes.pop(peer)
+            if self.host_share is not None:
+                self.host_share.remove_home(peer)
             self._scheduling.remove_home(peer)
         elif link not in self._replaced:
             self.lease_client.handle_scheduler_lost(peer)
@@ -207,6 +211,8 @@
             self._scheduling.remove_home(peer)
             old.close()
         self._homes[peer] = link
+        if self.host_share is not None:
+            self.host_share.add_home(peer)
         self._send_known(link)
 
     def _apply_news(self, message: Any, peer: str) -> None:
--- a/hornbeampulley/node/_usage_cap_client.py
+++ b/hornbeampulley/node/_usage_cap_client.py
@@ -1,6 +1,5 @@
 """Client of a home for the nodes that own the usage caps."""
 
-import dataclasses
 import itertools
 import logging
 from typing import Final
@@ -9,11 +8,17 @@
 
 from hornbeampulley.clock import Clock, to_seconds
 from hornbeampulley.logs import log_event
+from hornbeampulley.node._host_share import HostShare
 from hornbeampulley.node._membership import Membership
 from hornbeampulley.node._mesh import Mesh
 from hornbeampulley.node._owners import OwnerFinder
 from hornbeampulley.node._scheduling import Scheduling
-from hornbeampulley.routing import CapSettings, TokenBucket, UsageCap
+from hornbeampulley.routing import (
+    CapSettings,
+    TokenBucket,
+    UsageCap,
+    take_part,
+)
 from hornbeampulley.wire import Link
 from hornbeampulley.wire.generated.peer import ttypes
 
@@ -30,8 +35,8 @@
     """Draws on the token buckets of workspaces.
 
     The workspaces are divided into groups, and one node owns the buckets of a
-    group. While the owner does not answer, this node uses a local bucket with
-    its share of the cap.
+    group; it grants the part of a cap of the hosts that it reaches. While the
+    owner does not answer, this node uses a local bucket with its own part.
 
     Parameters
     ----------
@@ -43,6 +48,8 @@
         Links to the other nodes.
     scheduling : Scheduling
         Holds the buckets that this node owns.
+    host_share : HostShare
+        Part of the hosts that this node acts for.
     clock : Clock
         Monotonic clock.
     """
@@ -53,13 +60,16 @@
         owners: OwnerFinder,
         mesh: Mesh,
         scheduling: Scheduling,
+        host_share: HostShare,
         clock: Clock,
     ) -> None:
         self._membership = membership
         self._finder = owners
         self._mesh = mesh
         self._scheduling = scheduling
+        self._host_share = host_share
         self._clock = clock
+        scheduling.caps.find_share = self._find_share
         self._numbers = itertools.count()
         self._pending_draws: dict[int, trio.Event] = {}
         self._grants: dict[int, float] = {}
@@ -129,6 +139,10 @@
             self._grants[message.number] = float(message.wait_ms)
             event.set()
 
+    def _find_share(self, workspace: str) -> float:
+        """Return the part of a cap that this node may grant as its owner."""
+        return self._host_share.compute(self._make_key(workspace))
+
     def _make_key(self, workspace: str) -> str:
         groups = len(self._membership.live) // HOSTS_PER_GROUP + 1
         return f'caps/{sum(workspace.encode()) % groups}'
@@ -161,15 +175,10 @@
         self, workspace: str, cap: UsageCap, units: float
     ) -> float:
         now_ms = self._clock.now()
-        hosts = max(len(self._membership.live), 1)
-        part = dataclasses.replace(
-            cap,
-            per_second=cap.per_second / hosts,
-            burst=cap.burst / hosts,
-        )
+        part = take_part(cap, 1 / max(self._host_share.known, 1))
         if workspace not in self._local_buckets:
             start = CapSettings(start_share=LOCAL_START_SHARE)
             self._local_buckets[workspace] = TokenBucket(part, now_ms, start)
         bucket = self._local_buckets[workspace]
-        bucket.set_cap(part, now_ms)
+        bucket.set_cap(part, now_ms, least_size=min(units, cap.burst))
         return bucket.draw(units, now_ms)
--- a/hornbeampulley/routing/__init__.py
+++ b/hornbeampulley/routing/__init__.py
@@ -1,6 +1,6 @@
 """Routing configuration: routes, pools, workspaces, caps and targets."""
 
-from hornbeampulley.routing._caps import CapSettings, TokenBucket
+from hornbeampulley.routing._caps import CapSettings, TokenBucket, take_part
 from hornbeampulley.routing._retries import HostRetryBudget, RetrySettings
 from hornbeampulley.routing._table import (
     CallKind,
@@ -48,4 +48,5 @@
     'get_service_name',
     'get_tier_name',
     'make_configuration',
+    'take_part',
 )
--- a/hornbeampulley/routing/_caps.py
+++ b/hornbeampulley/routing/_caps.py
@@ -37,6 +37,21 @@
     slack: float = 0
     window_ms: float = 8000.0
 
+    def take_part(self, share: float) -> 'CapSettings':
+        """Return the settings for a part of a cap.
+
+        Parameters
+        ----------
+        share : float
+            Part of the hosts that the bucket serves.
+
+        Returns
+        -------
+        CapSettings
+            With the same part of the accepted usage.
+        """
+        return dataclasses.replace(self, slack=self.slack * share)
+
     def widen(self, cap: UsageCap) -> UsageCap:
         """Return a cap enlarged by a part of the tolerance.
 
@@ -104,6 +119,28 @@
         return allowed * self.overage + self.slack
 
 
+def take_part(cap: UsageCap, share: float) -> UsageCap:
+    """Return the part of a cap that some of the hosts may use.
+
+    Parameters
+    ----------
+    cap : UsageCap
+        The whole cap.
+    share : float
+        Part of the hosts.
+
+    Returns
+    -------
+    UsageCap
+        With a part of the rate and the burst.
+    """
+    return dataclasses.replace(
+        cap,
+        per_second=cap.per_second * share,
+        burst=cap.burst * share,
+    )
+
+
 class TokenBucket:
     """Token bucket that limits the usage of a workspace.
 
@@ -135,8 +172,15 @@
         self._debt_allowed_from_ms = now_ms + self._settings.window_ms
         self._units = self._settings.get_initial_units(cap)
         self._refilled_ms = now_ms
+        self._least_size = 0.0
 
-    def set_cap(self, cap: UsageCap, now_ms: float) -> None:
+    def set_cap(
+        self,
+        cap: UsageCap,
+        now_ms: float,
+        settings: CapSettings | None = None,
+        least_size: float = 0,
+    ) -> None:
         """Change the rate and burst; keep the fill, limited to the new burst.
 
         Parameters
@@ -145,11 +189,18 @@
             New rate and burst.
         now_ms : float
             The current time in ms.
+        settings : CapSettings, optional
+            New tolerance.
+        least_size : float, optional
+            Units that the bucket can hold although they exceed the burst, so
+            that a small part of a cap covers a large request in time.
         """
         self._refill(now_ms)
+        self._settings = settings or self._settings
+        self._least_size = least_size
         self._cap = self._settings.widen(cap)
         self._max_debt = self._settings.get_max_debt(cap)
-        self._units = min(self._units, self._cap.burst)
+        self._units = min(self._units, self._size)
 
     def draw(self, units: float, now_ms: float) -> float:
         """Draw units if the bucket holds enough.
@@ -170,7 +221,7 @@
             0 if granted, otherwise the time in ms until the draw can succeed.
         """
         self._refill(now_ms)
-        needed = min(units, max(self._cap.burst, 1))
+        needed = min(units, max(self._size, 1))
         if now_ms >= self._debt_allowed_from_ms:
             needed = max(needed - self._max_debt, 0)
         if self._units >= needed:
@@ -187,10 +238,14 @@
         units : float
             Units that the request had drawn.
         """
-        self._units = min(self._units + units, self._cap.burst)
+        self._units = min(self._units + units, self._size)
+
+    @property
+    def _size(self) -> float:
+        return max(self._cap.burst, self._least_size)
 
     def _refill(self, now_ms: float) -> None:
         elapsed_s = max(now_ms - self._refilled_ms, 0) / MS_PER_SECOND
         self._refilled_ms = now_ms
         gained = elapsed_s * self._cap.per_second
-        self._units = min(self._units + gained, self._cap.burst)
+        self._units = min(self._units + gained, self._size)
