Tell the scheduler all parts of a prompt

Cause: a home told the first 31 shared parts and the last one. The header was cut to 1,000 parts as well, and ids beyond 64 bits to their last digits.

Ruled out: the owner's memory of 10,000 parts (a test with 200 parts a prompt finds the part); a digest (false matches refuse sound requests); parts under suspicion only (what ran before the first crash is not known).

Now all parts are told, longer ids are hashed, and what can't be read leaves a log line.

--- a/hornbeampulley/node/_reserves.py
+++ b/hornbeampulley/node/_reserves.py
@@ -15,7 +15,6 @@
 # Margin before the caller abandons a stream, within which the first event or
 # a refusal reaches it.
 FIRST_EVENT_MARGIN_MS: Final = 200.0
-MAX_SUSPECT_PARTS: Final = 32
 _FINGERPRINT_MASK: Final = (1 << 63) - 1
 
 
@@ -52,7 +51,7 @@
         repeatable=False,
         avoided=call.last_target,
         expected_tokens=_get_expected_tokens(call),
-        prompt_parts=_list_suspect_parts(call),
+        prompt_parts=_list_parts(call),
         software=call.software or _find_software(home, call),
         stream=_find_stream(call),
     )
@@ -93,14 +92,22 @@
     return make_call_stream_name(call)
 
 
-def _list_suspect_parts(call: Call) -> tuple[int, ...]:
-    """List the parts that may crash a target; none if its answer has begun."""
-    parts = call.metadata.parts
-    if call.events.count or not call.is_model or not parts:
+def _list_parts(call: Call) -> tuple[int, ...]:
+    """List the parts that may crash a target; none if its answer has begun.
+
+    All are listed, as each of them may. Their number is bounded by the size of
+    a request's head.
+    """
+    if call.events.count or not call.is_model:
         return ()
-    *shared, own = [part.name & PART_MASK for part in parts]
-    # The last one is the request's own and only tells prompts apart.
-    return (*shared[: MAX_SUSPECT_PARTS - 1], own)
+    return tuple(_make_part_id(part.name) for part in call.metadata.parts)
+
+
+def _make_part_id(name: int) -> int:
+    """Return an id that fits into a message."""
+    if name <= PART_MASK:
+        return name
+    return xxhash.xxh3_64_intdigest(f'{name:x}'.encode())
 
 
 def _get_expected_tokens(call: Call) -> int:
--- a/hornbeampulley/node/_serving.py
+++ b/hornbeampulley/node/_serving.py
@@ -235,9 +235,13 @@
 
 
 def _describe_parts(call: Call) -> str:
-    """List the parts of the prompt, for the log."""
-    parts = call.metadata.parts[:MAX_LOGGED_PARTS]
-    return ','.join(f'{part.name:x}:{part.tokens}' for part in parts)
+    """List the parts of the prompt, for the log, and how many are left out."""
+    parts = call.metadata.parts
+    texts = [
+        f'{part.name:x}:{part.tokens}' for part in parts[:MAX_LOGGED_PARTS]
+    ]
+    left_out = len(parts) - len(texts)
+    return ','.join([*texts, f'+{left_out}'] if left_out else texts)
 
 
 def _may_retry(home: Home, call: Call, attempt: Attempt) -> bool:
--- a/hornbeampulley/node/dialect.py
+++ b/hornbeampulley/node/dialect.py
@@ -14,7 +14,7 @@
     Attributes
     ----------
     name : int
-        Hash of this part and of all parts before it.
+        Id of the part, the same in all prompts.
     tokens : int
         Length in tokens.
     """
--- a/hornbeampulley/platform/_headers.py
+++ b/hornbeampulley/platform/_headers.py
@@ -1,5 +1,6 @@
 """Reads and writes the headers of the platform's callers and servers."""
 
+import logging
 import re
 from collections.abc import Iterator
 from typing import Final
@@ -13,6 +14,7 @@
     drop_connection_headers,
     find_header,
 )
+from hornbeampulley.logs import log_event
 from hornbeampulley.node.dialect import (
     Dispatch,
     PromptPart,
@@ -63,9 +65,12 @@
     ),
 )
 _NUMBER: Final = re.compile(rb'\d{1,15}(?:\.\d{1,9})?')
-_MAX_PARTS: Final = 1000
+_PART: Final = re.compile(rb'([0-9A-Fa-f]+):(\d{1,15})')
+# Characters of a header that can't be read, for the log.
+_MAX_LOGGED: Final = 80
 # Larger numbers of tokens count as this one; two of them fit in 32 bits.
 _MAX_TOKENS: Final = 10**9
+_log = logging.getLogger(__name__)
 
 
 class PlatformDialect:
@@ -100,7 +105,7 @@
             hinted_tokens=_limit_tokens(
                 _read_number(find_header(headers, OUTPUT_HINT)) or 0,
             ),
-            parts=tuple(_read_parts(find_header(headers, PROMPT_PARTS))),
+            parts=tuple(_read_parts(headers)),
             resumes_after=find_header(headers, LAST_EVENT),
             first_attempt=find_header(headers, FIRST_ATTEMPT),
         )
@@ -236,10 +241,17 @@
     return _limit_tokens(numbers[0]), _limit_tokens(numbers[1])
 
 
-def _read_parts(text: bytes | None) -> Iterator[PromptPart]:
-    for part in (text or b'').split(b',')[:_MAX_PARTS]:
-        name, _, tokens = part.partition(b':')
-        try:
-            yield PromptPart(int(name, 16), _limit_tokens(int(tokens)))
-        except ValueError:
+def _read_parts(headers: tuple[Header, ...]) -> Iterator[PromptPart]:
+    """Read the parts of a prompt up to the first one that can't be read."""
+    text = find_header(headers, PROMPT_PARTS)
+    for part in text.split(b',') if text else ():
+        found = _PART.fullmatch(part.strip())
+        if found is None:
+            log_event(
+                _log,
+                'prompt_part_unreadable',
+                request=find_header(headers, REQUEST_ID),
+                part=part[:_MAX_LOGGED],
+            )
             return
+        yield PromptPart(int(found[1], 16), _limit_tokens(int(found[2])))
--- a/tests/test_node_reserves.py
+++ b/tests/test_node_reserves.py
@@ -2,9 +2,13 @@
 
 import types
 
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hornbeampulley.decisions._deadly_parts import MIN_CRASHES, DeadlyParts
 from hornbeampulley.http1 import Request
 from hornbeampulley.node._calls import Call
-from hornbeampulley.node._reserves import MAX_SUSPECT_PARTS, make_reserve
+from hornbeampulley.node._reserves import make_reserve
 from hornbeampulley.node.dialect import PromptPart, RequestMetadata
 from hornbeampulley.routing import (
     CallKind,
@@ -43,15 +47,43 @@
     )
 
 
-def test_the_own_part_is_told_however_many_there_are():
-    parts = tuple(PromptPart(number, 1) for number in range(200))
-    told = list_parts(make_call(parts))
-    assert len(told) == MAX_SUSPECT_PARTS
-    assert (told[0], told[-1]) == (0, 199)
+# BUDGET: a part that crashes targets was not found behind the 31st of a prompt, as the
+# scheduler was told of the first ones only.
+def test_all_parts_are_told_however_many_there_are():
+    parts = tuple(PromptPart(number, 1) for number in range(1500))
+    assert list_parts(make_call(parts)) == tuple(range(1500))
+
+
+def test_ids_that_do_not_fit_into_a_message_stay_different():
+    large = 5 + (1 << 64)
+    told = list_parts(make_call((PromptPart(large, 1), PromptPart(5, 1))))
+    assert told[1] == 5
+    assert told[0] != 5
+    assert 0 <= told[0] < 1 << 64
+    assert told[0] == list_parts(make_call((PromptPart(large, 9),)))[0]
 
 
-def test_ids_that_do_not_fit_into_a_message_are_cut():
-    assert list_parts(make_call((PromptPart(5 + (1 << 64), 1),))) == (5,)
+# BUDGET: the same, up to the decision; prompts share all parts but the deadly one and
+# their own.
+@given(count=st.integers(2, 200), place=st.integers(0, 198))
+def test_a_deadly_part_is_found_at_any_place_of_a_prompt(count, place):
+    place = min(place, count - 2)
+    parts = DeadlyParts()
+    crashes = 0
+    for number in range(8):
+        now_ms = number * 1000
+        shared = [PromptPart(one, 1) for one in range(1, count)]
+        sound = list_parts(make_call((*shared, PromptPart(10_000 + number, 1))))
+        shared[place] = PromptPart(5000, 1)
+        deadly = list_parts(
+            make_call((*shared, PromptPart(20_000 + number, 1)))
+        )
+        if not parts.is_refused(deadly, now_ms):
+            crashes += 1
+            parts.record_crash(f't{number}', [deadly, sound], now_ms)
+        assert not parts.is_refused(sound, now_ms)
+        parts.record_begun(sound, now_ms + 500)
+    assert crashes == MIN_CRASHES
 
 
 # A part on which an answer has begun can not be the one that crashes targets.
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -1,5 +1,7 @@
 """Tests of reading and writing the headers of the platform."""
 
+import pytest
+
 from hornbeampulley.endpoints import Endpoint
 from hornbeampulley.http1 import Request, ResponseHead, find_header
 from hornbeampulley.node.dialect import Dispatch, PromptPart
@@ -53,6 +55,23 @@
     assert metadata.hinted_tokens == 0
 
 
+def test_no_part_of_a_prompt_is_left_out():
+    text = b','.join(b'%x:1' % number for number in range(1, 3001))
+    request = Request(b'GET', b'/', ((b'prompt-prefix', text),))
+    assert len(DIALECT.read_call(request).parts) == 3000
+
+
+@pytest.mark.parametrize(
+    'part', [b'x:1', b'-5:1', b'5:-1', b'5', b'', b'5_0:1']
+)
+def test_a_part_that_can_not_be_read_is_logged(caplog, part):
+    text = b'7:80,%s,9:20' % part
+    request = Request(b'GET', b'/', ((b'prompt-prefix', text),))
+    with caplog.at_level('INFO'):
+        assert DIALECT.read_call(request).parts == (PromptPart(7, 80),)
+    assert 'prompt_part_unreadable' in caplog.text
+
+
 def test_a_request_to_a_target_carries_the_headers_of_the_system():
     headers = make_headers(workspace='w')
     assert find_header(headers, b'deadline-ms') == b'900'
