Bound what all answers that a host holds take together

What callers saw (a further report of other operators; here by a script): a target that sends bytes without end fills the memory of the host. 60 answers of 4.5 MB at once take a node of 150 MB to 299 MB; it would be ended with the requests of all its callers.

Cause: each answer and each event had a limit, their sum had none.

Ruled out: a single answer, head or event without end (tests/test_node_endless.py).

Now a process holds answers up to a share of the memory in its settings; one over 64 KiB that would exceed it is not read on and fails.

--- a/hornbeampulley/http1/__init__.py
+++ b/hornbeampulley/http1/__init__.py
@@ -4,6 +4,7 @@
 targets.
 """
 
+from hornbeampulley.http1._buffers import Buffer, BufferBudget
 from hornbeampulley.http1._connection_pool import ConnectionPool
 from hornbeampulley.http1._connections import (
     Connection,
@@ -29,6 +30,8 @@
 )
 
 __all__ = (
+    'Buffer',
+    'BufferBudget',
     'CallerConnection',
     'Connection',
     'ConnectionPool',
--- a/hornbeampulley/http1/_connections.py
+++ b/hornbeampulley/http1/_connections.py
@@ -8,6 +8,7 @@
 from hornbeampulley.clock import Clock, to_seconds
 from hornbeampulley.endpoints import Endpoint
 from hornbeampulley.errors import HornbeamError
+from hornbeampulley.http1._buffers import Buffer
 from hornbeampulley.http1._messages import Request, ResponseHead, encode_request
 from hornbeampulley.http1._responses import (
     MessageBoundary,
@@ -165,13 +166,17 @@
             'a response began within another; look at the log of the target',
         )
 
-    async def read_full_body(self, max_bytes: int) -> bytes:
+    async def read_full_body(
+        self, max_bytes: int, buffer: Buffer | None = None
+    ) -> bytes:
         """Read the rest of the response body.
 
         Parameters
         ----------
         max_bytes : int
             Maximum length of the body.
+        buffer : Buffer, optional
+            Counts the bytes that are held.
 
         Returns
         -------
@@ -181,11 +186,14 @@
         Raises
         ------
         ResponseBrokenError
-            If the body is incomplete or longer than `max_bytes`.
+            If the body is incomplete or longer than `max_bytes`, or if the
+            buffer may not grow.
         """
         body = bytearray()
         while part := await self.read_body():
             body += part
+            if buffer is not None:
+                buffer.resize(len(body))
             if len(body) > max_bytes:
                 raise ResponseBrokenError(
                     f'a response is longer than {max_bytes} bytes; '
--- a/hornbeampulley/node/_calls.py
+++ b/hornbeampulley/node/_calls.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from hornbeampulley.errors import HornbeamError
-from hornbeampulley.http1 import Header, Reply, Request
+from hornbeampulley.http1 import Buffer, Header, Reply, Request
 from hornbeampulley.node._events import EventSplitter
 from hornbeampulley.node.dialect import RequestMetadata
 from hornbeampulley.routing import (
@@ -83,6 +83,8 @@
         Whether a target may have begun to execute it.
     events : EventSplitter
         Events of the stream that were forwarded to the caller.
+    buffer : Buffer
+        Counts the bytes of its answer that are held.
     first_ms : float
         Time in ms from arrival to the first part of the answer; 0 before.
     status : int
@@ -108,6 +110,7 @@
     software: str = ''
     may_have_run: bool = False
     events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
+    buffer: Buffer = dataclasses.field(default_factory=Buffer)
     first_ms: float = 0
     status: int = 0
     outcome: str = ''
--- a/hornbeampulley/node/_exchanges.py
+++ b/hornbeampulley/node/_exchanges.py
@@ -212,7 +212,9 @@
         if self._call.is_stream and head.status < FIRST_FAILURE:
             self._check_continuation(head)
             return await self._forward_stream(connection, head.status, headers)
-        body = await connection.read_full_body(MAX_ANSWER_BYTES)
+        body = await connection.read_full_body(
+            MAX_ANSWER_BYTES, self._call.buffer
+        )
         attempt = self.make_attempt(Outcome.DONE, 'answered')
         if metadata.is_rejection:
             # A rejection guarantees that the request was not executed.
@@ -253,7 +255,7 @@
                 other=self.metadata.request_id,
                 status=head.status,
             )
-            await connection.read_full_body(MAX_ANSWER_BYTES)
+            await connection.read_full_body(MAX_ANSWER_BYTES, self._call.buffer)
         raise ResponseBrokenError(
             'a target sent only answers to other requests; '
             'look at the log of the target',
@@ -278,6 +280,7 @@
         while part := await self._read_part(connection):
             before = call.events.count
             whole = call.events.feed(part)
+            call.buffer.resize(len(call.events.incomplete))
             if whole:
                 await self._forward_events(status, headers, whole)
                 self._events += call.events.count - before
--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -12,6 +12,7 @@
 from hornbeampulley.decisions import Action, TargetSignals
 from hornbeampulley.endpoints import Endpoint
 from hornbeampulley.http1 import (
+    BufferBudget,
     ConnectionPool,
     MessageLimits,
     Reply,
@@ -88,6 +89,7 @@
         self.settings = settings
         self.clock = Clock(trio.current_time)
         self.counters = Counters()
+        self.buffers = BufferBudget(settings.resources.buffer_bytes)
         self._identity = identity
         self._nursery = nursery
         self._generator = random.Random(identity.incarnation)
@@ -342,8 +344,17 @@
 
     async def _answer(self, request: Request, reply: Reply) -> None:
         metadata = self.home.dialect.read_call(request)
-        call = Call(request, metadata, reply, self.clock.now())
-        await answer_call(self.home, call)
+        call = Call(
+            request,
+            metadata,
+            reply,
+            self.clock.now(),
+            buffer=self.buffers.open(),
+        )
+        try:
+            await answer_call(self.home, call)
+        finally:
+            call.buffer.close()
 
     def _tick(self) -> None:
         self.store_view.apply_overdue_removals()
--- a/hornbeampulley/node/_settings.py
+++ b/hornbeampulley/node/_settings.py
@@ -11,6 +11,9 @@
 MAX_TIME_MS: Final = 3_600_000
 MAX_COUNT: Final = 1_000_000_000
 MAX_PORT: Final = 65_535
+# A held byte takes several while an answer grows and is copied.
+BUFFER_SHARE: Final = 0.12
+BYTES_PER_MB: Final = 1_000_000
 
 
 def _checked_field(rule: ValueRule, default: Any = dataclasses.MISSING) -> Any:
@@ -137,16 +140,24 @@
         Share of one core that the node may use.
     processor_speed : float
         Speed of that core, in multiples of the slowest kind of host.
+    memory_mb : float
+        Memory that the node may use, in MB.
     """
 
     processor_share: float = _number_field(1)
     processor_speed: float = _number_field(1)
+    memory_mb: float = _number_field(300)
 
     @property
     def processor_capacity(self) -> float:
         """Processor time per second, in cores of the slowest kind of host."""
         return self.processor_share * self.processor_speed
 
+    @property
+    def buffer_bytes(self) -> int:
+        """Bytes of answers that may be held until they are complete."""
+        return round(self.memory_mb * BUFFER_SHARE * BYTES_PER_MB)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodeSettings:
--- a/tests/test_node_endless.py
+++ b/tests/test_node_endless.py
@@ -2,7 +2,10 @@
 
 import pytest
 import trio
+import trio.lowlevel
 
+from hornbeampulley.http1 import BufferBudget
+from hornbeampulley.http1._buffers import SMALL_BYTES
 from standins.backend import SEAL
 from tests.nodes import BACKEND_PORT, run_nodes
 
@@ -86,3 +89,45 @@
         assert (await fleet.call('/none/a'))[0] == 404
 
     run_nodes(scenario)
+
+
+AT_ONCE = 30
+BUDGET_BYTES = 4 << 20
+
+
+# LOST: a host kept the endless answers to many requests, each within the limit of one,
+# ran out of memory, and the requests of all its callers ended with it.
+@pytest.mark.parametrize(
+    ('path', 'service'), [('/once/a', 'ledger'), ('/stream/a', 'engines')]
+)
+def test_many_answers_without_end_are_held_within_the_budget(path, service):
+    async def scenario(fleet):
+        node = fleet.nodes[0]
+        node.buffers = BufferBudget(BUDGET_BYTES)
+        put_targets(fleet, service, BODY, CHUNK)
+        await trio.sleep(0.3)
+        peaks, statuses, others = [0], [], []
+
+        async def ask(number):
+            answer = await fleet.call(path, 0, b'p', b'r%d' % number)
+            statuses.append(answer[0])
+
+        async def watch():
+            while True:
+                peaks.append(node.buffers.held_bytes)
+                await trio.lowlevel.checkpoint()
+
+        async with trio.open_nursery() as watchers:
+            watchers.start_soon(watch)
+            async with trio.open_nursery() as callers:
+                for number in range(AT_ONCE):
+                    callers.start_soon(ask, number)
+                others.append((await fleet.call('/none/a'))[0])
+            watchers.cancel_scope.cancel()
+        assert set(statuses) <= {0, 502, 503, 504}
+        assert len(statuses) == AT_ONCE
+        assert others == [404]
+        assert SMALL_BYTES < max(peaks) <= BUDGET_BYTES + AT_ONCE * SMALL_BYTES
+        assert node.buffers.held_bytes == 0
+
+    run_nodes(scenario)
