Divide the slack of the retry budget among all hosts that are known

Cause: the node never told the budget how many hosts there are, so that 16 stood.

Now the hosts that are known count, with those lost lately, at least 16 as before; where they are more, the part leaves out the retry by which a host may exceed it.

Evidence: test_all_hosts_together_stay_within_the_budget over 1 to 410 hosts; the number of hosts could not be given before.

Open: a host that has just started knows few hosts for a moment.

--- a/hornbeampulley/node/_host_share.py
+++ b/hornbeampulley/node/_host_share.py
@@ -41,9 +41,14 @@
         self._refreshed_ms: float | None = None
         self._reached = 1
 
-    @property
-    def known(self) -> int:
-        """Number of hosts, with those that were lost lately and this one."""
+    def count_known(self) -> int:
+        """Count all hosts, with those that were lost lately and this one.
+
+        Returns
+        -------
+        int
+            Their number.
+        """
         self._refresh()
         return len(self._seen_ms)
 
--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -188,8 +188,8 @@
         self._message_handler = PeerMessageHandler(
             self.scheduling, self.store_view, self.clock
         )
-        host_share = HostShare(self.membership, self.clock)
-        self._message_handler.host_share = host_share
+        self._host_share = HostShare(self.membership, self.clock)
+        self._message_handler.host_share = self._host_share
         self.mesh.handler = self._message_handler
         owners = OwnerFinder(self.membership, self.mesh, self.clock)
         self.lease_client = LeaseClient(
@@ -203,7 +203,7 @@
             owners,
             self.mesh,
             self.scheduling,
-            host_share,
+            self._host_share,
             self.clock,
         )
         self._message_handler.lease_client = self.lease_client
@@ -266,6 +266,7 @@
                 bounds.retry_window_ms,
                 bounds.retry_slack,
             ),
+            self._host_share.count_known,
         )
         return Home(
             self.store_view,
--- a/hornbeampulley/node/_usage_cap_client.py
+++ b/hornbeampulley/node/_usage_cap_client.py
@@ -175,7 +175,7 @@
         self, workspace: str, cap: UsageCap, units: float
     ) -> float:
         now_ms = self._clock.now()
-        part = take_part(cap, 1 / max(self._host_share.known, 1))
+        part = take_part(cap, 1 / max(self._host_share.count_known(), 1))
         if workspace not in self._local_buckets:
             start = CapSettings(start_share=LOCAL_START_SHARE)
             self._local_buckets[workspace] = TokenBucket(part, now_ms, start)
--- a/hornbeampulley/routing/_retries.py
+++ b/hornbeampulley/routing/_retries.py
@@ -2,12 +2,13 @@
 
 Each host allows retries in proportion to its own requests, which adds up to
 the same ratio over any number of hosts, plus a constant that is divided by
-the largest number of hosts. The hosts therefore need no messages to stay
+the number of hosts. The hosts therefore need no messages to stay
 within the common budget.
 """
 
 import dataclasses
 from collections import defaultdict, deque
+from collections.abc import Callable
 from typing import Final
 
 RATIO_MARGIN: Final = 0.8
@@ -26,7 +27,7 @@
     slack : float
         Retries allowed per window in addition to the ratio.
     hosts : int
-        Largest number of hosts, among which the slack is divided.
+        Number of hosts among which the slack is divided at least.
     """
 
     ratio: float = 0.2
@@ -42,10 +43,17 @@
     ----------
     settings : RetrySettings
         Budget of all hosts together.
+    count_hosts : callable, optional
+        Returns the number of hosts that are known.
     """
 
-    def __init__(self, settings: RetrySettings) -> None:
+    def __init__(
+        self,
+        settings: RetrySettings,
+        count_hosts: Callable[[], int] | None = None,
+    ) -> None:
         self._settings = settings
+        self._count_hosts = count_hosts or _count_none
         self._requests: dict[str, deque[float]] = defaultdict(deque)
         self._retries: dict[str, deque[float]] = defaultdict(deque)
 
@@ -79,14 +87,28 @@
         """
         requests = self._trim(self._requests[pool], now_ms)
         retries = self._trim(self._retries[pool], now_ms)
-        settings = self._settings
-        allowed = RATIO_MARGIN * settings.ratio * requests
-        if retries >= allowed + settings.slack / settings.hosts:
+        allowed = RATIO_MARGIN * self._settings.ratio * requests
+        if retries >= allowed + self._get_slack():
             return False
         self._retries[pool].append(now_ms)
         return True
 
+    def _get_slack(self) -> float:
+        """Return this host's part of the slack.
+
+        A host spends whole retries, so up to one more than its part; where hosts
+        are many that is left out of the part.
+        """
+        hosts = max(self._count_hosts(), self._settings.hosts)
+        slack = self._settings.slack / hosts
+        return slack if hosts == self._settings.hosts else slack - 1
+
     def _trim(self, moments: deque[float], now_ms: float) -> int:
         while moments and moments[0] < now_ms - self._settings.window_ms:
             moments.popleft()
         return len(moments)
+
+
+def _count_none() -> int:
+    """Default of `HostRetryBudget`, which knows of no hosts."""
+    return 0
--- a/tests/test_node_host_share.py
+++ b/tests/test_node_host_share.py
@@ -96,7 +96,7 @@
 
 def test_a_lost_host_counts_as_it_may_be_cut_off():
     clock, membership, share = make(0, 8)
-    assert share.known == 8
+    assert share.count_known() == 8
     membership.lose([6, 7])
     clock.advance(REFRESH_MS)
     assert share.compute(KEY) == 6 / 8
@@ -119,7 +119,7 @@
     for side in set(sides):
         members = [one for one, other in enumerate(sides) if other == side]
         clock, membership, share = make(members[0], len(sides))
-        assert share.known == len(sides)
+        assert share.count_known() == len(sides)
         membership.lose(set(range(len(sides))) - set(members))
         clock.advance(REFRESH_MS)
         total += share.compute(KEY)
--- a/tests/test_routing_retries.py
+++ b/tests/test_routing_retries.py
@@ -1,5 +1,6 @@
 """Tests of the retry budget."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -29,6 +30,30 @@
     assert budget.spend('p', 10_001)
 
 
+# BUDGET: 76 hosts divided the slack among 16, so that they spent it nearly five times.
+@pytest.mark.parametrize('count', [1, 8, 16, 17, 76, 410])
+def test_all_hosts_together_stay_within_the_budget(count):
+    budgets = [HostRetryBudget(SETTINGS, lambda: count) for _ in range(count)]
+    requests = 40
+    for budget in budgets:
+        for _ in range(requests):
+            budget.count_request('p', 0)
+    spent = sum(
+        budget.spend('p', 1) for budget in budgets for _ in range(requests)
+    )
+    assert spent <= SETTINGS.ratio * requests * count + SETTINGS.slack
+    assert spent >= SETTINGS.ratio * requests * count / 2
+
+
+# The hosts of one side of a partition remember those of the other.
+def test_the_slack_is_not_divided_anew_when_few_hosts_are_left():
+    known = [76]
+    budget = HostRetryBudget(SETTINGS, lambda: known[0])
+    assert not budget.spend('p', 0)
+    known[0] = 8
+    assert [budget.spend('p', 0) for _ in range(5)].count(True) == 4
+
+
 STEPS = st.lists(
     st.tuples(st.integers(0, 15), st.booleans(), st.integers(0, 900)),
     max_size=300,
