Read numbers in headers of any length, and keep a limit that a later one garbles

Cause: a number with more than nine decimals or an exponent counted as absent, which for a limit means that there is none any more.

Now every decimal that a printer makes of a float is read; what can't be read leaves a log line, and the last limit holds.

Evidence: test_each_printed_number_is_read_as_it_was (property test, with 17 digits and exponents) and test_a_limit_that_can_not_be_read_leaves_the_last_one are new.

--- a/hornbeampulley/node/_target_signals.py
+++ b/hornbeampulley/node/_target_signals.py
@@ -219,6 +219,8 @@
         """Tell whether an answer names a limit, or the end of one."""
         if metadata.rate_limit is not None:
             return True
+        if metadata.is_limit_unreadable:
+            return False
         known = self._kept.get(record.name)
         if known is None or known.rate_limit is None:
             return False
--- a/hornbeampulley/node/dialect.py
+++ b/hornbeampulley/node/dialect.py
@@ -90,6 +90,8 @@
     rate_limit : float or None
         Requests per second that the target takes from all hosts together;
         None if it names no limit.
+    is_limit_unreadable : bool
+        Whether it names a limit that can't be read, so that the last one holds.
     """
 
     request_id: bytes | None
@@ -101,6 +103,7 @@
     is_leaving: bool = False
     back_off_ms: float = 0
     rate_limit: float | None = None
+    is_limit_unreadable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeampulley/platform/_headers.py
+++ b/hornbeampulley/platform/_headers.py
@@ -1,6 +1,7 @@
 """Reads and writes the headers of the platform's callers and servers."""
 
 import logging
+import math
 import re
 from collections.abc import Iterator
 from typing import Final
@@ -64,8 +65,9 @@
         b'kv-fetch',
     ),
 )
-_NUMBER: Final = re.compile(rb'\d{1,15}(?:\.\d{1,9})?')
-_PART: Final = re.compile(rb'([0-9A-Fa-f]+):(\d{1,15})')
+# A decimal as printers of common languages write it.
+_NUMBER: Final = re.compile(rb'\d{1,400}(?:\.\d{0,400})?(?:[eE][+-]?\d{1,4})?')
+_PART: Final = re.compile(rb'([0-9A-Fa-f]+):(\d{1,4000})')
 # Characters of a header that can't be read, for the log.
 _MAX_LOGGED: Final = 80
 # Larger numbers of tokens count as this one; two of them fit in 32 bits.
@@ -98,12 +100,12 @@
             request_id=find_header(headers, REQUEST_ID) or b'',
             host=(find_header(headers, b'host') or b'').decode('latin-1'),
             key=find_header(headers, KEY),
-            time_limit_ms=_read_number(find_header(headers, TIME_LIMIT)),
+            time_limit_ms=_read_header_number(headers, TIME_LIMIT),
             tokens=sum(tokens) if tokens else None,
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
             hinted_tokens=_limit_tokens(
-                _read_number(find_header(headers, OUTPUT_HINT)) or 0,
+                _read_header_number(headers, OUTPUT_HINT) or 0,
             ),
             parts=tuple(_read_parts(headers)),
             resumes_after=find_header(headers, LAST_EVENT),
@@ -174,6 +176,7 @@
             Data from the headers.
         """
         headers = head.headers
+        rate_limit = _read_header_number(headers, LIMIT)
         load = _read_load(find_header(headers, LOAD))
         content_type = find_header(headers, b'content-type') or b''
         is_other_target = head.status == OTHER_TARGET
@@ -187,7 +190,10 @@
             queued=load[1] if load else None,
             is_leaving=find_header(headers, LEAVING) == IS_LEAVING,
             back_off_ms=_read_back_off(head),
-            rate_limit=_read_number(find_header(headers, LIMIT)),
+            rate_limit=rate_limit,
+            is_limit_unreadable=(
+                rate_limit is None and find_header(headers, LIMIT) is not None
+            ),
         )
 
     def list_error_headers(
@@ -210,16 +216,34 @@
         )
 
 
+def _read_header_number(
+    headers: tuple[Header, ...], name: bytes
+) -> float | None:
+    """Read a number of zero or more; None if it is absent or malformed."""
+    text = find_header(headers, name)
+    number = _read_number(text)
+    if text is not None and number is None:
+        log_event(
+            _log,
+            'header_unreadable',
+            header=name,
+            text=text[:_MAX_LOGGED],
+            request=find_header(headers, REQUEST_ID),
+        )
+    return number
+
+
 def _read_number(text: bytes | None) -> float | None:
     if text is None or not _NUMBER.fullmatch(text.strip()):
         return None
-    return float(text)
+    number = float(text)
+    return number if math.isfinite(number) else None
 
 
 def _read_back_off(head: ResponseHead) -> float:
     if head.status != UNAVAILABLE:
         return 0
-    wait_s = _read_number(find_header(head.headers, RETRY_AFTER)) or 0
+    wait_s = _read_header_number(head.headers, RETRY_AFTER) or 0
     return wait_s * MS_PER_SECOND
 
 
--- a/tests/test_node_target_signals.py
+++ b/tests/test_node_target_signals.py
@@ -181,6 +181,18 @@
     assert name_limit(store, None, sent_ms=90) is None
 
 
+# LIMIT: a limit that could not be read lifted the one before.
+def test_a_limit_that_can_not_be_read_leaves_the_last_one():
+    clock = ManualClock()
+    store = SignalStore(clock)
+    assert store.learn(make_record(), make_metadata(rate_limit=3), 0)
+    clock.advance(100)
+    unreadable = make_metadata(is_limit_unreadable=True)
+    assert store.learn(make_record(), unreadable, 50) is None
+    (known,) = store.list_all()
+    assert known.rate_limit == 3
+
+
 def test_the_limit_named_last_holds():
     clock = ManualClock(10_000)
     store = SignalStore(clock)
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -1,6 +1,8 @@
 """Tests of reading and writing the headers of the platform."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from hornbeampulley.endpoints import Endpoint
 from hornbeampulley.http1 import Request, ResponseHead, find_header
@@ -105,3 +107,24 @@
     metadata = DIALECT.read_answer(failed)
     assert not metadata.is_rejection
     assert (metadata.running, metadata.queued) == (3, 1)
+
+
+# LIMIT: a number with more than nine decimals counted as no limit.
+@given(st.floats(0, 1e300))
+def test_each_printed_number_is_read_as_it_was(number):
+    texts = (repr(number), f'{number:.17e}', f'{number:.17E}', f' {number!r} ')
+    for text in texts:
+        headers = ((b'server-limit', text.encode()),)
+        answer = DIALECT.read_answer(ResponseHead(200, headers))
+        assert answer.rate_limit == number
+        assert not answer.is_limit_unreadable
+
+
+@pytest.mark.parametrize('text', [b'-1', b'nan', b'1e999', b'', b'3,5', b'1_0'])
+def test_a_number_that_can_not_be_read_is_logged(caplog, text):
+    head = ResponseHead(200, ((b'server-limit', text),))
+    with caplog.at_level('INFO'):
+        answer = DIALECT.read_answer(head)
+    assert answer.rate_limit is None
+    assert answer.is_limit_unreadable
+    assert 'header_unreadable' in caplog.text
