Keep to a back-off of a target of more than a minute

Cause: what a target asked for beyond 60 s was cut to 60 s. Its word binds for the whole time. A run of the target still ends it.

Evidence: test_a_long_back_off_is_kept_whole; with the old constant it fails at 599 s.

--- a/hornbeampulley/node/_target_signals.py
+++ b/hornbeampulley/node/_target_signals.py
@@ -18,8 +18,8 @@
 
 # Beyond this many targets, what was learned first is dropped.
 MAX_TARGETS: Final = 20_000
-# A longer time is taken for a mistake, since no host could try the target.
-MAX_BACK_OFF_MS: Final = 60_000.0
+# A message between hosts holds no longer one.
+MAX_BACK_OFF_MS: Final = 86_400_000.0
 # Difference between the ends of one back-off as told by several hosts.
 SAME_END_MS: Final = 100.0
 OWN: Final = 'own'
--- a/tests/test_node_target_signals.py
+++ b/tests/test_node_target_signals.py
@@ -264,3 +264,14 @@
     message = ttypes.TargetSignals('t', 0, False, 0, float('inf'), 0)
     with pytest.raises(WireError):
         read_target_signals(message)
+
+
+# BUDGET: a back-off of more than a minute was cut to a minute.
+def test_a_long_back_off_is_kept_whole():
+    clock = ManualClock()
+    store = SignalStore(clock)
+    store.learn(make_record(), make_metadata(back_off_ms=600_000), 0)
+    clock.advance(599_000)
+    assert store.find_reason_to_avoid(make_record()) == BACKING_OFF
+    clock.advance(1001)
+    assert not store.find_reason_to_avoid(make_record())
