Apply changed limits to the next request of kept connections

Cause: a connection took the limits when it was accepted.

Now each request is measured by the limits in force at its beginning; idle connections follow the current timeout.

Evidence: test_a_kept_connection_follows_changed_limits fails before and passes now.

--- a/hornbeampulley/http1/_requests.py
+++ b/hornbeampulley/http1/_requests.py
@@ -59,6 +59,8 @@
 
     Attributes
     ----------
+    limits : MessageLimits
+        Size limits, which may be changed between two requests.
     requests : deque of Request
         Complete requests that were not handled yet, in order.
     is_in_head : bool
@@ -75,7 +77,7 @@
         self.is_in_head = False
         self.is_in_body = False
         self.awaits_continue = False
-        self._limits = limits
+        self.limits = limits
         self._parser = httptools.HttpRequestParser(self)
         self._head_bytes = 0
         self._body_bytes = 0
@@ -112,7 +114,7 @@
                 400,
                 f'not a request of HTTP/1.1: {error}; correct the message',
             ) from error
-        if self.is_in_head and self._head_bytes > self._limits.max_header_bytes:
+        if self.is_in_head and self._head_bytes > self.limits.max_header_bytes:
             raise self._make_head_error()
 
     def on_message_begin(self) -> None:
@@ -141,10 +143,10 @@
         size = len(self._url) + sum(
             len(name) + len(text) + 4 for name, text in self._headers
         )
-        if size > self._limits.max_header_bytes:
+        if size > self.limits.max_header_bytes:
             raise self._make_head_error()
         declared = find_header(self._headers, b'content-length') or b'0'
-        if int(declared) > self._limits.max_body_bytes:
+        if int(declared) > self.limits.max_body_bytes:
             raise self._make_body_error()
         expected = find_header(self._headers, b'expect') or b''
         self.awaits_continue = expected.lower() == b'100-continue'
@@ -152,7 +154,7 @@
     def on_body(self, body: bytes) -> None:
         """Append to the body and check its length."""
         self._body_bytes += len(body)
-        if self._body_bytes > self._limits.max_body_bytes:
+        if self._body_bytes > self.limits.max_body_bytes:
             raise self._make_body_error()
         self._body.append(body)
 
@@ -178,14 +180,14 @@
         )
 
     def _make_head_error(self) -> BadRequestError:
-        limit = self._limits.max_header_bytes
+        limit = self.limits.max_header_bytes
         return BadRequestError(
             431,
             f'the head is longer than {limit} bytes; send fewer headers',
         )
 
     def _make_body_error(self) -> BadRequestError:
-        limit = self._limits.max_body_bytes
+        limit = self.limits.max_body_bytes
         return BadRequestError(
             413,
             f'the body is longer than {limit} bytes; send a shorter one',
--- a/hornbeampulley/http1/_server.py
+++ b/hornbeampulley/http1/_server.py
@@ -80,8 +80,7 @@
     ) -> None:
         self._stream = stream
         self._options = options
-        self._limits = options.read_limits()
-        self._parser = RequestParser(self._limits)
+        self._parser = RequestParser(options.read_limits())
         self._state_changed = trio.Event()
         self._request_dequeued = trio.Event()
         self._last_activity_s = trio.current_time()
@@ -158,6 +157,8 @@
         if not received:
             self._handle_disconnect()
             return
+        if not (self._parser.is_in_head or self._parser.is_in_body):
+            self._parser.limits = self._options.read_limits()
         self._parser.feed(received)
         self._record_activity()
         if self._parser.awaits_continue and self._request_scope is None:
@@ -213,9 +214,9 @@
         """Return the time, in s, until which to wait for a request."""
         if self._head_started_s is not None:
             return self._head_started_s + to_seconds(
-                self._limits.header_timeout_ms
+                self._parser.limits.header_timeout_ms
             )
-        idle_ms = self._limits.idle_timeout_ms + IDLE_MARGIN_MS
+        idle_ms = self._options.read_limits().idle_timeout_ms + IDLE_MARGIN_MS
         return self._last_activity_s + to_seconds(idle_ms)
 
     def _record_activity(self) -> None:
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -147,3 +147,40 @@
         assert (await client.read_until(b'abc')).endswith(b'/abc')
 
     run(echo, scenario)
+
+
+# DENIED: a connection went on with the limits that were in force when it was accepted,
+# so that proper requests got 413 after a larger limit had come into force.
+def test_a_kept_connection_follows_changed_limits():
+    limits = [MessageLimits(max_body_bytes=5)]
+    post = b'POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s'
+
+    async def scenario(client):
+        client.options.read_limits = lambda: limits[-1]
+        await client.stream.send_all(post % (1, 5, b'a' * 5))
+        assert b' 200 ' in await client.read_until(b'/1aaaaa')
+        limits.append(MessageLimits(max_body_bytes=20))
+        await client.stream.send_all(post % (2, 20, b'b' * 20))
+        assert b' 200 ' in await client.read_until(b'/2' + b'b' * 20)
+        limits.append(MessageLimits(max_body_bytes=5))
+        await client.stream.send_all(post % (3, 20, b'c' * 20))
+        assert b' 413 ' in await client.read_until(b'never')
+
+    run(echo, scenario, limits[0])
+
+
+# A request that has begun is measured by the limits of its beginning.
+def test_limits_do_not_change_within_a_request():
+    limits = [MessageLimits()]
+
+    async def scenario(client):
+        client.options.read_limits = lambda: limits[-1]
+        await client.stream.send_all(
+            b'POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nabc'
+        )
+        await trio.sleep(0.1)
+        limits.append(MessageLimits(max_body_bytes=1, max_header_bytes=1))
+        await client.stream.send_all(b'def')
+        assert b' 200 ' in await client.read_until(b'/1abcdef')
+
+    run(echo, scenario)
