--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -218,8 +218,9 @@
             self.clock,
             self._nursery,
         )
-        self.version_check.on_checked = self.scheduling.finish_version_check
-        self.scheduling.unknown_streams.request_check = self._check_versions
+        streams = self.scheduling.streams
+        self.version_check.on_checked = streams.finish_check
+        streams.request_check = self.version_check.request
         self.follower = StoreFollower(
             store,
             self.store_view,
@@ -323,9 +324,6 @@
         self.lease_client.report_signals(signals)
         self._message_handler.send_to_homes(write_target_signals(signals))
 
-    def _check_versions(self) -> None:
-        self.version_check.request(self.scheduling.longest_stream_ms)
-
     def _serve(self, endpoint: Endpoint, options: ServerOptions) -> None:
         self._nursery.start_soon(
             functools.partial(
--- a/hornbeampulley/node/_reservations.py
+++ b/hornbeampulley/node/_reservations.py
@@ -5,7 +5,7 @@
 import trio
 
 from hornbeampulley import decisions
-from hornbeampulley.node._scheduling import find_pool
+from hornbeampulley.routing import find_pool
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/hornbeampulley/node/_scheduling.py
+++ b/hornbeampulley/node/_scheduling.py
@@ -1,6 +1,5 @@
 """Scheduler of a node: decision cores of pools, and usage caps."""
 
-import dataclasses
 import logging
 from collections.abc import Callable
 from typing import Final
@@ -12,17 +11,14 @@
 from hornbeampulley.node._cap_buckets import CapBuckets
 from hornbeampulley.node._quarantines import PoolQuarantine, QuarantineStore
 from hornbeampulley.node._software_history import SoftwareHistory
+from hornbeampulley.node._stream_binder import StreamBinder
 from hornbeampulley.node._stream_binding import (
-    Evidence,
-    bind_stream,
     find_longest_stream,
     make_unknown_refusal,
-    weigh_history,
 )
 from hornbeampulley.node._stream_origins import StreamOrigins
 from hornbeampulley.node._target_signals import SignalStore
-from hornbeampulley.node._unknown_streams import UnknownStreams
-from hornbeampulley.routing import CapSettings, RoutingTable
+from hornbeampulley.routing import CapSettings, RoutingTable, find_pool
 
 TAKEOVER_MS: Final = 300.0
 IDLE_POOL_MS: Final = 20_000.0
@@ -72,8 +68,8 @@
         Usage caps of workspaces.
     origins : StreamOrigins
         Software versions that began streams.
-    unknown_streams : UnknownStreams
-        Requests that take up streams whose origin nobody has told.
+    streams : StreamBinder
+        Binds requests that take up streams to software versions.
     """
 
     def __init__(
@@ -88,8 +84,13 @@
         self.quarantines = QuarantineStore(clock)
         self.signals = SignalStore(clock)
         self.origins = StreamOrigins(clock)
-        self.unknown_streams = UnknownStreams(clock)
-        self._software_history = software_history or SoftwareHistory(clock)
+        self.streams = StreamBinder(
+            clock,
+            self.origins,
+            software_history or SoftwareHistory(clock),
+            self._announce,
+            self._refuse_unknown,
+        )
         self._clock = clock
         self._send = send
         self._pools: dict[str, _Pool] = {}
@@ -103,11 +104,6 @@
         """Version of the routing table in force; 0 if there is none."""
         return self._table.version if self._table else 0
 
-    @property
-    def longest_stream_ms(self) -> float:
-        """Longest time in ms for which a stream may last."""
-        return find_longest_stream(self._table)
-
     @property
     def cores(self) -> dict[str, decisions.Core]:
         """Decision cores by name of the pool."""
@@ -134,6 +130,7 @@
         self._configuration = configuration
         self._leaving = leaving
         self.caps.configure(table)
+        self.streams.longest_ms = find_longest_stream(table)
         for pool in tuple(self._pools.values()):
             self._configure_pool(pool)
 
@@ -146,10 +143,10 @@
             Reserve, Withdraw, Progress or Release.
         """
         if isinstance(event, decisions.Reserve):
-            self._handle_reserve(event)
+            self.streams.bind(event)
             return
         request_id = event.request_id
-        self.unknown_streams.withdraw(request_id)
+        self.streams.withdraw(request_id)
         name = self._pool_of_request.get(request_id)
         if name is None:
             return
@@ -157,65 +154,14 @@
             self._pool_of_request.pop(request_id)
         self._handle(self._get_or_open_pool(name), event)
 
-    def finish_version_check(self, sent_ms: float) -> None:
-        """Decide on the streams that have waited for a check of versions.
-
-        Parameters
-        ----------
-        sent_ms : float
-            Time when the store was asked, in ms.
-        """
-        for reserve in tuple(self.unknown_streams.pop_checked(sent_ms)):
-            self._decide_unknown(reserve)
-
-    def _handle_reserve(self, reserve: decisions.Reserve) -> None:
-        """Announce a request to the core, once the version it needs is known."""
-        bound = bind_stream(reserve, self.origins)
-        if bound is not None:
-            self._announce(bound)
-        elif self._weigh_history(reserve) is Evidence.SEVERAL_VERSIONS:
-            self._refuse_unknown(reserve, Evidence.SEVERAL_VERSIONS)
-        else:
-            self.unknown_streams.hold(reserve)
-
-    def _decide_unknown(self, reserve: decisions.Reserve) -> None:
-        bound = bind_stream(reserve, self.origins)
-        evidence = self._weigh_history(reserve)
-        if bound is None and evidence is Evidence.ONE_VERSION:
-            pool = find_pool(reserve.service)
-            software = self._software_history.find_only(
-                pool, self.longest_stream_ms
-            )
-            bound = dataclasses.replace(reserve, software=software or '')
-        if bound is None:
-            self._refuse_unknown(reserve, evidence)
-        else:
-            self._announce(bound)
-
     def _announce(self, reserve: decisions.Reserve) -> None:
         name = find_pool(reserve.service)
         self._pool_of_request[reserve.request_id] = name
         self._handle(self._get_or_open_pool(name), reserve)
 
-    def _weigh_history(self, reserve: decisions.Reserve) -> Evidence:
-        return weigh_history(
-            self._software_history,
-            find_pool(reserve.service),
-            self.longest_stream_ms,
-        )
-
-    def _refuse_unknown(
-        self, reserve: decisions.Reserve, evidence: Evidence
-    ) -> None:
+    def _refuse_unknown(self, reserve: decisions.Reserve) -> None:
         pool = self._get_or_open_pool(find_pool(reserve.service))
         owned_ms = self._clock.now() - pool.opened_ms
-        log_event(
-            _log,
-            'stream_refused',
-            request=reserve.request_id,
-            pool=pool.name,
-            evidence=evidence.value,
-        )
         self._send(reserve.home, make_unknown_refusal(reserve, owned_ms))
 
     def handle_report(self, pool: str, event: decisions.Event) -> None:
@@ -297,7 +243,7 @@
         home : str
             Incarnation of the home.
         """
-        self.unknown_streams.remove_home(home)
+        self.streams.remove_home(home)
         prefix = f'{home}.'
         for request_id in tuple(self._pool_of_request):
             if request_id.startswith(prefix):
@@ -308,8 +254,7 @@
     def tick(self) -> None:
         """Process timers of all pools, and close pools that are not used."""
         now_ms = self._clock.now()
-        for reserve in tuple(self.unknown_streams.pop_expired()):
-            self._refuse_unknown(reserve, Evidence.MISSING_HISTORY)
+        self.streams.refuse_expired()
         for name, pool in tuple(self._pools.items()):
             if not pool.is_takeover_ended:
                 self._end_takeover(pool, now_ms)
@@ -387,21 +332,5 @@
         self._send(action.home, action)
 
 
-def find_pool(service: str) -> str:
-    """Return the pool of a service.
-
-    Parameters
-    ----------
-    service : str
-        Service name made by `routing.get_service_name`.
-
-    Returns
-    -------
-    str
-        Name of the pool.
-    """
-    return service.rpartition('@')[2]
-
-
 def _is_final_event(event: decisions.Event) -> bool:
     return isinstance(event, decisions.Release | decisions.Withdraw)
--- a/hornbeampulley/node/_unknown_streams.py
+++ b/hornbeampulley/node/_unknown_streams.py
@@ -9,7 +9,7 @@
 
 import dataclasses
 import logging
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Final
 
 from hornbeampulley.clock import Clock
@@ -34,20 +34,14 @@
     ----------
     clock : Clock
         Monotonic clock.
-
-    Attributes
-    ----------
-    request_check : callable
-        Called after a request was added, to start a check of the versions.
     """
 
     def __init__(self, clock: Clock) -> None:
-        self.request_check: Callable[[], None] = _do_nothing
         self._clock = clock
         self._held: dict[str, _Held] = {}
 
     def hold(self, reserve: Reserve) -> None:
-        """Hold a request, and have the versions of its targets checked.
+        """Hold a request.
 
         Parameters
         ----------
@@ -56,7 +50,6 @@
         """
         self._held[reserve.request_id] = _Held(reserve, self._clock.now())
         log_event(_log, 'stream_unknown', request=reserve.request_id)
-        self.request_check()
 
     def withdraw(self, request_id: str) -> None:
         """Drop a request whose home does not wait for it any more.
@@ -107,7 +100,3 @@
             Requests that have waited for too long.
         """
         yield from self.pop_checked(self._clock.now() - CHECK_LIMIT_MS)
-
-
-def _do_nothing() -> None:
-    """Default of `UnknownStreams.request_check`."""
--- a/hornbeampulley/routing/__init__.py
+++ b/hornbeampulley/routing/__init__.py
@@ -21,6 +21,7 @@
 )
 from hornbeampulley.routing._translation import (
     BLOCK_TOKENS,
+    find_pool,
     get_service_name,
     get_tier_name,
     make_configuration,
@@ -45,6 +46,7 @@
     'UsageCap',
     'WorkspaceKeys',
     'choose_pool',
+    'find_pool',
     'get_service_name',
     'get_tier_name',
     'make_configuration',
--- a/hornbeampulley/routing/_translation.py
+++ b/hornbeampulley/routing/_translation.py
@@ -38,6 +38,22 @@
     return f'{route}@{pool}'
 
 
+def find_pool(service: str) -> str:
+    """Return the pool of a service.
+
+    Parameters
+    ----------
+    service : str
+        Service name made by `get_service_name`.
+
+    Returns
+    -------
+    str
+        Name of the pool.
+    """
+    return service.rpartition('@')[2]
+
+
 def get_tier_name(rank: int) -> str:
     """Return the name of the tier for a rank.
 
