Count a crash of a target once for each part of the prompts on it

Cause: of several prompts on a target that crashed, the first made the crash one with an earlier one and noted the target, so that the next prompt took the same target for one that had come back. A part of many prompts got a crash more than the deadly one.

Ruled out by the trace: requests never sent (all three broke off), a late home, a second owner, answers begun in between.

Now the crash that a target's end belongs to is chosen once for each part.

Evidence: the trace's prompts, fed to DeadlyParts alone, quarantined the shared part before and the deadly one now; test_several_prompts_on_a_target_make_one_crash fails before.

--- a/hornbeampulley/decisions/_deadly_parts.py
+++ b/hornbeampulley/decisions/_deadly_parts.py
@@ -37,12 +37,15 @@
         Answers that had begun in the pool at its last crash.
     targets : set of str
         Targets that have crashed since then.
+    latest : tuple of (int, int)
+        Number of the last crash of a target, and of the one that it belongs to.
     """
 
     prompts: dict[int, set[int]] = dataclasses.field(default_factory=dict)
     position: int = 0
     answers: int = -1
     targets: set[str] = dataclasses.field(default_factory=set)
+    latest: tuple[int, int] = (0, 0)
 
     def count_prompts(self) -> int:
         """Return the number of different prompts in all crashes."""
@@ -263,16 +266,18 @@
                 continue
             evidence = self._evidence.setdefault(part, _Evidence())
             evidence.position = max(evidence.position, position)
-            crash = self._choose_crash(evidence, target)
+            if evidence.latest[0] != self._crashes:
+                crash = self._choose_crash(evidence, target)
+                evidence.latest = (self._crashes, crash)
+                evidence.targets.add(target)
+            _, crash = evidence.latest
             evidence.prompts.setdefault(crash, set()).add(prompt[-1])
-            evidence.targets.add(target)
 
     def _choose_crash(self, evidence: _Evidence, target: str) -> int:
         """Return the number of the crash that a target's end belongs to."""
-        is_counted = self._crashes in evidence.prompts
         has_begun = evidence.answers != self._answers
         is_back = target in evidence.targets
-        if evidence.prompts and (is_counted or not (has_begun or is_back)):
+        if evidence.prompts and not (has_begun or is_back):
             return max(evidence.prompts)
         evidence.answers = self._answers
         evidence.targets.clear()
--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -131,6 +131,23 @@
     assert not parts.is_refused((SOUND, CALLER, 12), now_ms)
 
 
+# LOST: a part of several prompts on one target that crashed counted twice, and then
+# explained the crashes better than the deadly one.
+def test_several_prompts_on_a_target_make_one_crash():
+    parts = DeadlyParts()
+    parts.record_begun(make_prompt(SOUND, 9), 0)
+    for crashes, target in enumerate('tut', start=1):
+        prompts = [
+            make_prompt(SOUND, 10 * crashes),
+            make_prompt(SOUND, 10 * crashes + 1),
+            make_prompt(DEADLY, 10 * crashes + 2),
+            make_prompt(SOUND, 10 * crashes + 3),
+        ]
+        quarantines = parts.record_crash(target, prompts, crashes)
+    assert [one.part for one in quarantines] == [DEADLY]
+    assert not parts.is_refused(make_prompt(SOUND, 99), crashes)
+
+
 # LOST: a request that was let through crashed a target because of another part, and
 # a sound part was refused for longer.
 def test_a_request_let_through_accuses_what_was_answered_on_least():
