Soak: compare the first version by name, and kill all nodes after a release

It still finds any other version; a test says so. The new fault kills all nodes just after an engine was replaced.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -39,6 +39,8 @@
 # Id of a whole event, and the software version in its text.
 EVENT_ID: Final = re.compile(rb'id: (\d+)\ndata: t\d+(?:@[\w.]+)?\n\n')
 MARK: Final = re.compile(rb'\ndata: t\d+(@[\w.]+)?\n\n')
+# Version of engines that were never released, whose events have no mark.
+FIRST_MARK: Final = b'@v1'
 
 faults: Registry = Registry('fault')
 """Faults by name; each has ended when its function returns."""
@@ -228,6 +230,23 @@
     )
 
 
+@faults.register('herd')
+async def kill_all_after_release(soak, number):
+    """Kill all nodes just after an engine was replaced, if none has a fault."""
+    others = set(range(NODES)) - {number}
+    if soak.busy & others:
+        return
+    soak.busy |= others
+    await release_engine(soak, number)
+    await soak.wait(0.3)
+    for one in range(NODES):
+        soak.nodes.signal(one, signal.SIGKILL)
+    for one in range(NODES):
+        await soak.nodes.running[one].wait()
+        await soak.nodes.start(one)
+    soak.busy -= others
+
+
 async def inject_faults(soak, length_s):
     """Inject faults, several of which may overlap."""
     ends_s = trio.current_time() + length_s
@@ -271,7 +290,7 @@
 
 async def take_up(soak, number, request_id, body):
     """Take a broken stream up at the next nodes; its version must not change."""
-    marks = set(MARK.findall(body))
+    marks = list_marks(body)
     for attempt in range(1, NODES):
         ids = EVENT_ID.findall(body)
         if not ids or not is_chunked(body) or body.endswith(b'\r\n0\r\n\r\n'):
@@ -287,7 +306,7 @@
         if status != HTTP_OK:
             return
         soak.taken_up += 1
-        marks |= set(MARK.findall(body))
+        marks |= list_marks(body)
         if len(marks) > 1:
             soak.violations.append(f'{request_id}: joined from {marks}')
 
@@ -307,7 +326,7 @@
     if not body.endswith(b'\r\n0\r\n\r\n'):
         # Broken off; the caller detects that the stream is incomplete.
         return
-    if len(set(MARK.findall(body))) > 1:
+    if len(list_marks(body)) > 1:
         soak.violations.append(f'{request_id}: two versions in {body!r}')
     ids = [b'id: %d\n' % number for number in range(1, STREAM_EVENTS + 1)]
     if [body.count(one) for one in ids] != [1] * STREAM_EVENTS:
@@ -316,6 +335,11 @@
         )
 
 
+def list_marks(body):
+    """Return the software versions that have written the events of a body."""
+    return {mark or FIRST_MARK for mark in MARK.findall(body)}
+
+
 def is_chunked(body):
     """Return whether bytes are HTTP chunks, the last possibly truncated."""
     while body:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -74,6 +74,25 @@
     )
 
 
+# An engine that was never released has version v1, and writes no mark.
+def test_events_of_two_versions_in_a_stream_are_found():
+    def stream(*marks):
+        parts = [
+            b'id: %d\ndata: t%d%s\n\n' % (number, number, mark)
+            for number, mark in enumerate(marks, start=1)
+        ]
+        return b''.join([*map(chunk, parts), chunk(b'')])
+
+    def is_joined(*marks):
+        found = list_violations('stream', stream(*marks))
+        return any('two versions' in one for one in found)
+
+    assert not is_joined(b'', b'@v1')
+    assert not is_joined(b'@v1.1', b'@v1.1')
+    assert is_joined(b'', b'@v1.1')
+    assert is_joined(b'@v1', b'@v1.1')
+
+
 def chunk(part):
     return b'%x\r\n%s\r\n' % (len(part), part)
 
