Stand-in: keep to the status that an answer has begun with

The backend chose a plain answer for status 500, paused, and read the status anew, which the soak had set back to 200. The node passed on whole what it got.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -167,6 +167,8 @@
         headers: list[tuple[bytes, bytes]],
     ) -> None:
         behaviour = self.behaviour
+        # The behaviour may be changed during the pause.
+        status = behaviour.status
         await trio.sleep(behaviour.pause_ms / 1000)
         if behaviour.has_stray_answer:
             stray = [(b'attempt-id', b'other'), (SEAL, b'other')]
@@ -176,7 +178,7 @@
             await reply.start(200, [*headers, cut])
             return
         body = b'%s %s' % (self.name.encode(), request.body)
-        await reply.send(behaviour.status, headers, body)
+        await reply.send(status, headers, body)
 
     async def _stream(
         self,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,8 +5,10 @@
 import types
 
 import pytest
+import trio
 
 from tests.node_processes import list_booking_violations
+from tests.nodes import run_nodes, wait_until
 from tests.soak import (
     STREAM_EVENTS,
     Soak,
@@ -17,8 +19,9 @@
 
 LENGTH_S = 4
 # In seeds 1 and 2 a node got SIGTERM before it listened, which ended it at
-# once.
-SEEDS = [1, 2, 3]
+# once. In seeds 9131 and 9137 an engine that had begun to fail a stream with status
+# 500 answered it with 200 and a plain text, as it was told meanwhile to serve again.
+SEEDS = [1, 2, 3, 9131, 9137]
 
 
 @pytest.mark.parametrize('seed', SEEDS)
@@ -93,6 +96,27 @@
     assert is_joined(b'@v1', b'@v1.1')
 
 
+def test_a_backend_keeps_to_the_status_it_has_begun_to_answer_with():
+    async def scenario(fleet):
+        ledgers = [fleet.backends[f'ledger-{number}'] for number in (1, 2)]
+        for ledger in ledgers:
+            ledger.behaviour.status = 500
+            ledger.behaviour.pause_ms = 300
+        statuses = []
+
+        async def ask():
+            statuses.append((await fleet.call('/once/a', body=b'p'))[0])
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await wait_until(lambda: any(one.runs for one in ledgers))
+            for ledger in ledgers:
+                ledger.behaviour.status = 200
+        assert statuses == [500]
+
+    run_nodes(scenario)
+
+
 def chunk(part):
     return b'%x\r\n%s\r\n' % (len(part), part)
 
