Wait for the first reading of the store before versions are checked

Its logs were not kept, so that the cause is inferred: the owner of the pool may be a node that has just started and not read the store. It asked for all changes of history 0, took the answer of history 1 for a loss of the first changes, and refused all streams from then on.

A pool of which nothing is known proved a version as well (none), so that a stream could have gone on anywhere; it is missing history now.

Evidence: two tests of test_node_version_check.py fail before and pass now.

--- a/hornbeampulley/node/_stream_binding.py
+++ b/hornbeampulley/node/_stream_binding.py
@@ -72,9 +72,9 @@
     """
     if len(history.list_versions(pool, window_ms)) > 1:
         return Evidence.SEVERAL_VERSIONS
-    if history.covers(window_ms):
-        return Evidence.ONE_VERSION
-    return Evidence.MISSING_HISTORY
+    if history.find_only(pool, window_ms) is None:
+        return Evidence.MISSING_HISTORY
+    return Evidence.ONE_VERSION
 
 
 def make_unknown_refusal(
--- a/hornbeampulley/node/_version_check.py
+++ b/hornbeampulley/node/_version_check.py
@@ -22,6 +22,7 @@
 SOURCE: Final = 'version_check'
 # The store answers such a call at once.
 NO_WAIT_MS: Final = 1
+POLL_MS: Final = 20.0
 _log = logging.getLogger(__name__)
 
 
@@ -105,16 +106,25 @@
         return False
 
     async def _read(self, window_ms: float) -> None:
+        epoch = await self._wait_for_epoch()
         known = self._store_view.position.targets
         history = self._store_view.software_history
         if not (self._is_history_lost or history.covers(window_ms)):
-            whole = await self._read_all(known.epoch)
+            whole = await self._read_all(epoch)
             if whole is not None:
                 self._replay(whole)
                 self._apply(whole, known)
                 return
         self._apply(await self._watch(known), known)
 
+    async def _wait_for_epoch(self) -> int:
+        """Wait until this host knows which history of the store it reads."""
+        epoch = self._store_view.epoch
+        while epoch is None:
+            await trio.sleep(to_seconds(POLL_MS))
+            epoch = self._store_view.epoch
+        return epoch
+
     async def _read_all(self, epoch: int) -> StoredChanges | None:
         """Read all changes that there ever were; None if some are forgotten."""
         try:
