Log which answers end with their connection, and after which event streams go on

Three hypotheses of streams out of order could not be told apart by the logs: an end of a connection taken for the end of a stream, events that do not follow, and events counted that were never passed on.

--- a/hornbeampulley/http1/_connections.py
+++ b/hornbeampulley/http1/_connections.py
@@ -88,6 +88,11 @@
         parser = self._parser
         return parser.is_persistent and parser.is_idle and not parser.parts
 
+    @property
+    def is_unframed(self) -> bool:
+        """Whether the last response ends with the connection."""
+        return self._parser.is_unframed
+
     @property
     def is_stale(self) -> bool:
         """Whether an idle connection has expired or has unexpected input.
--- a/hornbeampulley/http1/_responses.py
+++ b/hornbeampulley/http1/_responses.py
@@ -44,12 +44,16 @@
         response.
     is_idle : bool
         Whether no response is in progress.
+    is_unframed : bool
+        Whether the last response has neither a length nor chunks, so that it
+        ends with the connection.
     """
 
     def __init__(self) -> None:
         self.parts: deque[Part] = deque()
         self.is_persistent = True
         self.is_idle = True
+        self.is_unframed = False
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
         self._is_informational = False
@@ -131,6 +135,7 @@
             or find_header(headers, b'content-length') is not None
             or find_header(headers, b'transfer-encoding') is not None
         )
+        self.is_unframed = not has_framing
         self._is_close_delimited = not has_framing
         self.is_persistent = has_framing and self._parser.should_keep_alive()
         self._append_part(ResponseHead(status, headers))
--- a/hornbeampulley/node/_calls.py
+++ b/hornbeampulley/node/_calls.py
@@ -136,6 +136,12 @@
         """Id of the attempt that brought the first event; its own at first."""
         return self.metadata.first_attempt or self.metadata.request_id
 
+    @property
+    def last_event(self) -> str | None:
+        """Id of the last event of its stream, for logs; None if it has none."""
+        last_id = self.events.last_id
+        return None if last_id is None else last_id.decode('latin-1')
+
     @property
     def engine(self) -> EngineSpec | None:
         """Properties of the engines of its pool; None for plain services."""
--- a/hornbeampulley/node/_exchanges.py
+++ b/hornbeampulley/node/_exchanges.py
@@ -53,6 +53,8 @@
         came.
     duration_ms : float
         Time in ms from dispatch to the end.
+    is_unframed : bool
+        Whether the answer has neither a length nor chunks.
     """
 
     outcome: Outcome
@@ -62,6 +64,7 @@
     events: int = 0
     first_ms: float = 0
     duration_ms: float = 0
+    is_unframed: bool = False
 
 
 class Exchange:
@@ -112,6 +115,7 @@
         self._first_ms = 0.0
         self._event_ms = 0.0
         self._events = 0
+        self._is_unframed = False
         self._may_have_run_before = call.may_have_run
 
     async def run(
@@ -160,6 +164,7 @@
             view_age_ms=round(notice.view_age_ms),
             reused=connection.uses > 0,
             software=target.software or None,
+            resumes_after=_format_event_id(dispatch.resumes_after),
         )
         result: list[Attempt] = []
         errors: list[ResponseBrokenError] = []
@@ -196,6 +201,7 @@
             events=self._events,
             first_ms=self._first_ms,
             duration_ms=self._clock.now() - self._sent_ms,
+            is_unframed=self._is_unframed,
         )
 
     def _get_last_event_id(self) -> bytes | None:
@@ -206,6 +212,7 @@
 
     async def _read_answer(self, connection: Connection) -> Attempt:
         head = await self._read_matching_head(connection)
+        self._is_unframed = connection.is_unframed
         self.keep_alive = find_header(head.headers, b'keep-alive')
         metadata = self.metadata
         headers = tuple(drop_connection_headers(head.headers))
@@ -335,3 +342,8 @@
             call.status = status
             await call.reply.start(status, headers)
         await call.reply.write(events)
+
+
+def _format_event_id(event_id: bytes | None) -> str | None:
+    """Return the id of an event for the log."""
+    return None if event_id is None else event_id.decode('latin-1')
--- a/hornbeampulley/node/_serving.py
+++ b/hornbeampulley/node/_serving.py
@@ -230,6 +230,8 @@
         events=attempt.events or None,
         first_ms=round(attempt.first_ms) or None,
         took_ms=round(attempt.duration_ms) or None,
+        unframed=attempt.is_unframed or None,
+        last_event=call.last_event,
         parts=_describe_parts(call) if is_crash else None,
     )
 
--- a/tests/test_node_unframed.py
+++ b/tests/test_node_unframed.py
@@ -96,3 +96,11 @@
 def test_a_stream_without_chunks_that_is_reset_does_not_look_complete():
     _, _, body = call('/stream/a', STREAM + b'\r\n' + WHOLE, is_reset=True)
     assert not body.endswith(LAST_CHUNK)
+
+
+def test_the_log_tells_how_a_stream_ended(caplog):
+    caplog.set_level('INFO')
+    call('/stream/a', STREAM + b'\r\n' + WHOLE)
+    (line,) = [one for one in caplog.records if one.message == 'lease_ended']
+    assert line.event_pairs['unframed']
+    assert line.event_pairs['last_event'] == '3'
