--- /dev/null
+++ b/tests/test_killed_targets.py
@@ -0,0 +1,174 @@
+"""Tests of nodes whose targets are processes that are killed in an answer."""
+
+import json
+import signal
+import subprocess
+import sys
+
+import pytest
+import trio
+
+from hornbeampulley.http1 import Request, encode_request
+from tests.node_processes import run_processes
+from tests.nodes import BACKEND_PORT, CALLER_PORT, KEY, unchunk, wait_until
+
+EVENTS = 40
+PAUSE_MS = 50
+LAST_CHUNK = b'0\r\n\r\n'
+# Numbers of the addresses of targets that are processes.
+FIRST_ADDRESS = 200
+
+
+class Target:
+    """A target that is a process, with its entry in the store."""
+
+    def __init__(self, nodes, name, number, framing, service='engines'):
+        self.nodes = nodes
+        self.name = name
+        self.service = service
+        self.address = nodes.fleet.address(FIRST_ADDRESS + number)
+        self._framing = framing
+        self._sequence = 1
+        self.process = None
+
+    async def start(self):
+        """Start the process and write its entry."""
+        command = [sys.executable, '-m', 'standins.killable', self.address]
+        command += [str(BACKEND_PORT), str(EVENTS), str(PAUSE_MS)]
+        self.process = await trio.lowlevel.open_process(
+            [*command, self._framing], stdout=subprocess.PIPE
+        )
+        line = await self.process.stdout.receive_some()
+        self._sequence += 1
+        entry = {
+            'service': self.service,
+            'address': f'{self.address}:{BACKEND_PORT}',
+            'zone': 'a',
+            'version': 'v1',
+            'slots': 4,
+            'state': 'ready',
+            'cold_remaining_ms': 0,
+            'sequence': self._sequence,
+            'born': json.loads(line)['born'],
+        }
+        self.nodes.fleet.store.put(f'servers/{self.name}', entry)
+
+    async def kill(self):
+        """Kill the process and wait for its end."""
+        self.process.send_signal(signal.SIGKILL)
+        await self.process.wait()
+
+
+class Reader:
+    """A caller that reads its answer as it comes."""
+
+    def __init__(self, nodes):
+        self.nodes = nodes
+        self.received = b''
+        self.is_over = False
+
+    async def call(self, path, request_id=b'r1', node=0, **headers):
+        """Send a request and read until the answer or the connection ends."""
+        pairs = {
+            'host': 'h.example',
+            'attempt-id': request_id.decode(),
+            'api-key': KEY.decode(),
+            'deadline-ms': '4500',
+            **{name.replace('_', '-'): headers[name] for name in headers},
+        }
+        names = tuple((one.encode(), pairs[one].encode()) for one in pairs)
+        request = Request(b'POST', path.encode(), names, b'x')
+        address = self.nodes.address(node)
+        stream = await trio.open_tcp_stream(address, CALLER_PORT)
+        async with stream:
+            await stream.send_all(encode_request(request))
+            while not self.is_whole:
+                part = await stream.receive_some()
+                if not part:
+                    break
+                self.received += part
+        self.is_over = True
+
+    @property
+    def body(self):
+        return self.received.partition(b'\r\n\r\n')[2]
+
+    @property
+    def status(self):
+        return int(self.received.split(b' ', 2)[1])
+
+    @property
+    def is_whole(self):
+        """Whether the answer looks complete."""
+        head, found, body = self.received.lower().partition(b'\r\n\r\n')
+        if not found:
+            return False
+        if b'transfer-encoding: chunked' in head:
+            return body.endswith(LAST_CHUNK)
+        length = head.partition(b'content-length: ')[2].split(b'\r\n')[0]
+        return len(body) >= int(length)
+
+
+async def replace_engines(nodes, *targets):
+    """Let only these targets serve the streams."""
+    for target in targets:
+        await target.start()
+    for name in ('engines-1', 'engines-2'):
+        nodes.fleet.store.delete(f'servers/{name}')
+    # Removals are held for a while.
+    await trio.sleep(4)
+
+
+def run_targets(scenario, folder, *framings, service='engines'):
+    """Run a scenario with targets that are processes."""
+
+    async def play(nodes):
+        targets = [
+            Target(nodes, f'process-{number}', number, framing, service)
+            for number, framing in enumerate(framings)
+        ]
+        try:
+            await scenario(nodes, targets)
+        finally:
+            for target in targets:
+                if target.process is not None:
+                    target.process.kill()
+
+    run_processes(play, folder)
+
+
+# ORDER: a stream that ends with its connection looked complete to its caller when
+# the target's process was killed between two events.
+@pytest.mark.parametrize('framing', ['chunks', 'close'])
+def test_a_stream_of_a_killed_target_does_not_look_complete(tmp_path, framing):
+    async def scenario(nodes, targets):
+        await replace_engines(nodes, *targets)
+        reader = Reader(nodes)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(reader.call, '/stream/a')
+            await wait_until(lambda: b'id: 7\n' in reader.received, 0.005)
+            await targets[0].kill()
+        assert not reader.is_whole
+
+    run_targets(scenario, tmp_path, framing)
+
+
+# ORDER: the same with another target, where the stream goes on.
+@pytest.mark.parametrize('framing', ['chunks', 'close'])
+def test_a_stream_of_a_killed_target_goes_on_at_another(tmp_path, framing):
+    async def scenario(nodes, targets):
+        await replace_engines(nodes, targets[0])
+        reader = Reader(nodes)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(reader.call, '/stream/a')
+            await wait_until(lambda: b'id: 7\n' in reader.received, 0.005)
+            await targets[1].start()
+            await trio.sleep(0.5)
+            await targets[0].kill()
+        assert reader.is_whole
+        numbers = range(1, EVENTS + 1)
+        assert unchunk(reader.body) == b''.join(
+            b'id: %d\ndata: t%d\n\n' % (number, number) for number in numbers
+        )
+
+    run_targets(scenario, tmp_path, framing, framing)
