Check that a target still runs when an answer ends with its connection

What callers saw: a stream of a target that was killed came as whole, cut after some events. Cause: a stream without length or chunks counted as whole at the end of its connection, which the kernel closes for a killed process as a process does that has finished. Class: an end that nothing proves, taken for a success.

After such an end the target is asked when it started, on a new connection that is kept for the next request; a plain service only has to accept it. A target that can't be reached, or has started anew, has not ended its stream: the stream goes on at another target, or is left incomplete. A target that accepts connections without an answer counts as running, as it may be at its limit of connections.

Ruled out: the bytes read tell it (nothing on the wire does), waiting for a reset (none comes), resuming each such stream (reads its prompt once more).

A target that drains and exits just behind its last stream can't be told from a killed one: such a stream goes on elsewhere or is left incomplete.

--- a/hornbeampulley/http1/_connection_pool.py
+++ b/hornbeampulley/http1/_connection_pool.py
@@ -75,6 +75,26 @@
             if not connection.is_stale:
                 return connection
             connection.close()
+        return await self.open(endpoint)
+
+    async def open(self, endpoint: Endpoint) -> Connection:
+        """Open a new connection.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+            Address and port of the server.
+
+        Returns
+        -------
+        Connection
+            A connection for one request; pass it to `release` afterwards.
+
+        Raises
+        ------
+        NotConnectedError
+            If no connection can be opened.
+        """
         if self._on_open is not None:
             self._on_open()
         return await open_connection(endpoint, self.settings, self._clock)
--- a/hornbeampulley/http1/_connections.py
+++ b/hornbeampulley/http1/_connections.py
@@ -93,6 +93,11 @@
         """Whether the last response ends with the connection."""
         return self._parser.is_unframed
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the server has closed an idle connection, or sent bytes."""
+        return is_readable(self._stream)
+
     @property
     def is_stale(self) -> bool:
         """Whether an idle connection has expired or has unexpected input.
@@ -100,7 +105,7 @@
         Input means that the server closed the connection or sent
         unsolicited bytes.
         """
-        return self._clock.now() >= self.expires_ms or is_readable(self._stream)
+        return self._clock.now() >= self.expires_ms or self.is_closed
 
     async def send(self, request: Request) -> None:
         """Send a request.
--- a/hornbeampulley/node/_exchanges.py
+++ b/hornbeampulley/node/_exchanges.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 import trio
@@ -84,6 +84,9 @@
     on_head : callable
         Called with the metadata of the response, before its body is read, and
         the time in ms at which the request was sent.
+    check_run : callable
+        Called after an answer that ended with its connection; raises
+        `ResponseBrokenError` if its target has not ended it on its own.
 
     Attributes
     ----------
@@ -102,6 +105,7 @@
         call: Call,
         on_first_part: Callable[[float], None],
         on_head: Callable[[ResponseMetadata, float], None],
+        check_run: Callable[[], Awaitable[None]],
     ) -> None:
         self.metadata: ResponseMetadata | None = None
         self.keep_alive: bytes | None = None
@@ -111,6 +115,7 @@
         self._call = call
         self._on_first_part = on_first_part
         self._on_head = on_head
+        self._check_run = check_run
         self._sent_ms = 0.0
         self._first_ms = 0.0
         self._event_ms = 0.0
@@ -296,6 +301,8 @@
             raise ResponseBrokenError(
                 'a stream ended inside an event; look at the log of the target',
             )
+        if self._is_unframed:
+            await self._check_run()
         if rest:
             await self._forward_events(status, headers, rest)
         if not call.reply.is_started:
--- /dev/null
+++ b/hornbeampulley/node/_run_checks.py
@@ -0,0 +1,135 @@
+"""Checks that a target that has ended an answer by closing its connection runs.
+
+The kernel closes the connections of a process that is killed in the same way as
+those of one that has finished. So the end of a connection shows that an answer
+without a length or chunks is whole only if its target has not died with it.
+"""
+
+import enum
+import logging
+from typing import Final
+
+import trio
+
+from hornbeampulley.clock import to_seconds
+from hornbeampulley.http1 import Connection, ConnectionPool, exchange
+from hornbeampulley.http1.errors import NotConnectedError, ResponseBrokenError
+from hornbeampulley.logs import log_event
+from hornbeampulley.node._calls import Call
+from hornbeampulley.node.dialect import Dialect
+from hornbeampulley.routing import TargetRecord
+
+MAX_TRIES: Final = 2
+# Until the next try; a process that ends closes all its sockets by then.
+PAUSE_MS: Final = 20.0
+ANSWER_MS: Final = 250.0
+# A socket that is accepted while its process ends is closed by then.
+SETTLE_MS: Final = 5.0
+MAX_REPORT_BYTES: Final = 1 << 20
+_log = logging.getLogger(__name__)
+
+
+class Finding(enum.Enum):
+    """What a check has found at the address of a target."""
+
+    SAME_RUN = 'same_run'
+    OTHER_RUN = 'other_run'
+    SILENT = 'silent'
+    UNREACHABLE = 'unreachable'
+
+
+_PROVES_DEATH: Final = frozenset((Finding.OTHER_RUN, Finding.UNREACHABLE))
+
+
+class RunChecker:
+    """Asks targets whether they still run.
+
+    Parameters
+    ----------
+    connections : ConnectionPool
+        Pool of connections to targets; keeps those that a check opens.
+    dialect : Dialect
+        Makes the question and reads its answer.
+    """
+
+    def __init__(self, connections: ConnectionPool, dialect: Dialect) -> None:
+        self._connections = connections
+        self._dialect = dialect
+
+    async def check(self, target: TargetRecord, call: Call) -> None:
+        """Check that the run of a target that has just answered goes on.
+
+        A target that accepts connections without an answer counts as running.
+
+        Parameters
+        ----------
+        target : TargetRecord
+            The target, as it was known when it got the request.
+        call : Call
+            The request that it answered.
+
+        Raises
+        ------
+        ResponseBrokenError
+            If the target can't be reached, or has started anew.
+        """
+        finding = await self._find(target, call.is_model)
+        log_event(
+            _log,
+            'run_checked',
+            request=call.name,
+            target=target.name,
+            finding=finding.value,
+        )
+        if finding in _PROVES_DEATH:
+            raise ResponseBrokenError(
+                'an answer without a length ended when its target did '
+                f'({finding.value}); look at the log of the target',
+            )
+
+    async def _find(self, target: TargetRecord, is_model: bool) -> Finding:
+        finding = await self._try_once(target, is_model)
+        for _ in range(MAX_TRIES - 1):
+            if finding in {Finding.SAME_RUN, Finding.OTHER_RUN}:
+                break
+            await trio.sleep(to_seconds(PAUSE_MS))
+            finding = await self._try_once(target, is_model)
+        return finding
+
+    async def _try_once(self, target: TargetRecord, is_model: bool) -> Finding:
+        try:
+            connection = await self._connections.open(target.endpoint)
+        except NotConnectedError:
+            return Finding.UNREACHABLE
+        ask = self._ask if is_model else self._listen
+        finding = Finding.SILENT
+        try:
+            finding = await ask(connection, target)
+        finally:
+            if finding is Finding.SAME_RUN:
+                self._connections.release(target.name, connection, None)
+            else:
+                connection.close()
+        return finding
+
+    async def _ask(
+        self, connection: Connection, target: TargetRecord
+    ) -> Finding:
+        """Ask a model engine when it started."""
+        question = self._dialect.make_run_question(target)
+        try:
+            head, body = await exchange(
+                connection, question, MAX_REPORT_BYTES, ANSWER_MS
+            )
+        except ResponseBrokenError:
+            return Finding.SILENT
+        if self._dialect.is_other_run(head, body, target):
+            return Finding.OTHER_RUN
+        return Finding.SAME_RUN
+
+    async def _listen(
+        self, connection: Connection, _target: TargetRecord
+    ) -> Finding:
+        """Tell whether a plain service keeps a new connection open."""
+        await trio.sleep(to_seconds(SETTLE_MS))
+        return Finding.SILENT if connection.is_closed else Finding.SAME_RUN
--- a/hornbeampulley/node/_sending.py
+++ b/hornbeampulley/node/_sending.py
@@ -19,6 +19,7 @@
 from hornbeampulley.node._calls import Call
 from hornbeampulley.node._exchanges import Attempt, Exchange
 from hornbeampulley.node._knowledge import TargetNotice
+from hornbeampulley.node._run_checks import RunChecker
 from hornbeampulley.node._store_view import StoreView
 from hornbeampulley.node._target_signals import SignalStore
 from hornbeampulley.node.dialect import Dialect, ResponseMetadata
@@ -70,6 +71,7 @@
         self._dialect = dialect
         self.clock = clock
         self._signals = signals
+        self._run_checker = RunChecker(connections, dialect)
         self._report = report
         self._report_signals = report_signals
 
@@ -117,6 +119,7 @@
             call,
             on_first_part,
             functools.partial(self._learn, target),
+            functools.partial(self._run_checker.check, target, call),
         )
         try:
             return await self._run(call, exchange, connection, target, notice)
--- a/hornbeampulley/node/dialect.py
+++ b/hornbeampulley/node/dialect.py
@@ -143,6 +143,14 @@
     def read_answer(self, head: ResponseHead) -> ResponseMetadata:
         """Read the headers of a target's response."""
 
+    def make_run_question(self, target: TargetRecord) -> Request:
+        """Make a request that asks a model engine when it started."""
+
+    def is_other_run(
+        self, head: ResponseHead, body: bytes, target: TargetRecord
+    ) -> bool:
+        """Tell whether the answer to that is not from the run of a record."""
+
     def list_error_headers(
         self, metadata: RequestMetadata
     ) -> tuple[Header, ...]:
--- a/hornbeampulley/platform/_documents.py
+++ b/hornbeampulley/platform/_documents.py
@@ -108,6 +108,26 @@
         return key.removeprefix(SERVERS_PREFIX)
 
 
+def read_report_start(body: bytes) -> int | None:
+    """Read from a server's report when it started.
+
+    Parameters
+    ----------
+    body : bytes
+        Body of the report.
+
+    Returns
+    -------
+    int or None
+        Start in ms since 1970; None if the report does not tell it.
+    """
+    try:
+        return expect_count(json.loads(body), 'born', 0, MAX_BORN)
+    except MALFORMED as error:
+        log_event(_log, 'report_unreadable', error=repr(error))
+        return None
+
+
 def _read(reader: Callable[[str, Any], Any], item: StoredItem) -> Any:
     try:
         return reader(item.key, json.loads(item.content))
--- a/hornbeampulley/platform/_headers.py
+++ b/hornbeampulley/platform/_headers.py
@@ -22,6 +22,8 @@
     RequestMetadata,
     ResponseMetadata,
 )
+from hornbeampulley.platform._documents import read_report_start
+from hornbeampulley.routing import TargetRecord
 
 REQUEST_ID: Final = b'attempt-id'
 TIME_LIMIT: Final = b'deadline-ms'
@@ -49,6 +51,8 @@
 ZONE: Final = 'zone'
 EVENT_STREAM: Final = b'text/event-stream'
 OTHER_TARGET: Final = 421
+FOUND: Final = 200
+REPORT: Final = b'/-/report'
 
 _SET_BY_SYSTEM: Final = frozenset(
     (
@@ -196,6 +200,49 @@
             ),
         )
 
+    def make_run_question(self, target: TargetRecord) -> Request:
+        """Make a request that asks a model server when it started.
+
+        Parameters
+        ----------
+        target : TargetRecord
+            Server to ask.
+
+        Returns
+        -------
+        Request
+            Request to send.
+        """
+        headers = (
+            (b'host', str(target.endpoint).encode()),
+            (EXPECTED_TARGET, target.name.encode()),
+        )
+        return Request(b'GET', REPORT, headers)
+
+    def is_other_run(
+        self, head: ResponseHead, body: bytes, target: TargetRecord
+    ) -> bool:
+        """Tell whether a server that was asked is not the run of a record.
+
+        Parameters
+        ----------
+        head : ResponseHead
+            Head of its answer.
+        body : bytes
+            Body of its answer.
+        target : TargetRecord
+            What is known of the server.
+
+        Returns
+        -------
+        bool
+            True if it is another server, or names another start.
+        """
+        if head.status == OTHER_TARGET:
+            return True
+        born_ms = read_report_start(body) if head.status == FOUND else None
+        return born_ms is not None and born_ms != target.born_ms
+
     def list_error_headers(
         self, metadata: RequestMetadata
     ) -> tuple[Header, ...]:
--- a/tests/test_node_unframed.py
+++ b/tests/test_node_unframed.py
@@ -15,10 +15,14 @@
 WHOLE = b''.join(EVENTS)
 CUT = WHOLE[:-9]
 LAST_CHUNK = b'0\r\n\r\n'
+NOT_FOUND = b'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n'
 
 
 class RawTarget:
-    """Answers each request with the same bytes and ends the connection."""
+    """Answers each request with the same bytes and ends the connection.
+
+    What has no id is no request of a caller, and is not found.
+    """
 
     def __init__(self, answer, is_reset):
         self._answer = answer
@@ -34,6 +38,9 @@
             if not part:
                 return
             request += part
+        if b'attempt-id: ' not in request.lower():
+            await stream.send_all(NOT_FOUND)
+            return
         request_id = request.lower().partition(b'attempt-id: ')[2].split()[0]
         await stream.send_all(self._answer.replace(b'%s', request_id))
         if self._is_reset:
