Pass on each event before the next one may fail the attempt

What callers would see: events missing from a stream that went on at a third target. Cause: all events of a read were counted, then an error in the same read (one that does not follow, one too long, no memory for the rest) dropped them, and the next target was asked to go on after the last one counted. Class: a position that runs ahead of what was delivered.

The splitter keeps a fault until the events before it were passed on.

--- a/hornbeampulley/node/_events.py
+++ b/hornbeampulley/node/_events.py
@@ -25,6 +25,7 @@
         self.last_id: bytes | None = None
         self.count = 0
         self._buffer = b''
+        self._fault = ''
         self._is_resumed = False
 
     @property
@@ -35,6 +36,9 @@
     def feed(self, received: bytes) -> bytes:
         """Add received bytes and return the events that they complete.
 
+        What comes after the first fault is dropped; call `check` after the
+        events before it were passed on.
+
         Parameters
         ----------
         received : bytes
@@ -44,46 +48,53 @@
         -------
         bytes
             The complete events, unchanged; empty if there are none.
-
-        Raises
-        ------
-        ResponseBrokenError
-            If an event exceeds `MAX_EVENT_BYTES`, as it may never end, or does
-            not follow the last one in a stream that was resumed.
         """
         self._buffer += received
         end = 0
         for match in _EVENT_END.finditer(self._buffer):
             event = self._buffer[end : match.end()]
-            if self._is_resumed:
-                self._check_order(event)
+            if self._is_resumed and not self._is_in_order(event):
+                self._fault = (
+                    'a resumed stream does not go on after the last event'
+                )
+                break
             self._count_event(event)
             end = match.end()
         whole, self._buffer = self._buffer[:end], self._buffer[end:]
-        if len(self._buffer) > MAX_EVENT_BYTES:
+        if len(self._buffer) > MAX_EVENT_BYTES and not self._fault:
+            self._fault = (
+                f'an event of a stream is longer than {MAX_EVENT_BYTES} bytes'
+            )
+        if self._fault:
             self._buffer = b''
+        return whole
+
+    def check(self) -> None:
+        """Check the bytes that were fed last.
+
+        Raises
+        ------
+        ResponseBrokenError
+            If an event exceeds `MAX_EVENT_BYTES`, as it may never end, or does
+            not follow the last one in a stream that was resumed.
+        """
+        if self._fault:
             raise ResponseBrokenError(
-                f'an event of a stream is longer than {MAX_EVENT_BYTES} bytes; '
-                'look at the log of the target',
+                f'{self._fault}; look at the log of the target',
             )
-        return whole
 
     def reset(self) -> None:
         """Discard the incomplete event, before another stream is resumed."""
         self._buffer = b''
+        self._fault = ''
         self._is_resumed = self.count > 0
 
-    def _check_order(self, event: bytes) -> None:
-        """Check that an event is one, and comes after the last one."""
+    def _is_in_order(self, event: bytes) -> bool:
+        """Tell whether an event is one, and comes after the last one."""
         found = _EVENT_ID.search(event)
-        is_comment = event.startswith(b':')
-        if is_comment and found is None:
-            return
-        if found is None or not _is_later(found[1], self.last_id):
-            raise ResponseBrokenError(
-                'a resumed stream does not go on after the last event; '
-                'look at the log of the target',
-            )
+        if found is None:
+            return event.startswith(b':')
+        return _is_later(found[1], self.last_id)
 
     def _count_event(self, event: bytes) -> None:
         self.count += 1
--- a/hornbeampulley/node/_exchanges.py
+++ b/hornbeampulley/node/_exchanges.py
@@ -291,11 +291,14 @@
         call.events.reset()
         while part := await self._read_part(connection):
             before = call.events.count
+            # Another target goes on after the last event that was counted, so
+            # each one is passed on before anything may fail.
             whole = call.events.feed(part)
-            call.buffer.resize(len(call.events.incomplete))
             if whole:
                 await self._forward_events(status, headers, whole)
                 self._events += call.events.count - before
+            call.events.check()
+            call.buffer.resize(len(call.events.incomplete))
         rest = call.events.incomplete
         if rest.strip() and self.metadata.is_stream:
             raise ResponseBrokenError(
--- /dev/null
+++ b/tests/test_node_event_order.py
@@ -0,0 +1,91 @@
+"""End-to-end tests of the order of events, with targets that answer raw bytes."""
+
+import pytest
+import trio
+
+from standins.metadata import KEY_OF_CONFIG
+from tests.nodes import (
+    BACKEND_PORT,
+    make_config,
+    make_route,
+    run_nodes,
+    unchunk,
+)
+
+HEAD = (
+    b'HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: s\r\n'
+    b'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
+)
+LAST_CHUNK = b'0\r\n\r\n'
+
+
+def make_events(*numbers):
+    return b''.join(b'id: %d\ndata: t%d\n\n' % (one, one) for one in numbers)
+
+
+class Script:
+    """A target that answers the attempts in turn with lists of event ids.
+
+    The last answer is repeated; only it has an end.
+    """
+
+    def __init__(self, *answers):
+        self._answers = list(answers)
+        self.resumed_after = []
+
+    async def serve(self, address):
+        await trio.serve_tcp(self._serve, BACKEND_PORT, host=address)
+
+    async def _serve(self, stream):
+        request = b''
+        while b'\r\n\r\n' not in request:
+            part = await stream.receive_some()
+            if not part:
+                return
+            request += part
+        lower = request.lower()
+        request_id = lower.partition(b'attempt-id: ')[2].split()[0]
+        after = lower.partition(b'last-event-id: ')[2].split()
+        self.resumed_after.append(after[0] if after else None)
+        events = make_events(*self._answers[0])
+        answer = HEAD.replace(b'%s', request_id)
+        answer += b'%x\r\n%b\r\n' % (len(events), events)
+        if len(self._answers) == 1:
+            answer += LAST_CHUNK
+        else:
+            self._answers.pop(0)
+        # All in one segment.
+        await stream.send_all(answer)
+        await stream.aclose()
+
+
+def play(script, **headers):
+    """Call a route whose targets all follow a script; return the answer."""
+    results = []
+
+    async def scenario(fleet):
+        address = fleet.address(200)
+        fleet.nursery.start_soon(script.serve, address)
+        route = make_route(
+            'stream', 'streaming', resumable=True, max_attempts=3
+        )
+        config = make_config(2, routes=[route])
+        fleet.store.put(KEY_OF_CONFIG, config)
+        for name, backend in fleet.backends.items():
+            entry = backend.describe(address, BACKEND_PORT)
+            fleet.store.put(f'servers/{name}', {**entry, 'born': 2})
+        await trio.sleep(0.3)
+        results.append(await fleet.call('/stream/a', body=b'p', **headers))
+
+    run_nodes(scenario)
+    return results[0]
+
+
+# ORDER: events before a fault in the same read were counted but not passed on, so
+# that the next target went on after events that the caller never got.
+def test_no_event_is_missing_where_a_resumed_stream_goes_wrong():
+    script = Script([1, 2], [3, 4, 2], [5, 6])
+    status, _, body = play(script)
+    assert status == 200
+    assert script.resumed_after == [None, b'2', b'4']
+    assert unchunk(body) == make_events(1, 2, 3, 4, 5, 6)
--- a/tests/test_node_events.py
+++ b/tests/test_node_events.py
@@ -50,5 +50,22 @@
     with pytest.raises(ResponseBrokenError):
         for _ in range(2 * MAX_EVENT_BYTES // 1000):
             splitter.feed(b'x' * 1000)
+            splitter.check()
     assert not splitter.incomplete
     assert splitter.last_id == b'2'
+
+
+# ORDER: events before a fault in the same read were counted but not passed on, so
+# that the next target went on after events that the caller never got.
+@pytest.mark.parametrize(
+    'fault', [b'id: 3\ndata: again\n\n', b'x' * (MAX_EVENT_BYTES + 1)]
+)
+def test_all_events_that_are_counted_are_returned(fault):
+    splitter = EventSplitter()
+    splitter.feed(STREAM)
+    splitter.reset()
+    third = b'id: 3\ndata: c\n\n'
+    assert splitter.feed(third + fault + b'\n\nid: 4\n\n') == third
+    assert splitter.last_id == b'3'
+    with pytest.raises(ResponseBrokenError):
+        splitter.check()
