Check the order of events in all streams, not only in those resumed here

What callers saw: a stream that they took up after event 3 began anew at event 1, or a target sent events twice or went back, and it was passed on and ended as whole. Cause: ids were checked only after this host itself had resumed the stream; what the caller named in Last-Event-Id was not taken as the place to go on from. Class: a check made on one of several paths to the same state.

Each attempt starts from the id that the target was asked to go on after, and each event has to come after the one before it; what does not is not passed on, and the stream goes on elsewhere or is left incomplete. Ids of any length are compared. In a first run events without ids still pass.

Evidence: three cases of tests/test_node_event_order.py and eight of tests/test_node_events.py failed on the code before.

--- a/hornbeampulley/node/_events.py
+++ b/hornbeampulley/node/_events.py
@@ -16,7 +16,8 @@
     Attributes
     ----------
     last_id : bytes or None
-        Id of the last complete event that has one.
+        Id of the last complete event that has one, or of the event after which
+        the target was asked to go on.
     count : int
         Number of complete events so far.
     """
@@ -53,12 +54,13 @@
         end = 0
         for match in _EVENT_END.finditer(self._buffer):
             event = self._buffer[end : match.end()]
-            if self._is_resumed and not self._is_in_order(event):
-                self._fault = (
-                    'a resumed stream does not go on after the last event'
-                )
+            found = _EVENT_ID.search(event)
+            event_id = found[1] if found else None
+            if not self._is_in_order(event, event_id):
+                self._fault = 'an event does not come after the one before it'
                 break
-            self._count_event(event)
+            self.count += 1
+            self.last_id = self.last_id if event_id is None else event_id
             end = match.end()
         whole, self._buffer = self._buffer[:end], self._buffer[end:]
         if len(self._buffer) > MAX_EVENT_BYTES and not self._fault:
@@ -76,31 +78,35 @@
         ------
         ResponseBrokenError
             If an event exceeds `MAX_EVENT_BYTES`, as it may never end, or does
-            not follow the last one in a stream that was resumed.
+            not come after the one before it.
         """
         if self._fault:
             raise ResponseBrokenError(
                 f'{self._fault}; look at the log of the target',
             )
 
-    def reset(self) -> None:
-        """Discard the incomplete event, before another stream is resumed."""
+    def reset(self, resumes_after: bytes | None) -> None:
+        """Discard the incomplete event, before another target answers.
+
+        Parameters
+        ----------
+        resumes_after : bytes or None
+            Id of the event after which the target was asked to go on; None if
+            it was asked for the whole stream.
+        """
         self._buffer = b''
         self._fault = ''
-        self._is_resumed = self.count > 0
+        self.last_id = resumes_after
+        self._is_resumed = resumes_after is not None
 
-    def _is_in_order(self, event: bytes) -> bool:
-        """Tell whether an event is one, and comes after the last one."""
-        found = _EVENT_ID.search(event)
-        if found is None:
-            return event.startswith(b':')
-        return _is_later(found[1], self.last_id)
+    def _is_in_order(self, event: bytes, event_id: bytes | None) -> bool:
+        """Tell whether an event comes after the last one.
 
-    def _count_event(self, event: bytes) -> None:
-        self.count += 1
-        found = _EVENT_ID.search(event)
-        if found is not None:
-            self.last_id = found[1]
+        What goes on in a stream has an id, as its place is not known otherwise.
+        """
+        if event_id is None:
+            return event.startswith(b':') or not self._is_resumed
+        return _is_later(event_id, self.last_id)
 
 
 def _is_later(event_id: bytes, last_id: bytes | None) -> bool:
@@ -108,5 +114,11 @@
     if last_id is None:
         return True
     if event_id.isdigit() and last_id.isdigit():
-        return int(event_id) > int(last_id)
+        return _make_order(event_id) > _make_order(last_id)
     return event_id != last_id
+
+
+def _make_order(digits: bytes) -> tuple[int, bytes]:
+    """Return what orders numbers of any length as their values do."""
+    stripped = digits.lstrip(b'0')
+    return len(stripped), stripped
--- a/hornbeampulley/node/_exchanges.py
+++ b/hornbeampulley/node/_exchanges.py
@@ -121,6 +121,7 @@
         self._event_ms = 0.0
         self._events = 0
         self._is_unframed = False
+        self._resumes_after: bytes | None = None
         self._may_have_run_before = call.may_have_run
 
     async def run(
@@ -147,11 +148,12 @@
         """
         call = self._call
         self._sent_ms = self._clock.now()
+        self._resumes_after = self._get_last_event_id()
         dispatch = Dispatch(
             target,
             call.ends_ms - self._sent_ms,
             call.workspace_name,
-            self._get_last_event_id(),
+            self._resumes_after,
         )
         request = self._dialect.make_request(call.request, dispatch)
         call.targets.append(target.name)
@@ -288,7 +290,7 @@
         headers: tuple[tuple[bytes, bytes], ...],
     ) -> Attempt:
         call = self._call
-        call.events.reset()
+        call.events.reset(self._resumes_after)
         while part := await self._read_part(connection):
             before = call.events.count
             # Another target goes on after the last event that was counted, so
--- a/tests/test_node_event_order.py
+++ b/tests/test_node_event_order.py
@@ -89,3 +89,21 @@
     assert status == 200
     assert script.resumed_after == [None, b'2', b'4']
     assert unchunk(body) == make_events(1, 2, 3, 4, 5, 6)
+
+
+# ORDER: a target that started anew at the first event in place of the next one was
+# passed on to a caller that had taken the stream up.
+def test_a_taken_up_stream_does_not_start_anew():
+    script = Script([1, 2, 3, 4], [4, 5])
+    _, _, body = play(script, last_event_id='3', resumes='r0')
+    assert script.resumed_after == [b'3', b'3']
+    assert unchunk(body) == make_events(4, 5)
+
+
+# ORDER: events that come twice, or go back, in a first run.
+@pytest.mark.parametrize('wrong', [[1, 2, 2, 3], [1, 2, 1, 2, 3]])
+def test_an_event_that_comes_twice_is_not_passed_on(wrong):
+    script = Script(wrong, [3, 4])
+    _, _, body = play(script)
+    assert script.resumed_after == [None, b'2']
+    assert unchunk(body) == make_events(1, 2, 3, 4)
--- a/tests/test_node_events.py
+++ b/tests/test_node_events.py
@@ -33,7 +33,7 @@
 def test_a_stream_is_resumed_after_the_last_complete_event():
     splitter = EventSplitter()
     splitter.feed(STREAM)
-    splitter.reset()
+    splitter.reset(splitter.last_id)
     assert splitter.feed(b'id: 3\ndata: c\n\n') == b'id: 3\ndata: c\n\n'
     assert splitter.last_id == b'3'
 
@@ -63,9 +63,47 @@
 def test_all_events_that_are_counted_are_returned(fault):
     splitter = EventSplitter()
     splitter.feed(STREAM)
-    splitter.reset()
+    splitter.reset(splitter.last_id)
     third = b'id: 3\ndata: c\n\n'
     assert splitter.feed(third + fault + b'\n\nid: 4\n\n') == third
     assert splitter.last_id == b'3'
     with pytest.raises(ResponseBrokenError):
         splitter.check()
+
+
+# ORDER: only streams that this host itself had resumed were checked.
+@pytest.mark.parametrize('after', [None, b'0'])
+@pytest.mark.parametrize('second', [b'1', b'0', b'01'])
+def test_an_event_that_does_not_come_after_the_last_is_a_fault(after, second):
+    splitter = EventSplitter()
+    splitter.reset(after)
+    first = b'id: 1\ndata: a\n\n'
+    assert splitter.feed(first + b'id: %b\ndata: b\n\n' % second) == first
+    with pytest.raises(ResponseBrokenError):
+        splitter.check()
+
+
+def test_a_first_run_may_have_events_without_ids():
+    splitter = EventSplitter()
+    splitter.reset(None)
+    stream = b'id: 1\ndata: a\n\ndata: b\n\n: c\n\nid: 4\ndata: d\n\n'
+    assert splitter.feed(stream) == stream
+    splitter.check()
+
+
+def test_a_stream_that_is_taken_up_has_ids_that_come_after():
+    splitter = EventSplitter()
+    splitter.reset(b'3')
+    assert splitter.last_id == b'3'
+    assert not splitter.feed(b'data: a\n\n')
+    with pytest.raises(ResponseBrokenError):
+        splitter.check()
+
+
+@given(first=st.integers(0, 10**30), second=st.integers(0, 10**30))
+def test_numbers_of_any_length_are_compared_by_their_values(first, second):
+    splitter = EventSplitter()
+    splitter.reset(b'%d' % first)
+    assert bool(splitter.feed(b'id: %d\n\n' % second)) == (second > first)
+    splitter.reset(b'1' * 5000)
+    assert splitter.feed(b'id: 1%b\n\n' % (b'0' * 5000))
