Do not resume a stream after an event that has no id

What callers would see: a stream whose events have no ids breaks off, another target is asked for the whole of it, and all events come twice in one answer. Cause: the last known id stood for the last event. Class: a position that is not that of what was delivered. Such a stream is left incomplete now.

Evidence: the last test of tests/test_node_event_order.py fails before.

--- a/hornbeampulley/node/_events.py
+++ b/hornbeampulley/node/_events.py
@@ -20,11 +20,14 @@
         the target was asked to go on.
     count : int
         Number of complete events so far.
+    is_place_known : bool
+        Whether another target can go on after the last event, as it has an id.
     """
 
     def __init__(self) -> None:
         self.last_id: bytes | None = None
         self.count = 0
+        self.is_place_known = True
         self._buffer = b''
         self._fault = ''
         self._is_resumed = False
@@ -59,8 +62,7 @@
             if not self._is_in_order(event, event_id):
                 self._fault = 'an event does not come after the one before it'
                 break
-            self.count += 1
-            self.last_id = self.last_id if event_id is None else event_id
+            self._count(event, event_id)
             end = match.end()
         whole, self._buffer = self._buffer[:end], self._buffer[end:]
         if len(self._buffer) > MAX_EVENT_BYTES and not self._fault:
@@ -99,6 +101,14 @@
         self.last_id = resumes_after
         self._is_resumed = resumes_after is not None
 
+    def _count(self, event: bytes, event_id: bytes | None) -> None:
+        self.count += 1
+        if event_id is not None:
+            self.last_id = event_id
+            self.is_place_known = True
+        elif not event.startswith(b':'):
+            self.is_place_known = False
+
     def _is_in_order(self, event: bytes, event_id: bytes | None) -> bool:
         """Tell whether an event comes after the last one.
 
--- a/hornbeampulley/node/_serving.py
+++ b/hornbeampulley/node/_serving.py
@@ -255,6 +255,8 @@
     left_ms = call.ends_ms - home.clock.now()
     if not is_allowed or left_ms < MIN_LEFT_MS:
         return False
+    if not call.events.is_place_known:
+        return False
     if len(call.targets) >= route.max_attempts:
         return False
     return home.retries.spend(call.pool, home.clock.now())
--- a/tests/test_node_event_order.py
+++ b/tests/test_node_event_order.py
@@ -29,8 +29,9 @@
     The last answer is repeated; only it has an end.
     """
 
-    def __init__(self, *answers):
+    def __init__(self, *answers, make=make_events):
         self._answers = list(answers)
+        self._make = make
         self.resumed_after = []
 
     async def serve(self, address):
@@ -47,7 +48,7 @@
         request_id = lower.partition(b'attempt-id: ')[2].split()[0]
         after = lower.partition(b'last-event-id: ')[2].split()
         self.resumed_after.append(after[0] if after else None)
-        events = make_events(*self._answers[0])
+        events = self._make(*self._answers[0])
         answer = HEAD.replace(b'%s', request_id)
         answer += b'%x\r\n%b\r\n' % (len(events), events)
         if len(self._answers) == 1:
@@ -107,3 +108,17 @@
     _, _, body = play(script)
     assert script.resumed_after == [None, b'2']
     assert unchunk(body) == make_events(1, 2, 3, 4)
+
+
+def make_texts(*numbers):
+    return b''.join(b'data: t%d\n\n' % one for one in numbers)
+
+
+# ORDER: a stream whose last event had no id began anew at another target, in the
+# same answer.
+def test_a_stream_whose_last_event_has_no_id_does_not_go_on():
+    script = Script([1, 2], [1, 2, 3], make=make_texts)
+    _, _, body = play(script)
+    assert script.resumed_after == [None]
+    assert unchunk(body) == make_texts(1, 2)
+    assert not body.endswith(LAST_CHUNK)
