Check that a target still runs after plain answers that end with their connection

What callers would see: status 200 and the first part of an answer whose target was killed in the middle of it (MIXED). The same cause as with streams: an end that nothing proves. The same check goes before such an answer is passed on; otherwise the caller gets 502.

Evidence: test_a_plain_answer_of_a_killed_target_is_not_passed_on fails before (status 200). The store's answers are JSON objects, which can't be read when they are cut.

--- a/hornbeampulley/node/_exchanges.py
+++ b/hornbeampulley/node/_exchanges.py
@@ -236,6 +236,8 @@
             attempt.outcome = Outcome.NOT_SENT
             attempt.reason = f'rejected with {head.status}'
             return attempt
+        if self._is_unframed:
+            await self._check_run()
         if head.status >= SERVER_FAILURE:
             attempt.outcome = Outcome.FAILED
             attempt.reason = f'failed with {head.status}'
--- a/tests/test_killed_targets.py
+++ b/tests/test_killed_targets.py
@@ -22,7 +22,9 @@
 class Target:
     """A target that is a process, with its entry in the store."""
 
-    def __init__(self, nodes, name, number, framing, service='engines'):
+    pause_ms = PAUSE_MS
+
+    def __init__(self, nodes, name, number, framing, service):
         self.nodes = nodes
         self.name = name
         self.service = service
@@ -34,7 +36,7 @@
     async def start(self):
         """Start the process and write its entry."""
         command = [sys.executable, '-m', 'standins.killable', self.address]
-        command += [str(BACKEND_PORT), str(EVENTS), str(PAUSE_MS)]
+        command += [str(BACKEND_PORT), str(EVENTS), str(self.pause_ms)]
         self.process = await trio.lowlevel.open_process(
             [*command, self._framing], stdout=subprocess.PIPE
         )
@@ -109,12 +111,12 @@
         return len(body) >= int(length)
 
 
-async def replace_engines(nodes, *targets):
-    """Let only these targets serve the streams."""
+async def replace_targets(nodes, *targets):
+    """Let only these targets serve their service."""
     for target in targets:
         await target.start()
-    for name in ('engines-1', 'engines-2'):
-        nodes.fleet.store.delete(f'servers/{name}')
+    for number in (1, 2):
+        nodes.fleet.store.delete(f'servers/{targets[0].service}-{number}')
     # Removals are held for a while.
     await trio.sleep(4)
 
@@ -142,7 +144,7 @@
 @pytest.mark.parametrize('framing', ['chunks', 'close'])
 def test_a_stream_of_a_killed_target_does_not_look_complete(tmp_path, framing):
     async def scenario(nodes, targets):
-        await replace_engines(nodes, *targets)
+        await replace_targets(nodes, *targets)
         reader = Reader(nodes)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(reader.call, '/stream/a')
@@ -157,7 +159,7 @@
 @pytest.mark.parametrize('framing', ['chunks', 'close'])
 def test_a_stream_of_a_killed_target_goes_on_at_another(tmp_path, framing):
     async def scenario(nodes, targets):
-        await replace_engines(nodes, targets[0])
+        await replace_targets(nodes, targets[0])
         reader = Reader(nodes)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(reader.call, '/stream/a')
@@ -172,3 +174,30 @@
         )
 
     run_targets(scenario, tmp_path, framing, framing)
+
+
+# MIXED: a plain answer that ends with its connection was passed on as whole when
+# its target was killed between two parts of it.
+def test_a_plain_answer_of_a_killed_target_is_not_passed_on(tmp_path):
+    async def scenario(nodes, targets):
+        targets[0].pause_ms = 2000
+        await replace_targets(nodes, targets[0])
+        reader = Reader(nodes)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(reader.call, '/once/a')
+            await trio.sleep(0.5)
+            await targets[0].kill()
+        assert reader.status == 502
+        assert b'first half' not in reader.body
+
+    run_targets(scenario, tmp_path, 'close', service='ledger')
+
+
+def test_a_plain_answer_of_a_target_that_runs_is_passed_on(tmp_path):
+    async def scenario(nodes, targets):
+        await replace_targets(nodes, targets[0])
+        reader = Reader(nodes)
+        await reader.call('/once/a')
+        assert (reader.status, reader.body) == (200, b'first half, second half')
+
+    run_targets(scenario, tmp_path, 'close', service='ledger')
