Ask a target when it started before a stream goes on at it

What callers would see: the rest of a stream from another software version, where its target was killed and started anew as another version under its old name and address, before the host heard of it. Cause: the version is taken from the store's record, which tells of the run before.

The question goes over the connection that the request uses next, so that both reach the same run. A target without such a report counts as the run of its record. One short call for each stream that goes on or is taken up, none for others. A stream that begins at such a target is still bound to the version of the record.

Evidence: test_a_stream_does_not_go_on_at_another_run_of_its_target with another start fails before (200 in place of 503).

--- a/hornbeampulley/node/_calls.py
+++ b/hornbeampulley/node/_calls.py
@@ -131,6 +131,13 @@
         is_resumable = self.route is not None and self.route.is_resumable
         return is_resumable and self.metadata.resumes_after is not None
 
+    @property
+    def resumes_after(self) -> bytes | None:
+        """Id of the event after which the next target is to go on."""
+        if self.route is None or not self.route.is_resumable:
+            return None
+        return self.events.last_id or self.metadata.resumes_after
+
     @property
     def first_attempt(self) -> bytes:
         """Id of the attempt that brought the first event; its own at first."""
--- a/hornbeampulley/node/_exchanges.py
+++ b/hornbeampulley/node/_exchanges.py
@@ -148,7 +148,7 @@
         """
         call = self._call
         self._sent_ms = self._clock.now()
-        self._resumes_after = self._get_last_event_id()
+        self._resumes_after = call.resumes_after
         dispatch = Dispatch(
             target,
             call.ends_ms - self._sent_ms,
@@ -211,12 +211,6 @@
             is_unframed=self._is_unframed,
         )
 
-    def _get_last_event_id(self) -> bytes | None:
-        route = self._call.route
-        if route is None or not route.is_resumable:
-            return None
-        return self._call.events.last_id or self._call.metadata.resumes_after
-
     async def _read_answer(self, connection: Connection) -> Attempt:
         head = await self._read_matching_head(connection)
         self._is_unframed = connection.is_unframed
--- a/hornbeampulley/node/_run_checks.py
+++ b/hornbeampulley/node/_run_checks.py
@@ -74,19 +74,37 @@
             If the target can't be reached, or has started anew.
         """
         finding = await self._find(target, call.is_model)
-        log_event(
-            _log,
-            'run_checked',
-            request=call.name,
-            target=target.name,
-            finding=finding.value,
-        )
+        _log_finding(finding, target, call)
         if finding in _PROVES_DEATH:
             raise ResponseBrokenError(
                 'an answer without a length ended when its target did '
                 f'({finding.value}); look at the log of the target',
             )
 
+    async def is_same_run(
+        self, connection: Connection, target: TargetRecord, call: Call
+    ) -> bool:
+        """Tell whether a connection leads to the run of a record.
+
+        Parameters
+        ----------
+        connection : Connection
+            A connection to a model engine that can be used after this.
+        target : TargetRecord
+            What is known of the target.
+        call : Call
+            The request that is to be sent, for the log.
+
+        Returns
+        -------
+        bool
+            False also if there is no answer.
+        """
+        finding = await self._ask(connection, target)
+        if finding is not Finding.SAME_RUN:
+            _log_finding(finding, target, call)
+        return finding is Finding.SAME_RUN and connection.is_reusable
+
     async def _find(self, target: TargetRecord, is_model: bool) -> Finding:
         finding = await self._try_once(target, is_model)
         for _ in range(MAX_TRIES - 1):
@@ -133,3 +151,14 @@
         """Tell whether a plain service keeps a new connection open."""
         await trio.sleep(to_seconds(SETTLE_MS))
         return Finding.SILENT if connection.is_closed else Finding.SAME_RUN
+
+
+def _log_finding(finding: Finding, target: TargetRecord, call: Call) -> None:
+    log_event(
+        _log,
+        'run_checked',
+        request=call.name,
+        target=target.name,
+        born_ms=target.born_ms,
+        finding=finding.value,
+    )
--- a/hornbeampulley/node/_sending.py
+++ b/hornbeampulley/node/_sending.py
@@ -113,6 +113,9 @@
         if not notice.is_open:
             connection.close()
             return _reject_leaving(call, target, notice)
+        if not await self._may_resume(call, connection, target):
+            connection.close()
+            return Attempt(Outcome.NOT_SENT, 'the target has started anew')
         exchange = Exchange(
             self._dialect,
             self.clock,
@@ -127,6 +130,18 @@
             if not exchange.is_connection_returned:
                 connection.close()
 
+    async def _may_resume(
+        self, call: Call, connection: Connection, target: TargetRecord
+    ) -> bool:
+        """Tell whether a stream may go on at the end of a connection.
+
+        A target may have started as another software version under its old
+        name, before this host knows it.
+        """
+        if call.resumes_after is None or not call.is_model:
+            return True
+        return await self._run_checker.is_same_run(connection, target, call)
+
     def _get_notice(self, target: TargetRecord) -> TargetNotice:
         """Return what the store and the target itself have told of it."""
         notice = self._store_view.get_notice(target)
--- a/hornbeampulley/platform/_headers.py
+++ b/hornbeampulley/platform/_headers.py
@@ -240,7 +240,9 @@
         """
         if head.status == OTHER_TARGET:
             return True
-        born_ms = read_report_start(body) if head.status == FOUND else None
+        if head.status != FOUND or not target.born_ms:
+            return False
+        born_ms = read_report_start(body)
         return born_ms is not None and born_ms != target.born_ms
 
     def list_error_headers(
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -1,6 +1,7 @@
 """Stand-in for a users' server with plain answers and event streams."""
 
 import dataclasses
+import json
 from collections import Counter
 from typing import Any, Final
 
@@ -16,6 +17,7 @@
 
 SEAL: Final = b'server-seal'
 FIRST_FAILURE: Final = 400
+REPORT_PATH: Final = b'/-/report'
 
 TRICKLE_MS: Final = 300.0
 RESTART_MS: Final = 100.0
@@ -53,6 +55,9 @@
         Headers of all answers in which it tells of itself.
     mark : bytes
         Text in each event of the streams that begin from now on.
+    born : int or None
+        Start of its run that its report tells, in ms since 1970; None if it
+        has no report.
     """
 
     events: int = 3
@@ -66,6 +71,7 @@
     deadly_part: bytes = b''
     signals: tuple[tuple[bytes, bytes], ...] = ()
     mark: bytes = b''
+    born: int | None = None
 
 
 class Backend:
@@ -126,6 +132,9 @@
 
     async def answer(self, request: Request, reply: Reply) -> None:
         """Answer one request."""
+        if request.path == REPORT_PATH:
+            await self._report(reply)
+            return
         self.seen.append(request)
         request_id = find_header(request.headers, b'attempt-id') or b''
         expected = find_header(request.headers, b'expect-instance')
@@ -138,6 +147,13 @@
             self.runs[request_id] += 1
             await self._run(request, reply, request_id)
 
+    async def _report(self, reply: Reply) -> None:
+        if self.behaviour.born is None:
+            await reply.send(404, [])
+            return
+        report = {'stage': 'unified', 'born': self.behaviour.born}
+        await reply.send(200, [], json.dumps(report).encode())
+
     async def _run(
         self,
         request: Request,
--- a/tests/test_node_event_order.py
+++ b/tests/test_node_event_order.py
@@ -17,12 +17,24 @@
     b'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
 )
 LAST_CHUNK = b'0\r\n\r\n'
+NOT_FOUND = b'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n'
 
 
 def make_events(*numbers):
     return b''.join(b'id: %d\ndata: t%d\n\n' % (one, one) for one in numbers)
 
 
+async def read_head(stream):
+    """Read a request without a body; nothing at the end of the connection."""
+    request = b''
+    while b'\r\n\r\n' not in request:
+        part = await stream.receive_some()
+        if not part:
+            return b''
+        request += part
+    return request
+
+
 class Script:
     """A target that answers the attempts in turn with lists of event ids.
 
@@ -38,13 +50,12 @@
         await trio.serve_tcp(self._serve, BACKEND_PORT, host=address)
 
     async def _serve(self, stream):
-        request = b''
-        while b'\r\n\r\n' not in request:
-            part = await stream.receive_some()
-            if not part:
-                return
-            request += part
-        lower = request.lower()
+        lower = (await read_head(stream)).lower()
+        if b'attempt-id: ' not in lower:
+            await stream.send_all(NOT_FOUND)
+            lower = (await read_head(stream)).lower()
+        if not lower:
+            return
         request_id = lower.partition(b'attempt-id: ')[2].split()[0]
         after = lower.partition(b'last-event-id: ')[2].split()
         self.resumed_after.append(after[0] if after else None)
@@ -76,7 +87,7 @@
             entry = backend.describe(address, BACKEND_PORT)
             fleet.store.put(f'servers/{name}', {**entry, 'born': 2})
         await trio.sleep(0.3)
-        results.append(await fleet.call('/stream/a', body=b'p', **headers))
+        results.append(await fleet.call('/stream/a', **headers))
 
     run_nodes(scenario)
     return results[0]
--- a/tests/test_node_stream_versions.py
+++ b/tests/test_node_stream_versions.py
@@ -320,3 +320,24 @@
 
 def ignore(**_options):
     """Leave a reader as it is."""
+
+
+# ORDER: a target that started anew as another version under its old name, while the
+# store still told the old run, got the rest of a stream that the old run had begun.
+@pytest.mark.parametrize(('born', 'status'), [(1, 200), (2, 503)])
+def test_a_stream_does_not_go_on_at_another_run_of_its_target(born, status):
+    async def scenario(fleet):
+        await set_versions(fleet, engines_1=OLD, engines_2=NEW)
+        begun = await begin_and_break(fleet)
+        begun.behaviour.born = born
+        answer = await fleet.call(
+            '/stream/a',
+            body=b'p',
+            request_id=b'r2',
+            resumes='r1',
+            last_event_id='1',
+        )
+        assert answer[0] == status
+        assert begun.runs[b'r2'] == (born == 1)
+
+    run_nodes(scenario)
