Read what waits before a stream counts as stalled

What callers saw: after a host had been stopped for 1.5 s its streams were broken off and went on elsewhere, or stayed incomplete.

Cause: after a pause the deadline of the next event has passed before anything is read, though events wait in the kernel's buffer; so silence was concluded from the reader's own absence. What waits is read now. Time that the caller takes to read does not count as silence of the target either.

Evidence: test_streams_do_not_change_their_target_when_their_host_is_paused fails before. tests/test_killed_targets.py is renamed, as it holds more now.

--- a/hornbeampulley/http1/_connections.py
+++ b/hornbeampulley/http1/_connections.py
@@ -94,8 +94,8 @@
         return self._parser.is_unframed
 
     @property
-    def is_closed(self) -> bool:
-        """Whether the server has closed an idle connection, or sent bytes."""
+    def has_input(self) -> bool:
+        """Whether bytes or the end of the connection wait to be read."""
         return is_readable(self._stream)
 
     @property
@@ -105,7 +105,7 @@
         Input means that the server closed the connection or sent
         unsolicited bytes.
         """
-        return self._clock.now() >= self.expires_ms or self.is_closed
+        return self._clock.now() >= self.expires_ms or self.has_input
 
     async def send(self, request: Request) -> None:
         """Send a request.
--- a/hornbeampulley/node/_exchanges.py
+++ b/hornbeampulley/node/_exchanges.py
@@ -27,6 +27,8 @@
 # Time without an event after which a stream that can be resumed at another
 # target is abandoned, before its caller disconnects.
 STALL_MS: Final = 1200.0
+# To read what has come already.
+LATE_READ_MS: Final = 50.0
 FIRST_FAILURE: Final = 400
 SERVER_FAILURE: Final = 500
 _log = logging.getLogger(__name__)
@@ -321,6 +323,10 @@
         left_ms = self._event_ms + stall_ms - self._clock.now()
         with trio.move_on_after(to_seconds(max(left_ms, 0))):
             return await connection.read_body()
+        if connection.has_input:
+            # The process was paused, and the deadline passed meanwhile.
+            with trio.move_on_after(to_seconds(LATE_READ_MS)):
+                return await connection.read_body()
         raise ResponseBrokenError(
             f'no event of a stream for {stall_ms:.0f} ms; '
             'look at the load of the target',
@@ -341,7 +347,6 @@
     ) -> None:
         call = self._call
         now_ms = self._clock.now()
-        self._event_ms = now_ms
         if not self._first_ms:
             self._first_ms = max(now_ms - self._sent_ms, 1)
             self._on_first_part(self._first_ms)
@@ -350,6 +355,8 @@
             call.status = status
             await call.reply.start(status, headers)
         await call.reply.write(events)
+        # While the caller does not read, the target is not read either.
+        self._event_ms = self._clock.now()
 
 
 def _format_event_id(event_id: bytes | None) -> str | None:
--- a/hornbeampulley/node/_run_checks.py
+++ b/hornbeampulley/node/_run_checks.py
@@ -150,7 +150,7 @@
     ) -> Finding:
         """Tell whether a plain service keeps a new connection open."""
         await trio.sleep(to_seconds(SETTLE_MS))
-        return Finding.SILENT if connection.is_closed else Finding.SAME_RUN
+        return Finding.SILENT if connection.has_input else Finding.SAME_RUN
 
 
 def _log_finding(finding: Finding, target: TargetRecord, call: Call) -> None:
--- a/tests/test_node_run_checks.py
+++ b/tests/test_node_run_checks.py
@@ -36,7 +36,7 @@
 
     def __init__(self, answer):
         self._answer = answer
-        self.is_closed = answer is SILENCE
+        self.has_input = answer is SILENCE
 
     async def send(self, request):
         self.request = request
--- a/tests/test_killed_targets.py
+++ b/tests/test_target_processes.py
@@ -1,4 +1,4 @@
-"""Tests of nodes whose targets are processes that are killed in an answer."""
+"""Tests of nodes whose targets are processes, while either is hit by signals."""
 
 import json
 import signal
@@ -14,6 +14,10 @@
 
 EVENTS = 40
 PAUSE_MS = 50
+WHOLE = b''.join(
+    b'id: %d\ndata: t%d\n\n' % (number, number)
+    for number in range(1, EVENTS + 1)
+)
 LAST_CHUNK = b'0\r\n\r\n'
 # Numbers of the addresses of targets that are processes.
 FIRST_ADDRESS = 200
@@ -91,6 +95,11 @@
                 self.received += part
         self.is_over = True
 
+    async def wait_event(self, number):
+        """Wait until the caller has an event."""
+        event = b'id: %d\n' % number
+        await wait_until(lambda: event in self.received, 0.005)
+
     @property
     def body(self):
         return self.received.partition(b'\r\n\r\n')[2]
@@ -148,7 +157,7 @@
         reader = Reader(nodes)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(reader.call, '/stream/a')
-            await wait_until(lambda: b'id: 7\n' in reader.received, 0.005)
+            await reader.wait_event(7)
             await targets[0].kill()
         assert not reader.is_whole
 
@@ -163,15 +172,12 @@
         reader = Reader(nodes)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(reader.call, '/stream/a')
-            await wait_until(lambda: b'id: 7\n' in reader.received, 0.005)
+            await reader.wait_event(7)
             await targets[1].start()
             await trio.sleep(0.5)
             await targets[0].kill()
         assert reader.is_whole
-        numbers = range(1, EVENTS + 1)
-        assert unchunk(reader.body) == b''.join(
-            b'id: %d\ndata: t%d\n\n' % (number, number) for number in numbers
-        )
+        assert unchunk(reader.body) == WHOLE
 
     run_targets(scenario, tmp_path, framing, framing)
 
@@ -201,3 +207,27 @@
         assert (reader.status, reader.body) == (200, b'first half, second half')
 
     run_targets(scenario, tmp_path, 'close', service='ledger')
+
+
+# ORDER: a host that was stopped for a while found the time limit between two events
+# passed and sent each stream to another target, though events waited to be read.
+def test_streams_do_not_change_their_target_when_their_host_is_paused(tmp_path):
+    async def scenario(nodes, targets):
+        await replace_targets(nodes, *targets)
+        readers = [Reader(nodes) for _ in range(4)]
+        async with trio.open_nursery() as nursery:
+            for number, reader in enumerate(readers):
+                name = b'r%d' % number
+                nursery.start_soon(reader.call, '/stream/a', name)
+            for reader in readers:
+                await reader.wait_event(7)
+            nodes.signal(0, signal.SIGSTOP)
+            await trio.sleep(1.5)
+            nodes.signal(0, signal.SIGCONT)
+        assert [unchunk(one.body) for one in readers] == [WHOLE] * 4
+        log = (tmp_path / 'node-0.log').read_text()
+        for number in range(4):
+            sent = f'event=request_dispatched request=r{number} '
+            assert log.count(sent) == 1
+
+    run_targets(scenario, tmp_path, 'chunks', 'chunks')
