Take an empty id of an event for none

What callers would see: all events of a stream once more, in one answer, after an event with an empty id and a break: no place to go on from was sent to the next target. Class: a position that is not that of what was delivered. Evidence: the case make_empty_ids of tests/test_node_event_order.py fails before.

--- a/hornbeampulley/node/_events.py
+++ b/hornbeampulley/node/_events.py
@@ -7,7 +7,7 @@
 
 MAX_EVENT_BYTES: Final = 1 << 20
 _EVENT_END: Final = re.compile(rb'\r?\n\r?\n')
-_EVENT_ID: Final = re.compile(rb'(?:^|\n)id:[ ]?([^\r\n]*)')
+_EVENT_ID: Final = re.compile(rb'(?:^|\n)id:[ ]?([^\r\n]+)')
 
 
 class EventSplitter:
--- a/tests/test_node_event_order.py
+++ b/tests/test_node_event_order.py
@@ -125,11 +125,16 @@
     return b''.join(b'data: t%d\n\n' % one for one in numbers)
 
 
-# ORDER: a stream whose last event had no id began anew at another target, in the
-# same answer.
-def test_a_stream_whose_last_event_has_no_id_does_not_go_on():
-    script = Script([1, 2], [1, 2, 3], make=make_texts)
+def make_empty_ids(*numbers):
+    return b''.join(b'id:\ndata: t%d\n\n' % one for one in numbers)
+
+
+# ORDER: a stream whose last event had no id, or an empty one, began anew at another
+# target, in the same answer.
+@pytest.mark.parametrize('make', [make_texts, make_empty_ids])
+def test_a_stream_whose_last_event_has_no_id_does_not_go_on(make):
+    script = Script([1, 2], [1, 2, 3], make=make)
     _, _, body = play(script)
     assert script.resumed_after == [None]
-    assert unchunk(body) == make_texts(1, 2)
+    assert unchunk(body) == make(1, 2)
     assert not body.endswith(LAST_CHUNK)
