Refuse to take up streams of routes whose streams begin anew

What callers would see: events 1 to 3 for a stream that they had up to event 2, after a change of configuration that made its route one whose streams can't be resumed: the id was dropped and the stream begun anew. They are refused as not run now and may send the request anew. Evidence: test_a_take_up_is_refused_where_streams_begin_anew fails before.

--- a/hornbeampulley/node/_filters.py
+++ b/hornbeampulley/node/_filters.py
@@ -80,6 +80,8 @@
             'check host and path',
         )
     call.route = route
+    if call.is_stream and not route.is_resumable:
+        _check_take_up(call)
     # What takes a stream up goes to the pool that began it.
     call.pool = choose_pool(route, call.first_attempt)
     limit_ms = call.metadata.time_limit_ms
@@ -168,6 +170,17 @@
         _log_answer(home, call)
 
 
+def _check_take_up(call: Call) -> None:
+    """Refuse to take up a stream of a route whose streams begin anew."""
+    if call.metadata.resumes_after is not None:
+        raise CallError(
+            503,
+            'not_resumable',
+            'streams of this route can not be taken up; send the request '
+            'without the id of the last event',
+        )
+
+
 def _check_view_age(home: Home) -> None:
     """Refuse for now what the operators may have allowed meanwhile."""
     age_ms = home.store_view.freshness.age_ms
--- a/tests/test_node_event_order.py
+++ b/tests/test_node_event_order.py
@@ -71,7 +71,7 @@
         await stream.aclose()
 
 
-def play(script, **headers):
+def play(script, is_resumable=True, **headers):
     """Call a route whose targets all follow a script; return the answer."""
     results = []
 
@@ -79,7 +79,7 @@
         address = fleet.address(200)
         fleet.nursery.start_soon(script.serve, address)
         route = make_route(
-            'stream', 'streaming', resumable=True, max_attempts=3
+            'stream', 'streaming', resumable=is_resumable, max_attempts=3
         )
         config = make_config(2, routes=[route])
         fleet.store.put(KEY_OF_CONFIG, config)
@@ -138,3 +138,12 @@
     assert script.resumed_after == [None]
     assert unchunk(body) == make(1, 2)
     assert not body.endswith(LAST_CHUNK)
+
+
+# ORDER: a caller that took a stream up, after its route had become one whose streams
+# can't be, got all events once more.
+def test_a_take_up_is_refused_where_streams_begin_anew():
+    script = Script([1, 2, 3])
+    status, _, _ = play(script, is_resumable=False, last_event_id='2')
+    assert status == 503
+    assert not script.resumed_after
