Compare the run of a target with the newest record after the end of an answer

A newer start in the record of the target counts as another run now.

Connections of a check are closed, since nothing tells how long the target keeps them, and the question before a stream goes on leaves the next request the first one on its connection, so that a failure without an id is still taken for its answer.

Evidence: test_a_target_that_is_known_to_have_started_anew_does_not_run fails without the comparison. Still open: the same before the host has heard of the new run; a plain service does not tell its start.

--- a/hornbeampulley/node/_run_checks.py
+++ b/hornbeampulley/node/_run_checks.py
@@ -7,6 +7,7 @@
 
 import enum
 import logging
+from collections.abc import Callable
 from typing import Final
 
 import trio
@@ -47,14 +48,22 @@
     Parameters
     ----------
     connections : ConnectionPool
-        Pool of connections to targets; keeps those that a check opens.
+        Opens connections to targets.
     dialect : Dialect
         Makes the question and reads its answer.
+    find_record : callable
+        Returns what is known of a target by its name.
     """
 
-    def __init__(self, connections: ConnectionPool, dialect: Dialect) -> None:
+    def __init__(
+        self,
+        connections: ConnectionPool,
+        dialect: Dialect,
+        find_record: Callable[[str], TargetRecord | None],
+    ) -> None:
         self._connections = connections
         self._dialect = dialect
+        self._find_record = find_record
 
     async def check(self, target: TargetRecord, call: Call) -> None:
         """Check that the run of a target that has just answered goes on.
@@ -100,7 +109,10 @@
         bool
             False also if there is no answer.
         """
+        uses = connection.uses
         finding = await self._ask(connection, target)
+        # The next failure without an id is that of the next request.
+        connection.uses = uses
         if finding is not Finding.SAME_RUN:
             _log_finding(finding, target, call)
         return finding is Finding.SAME_RUN and connection.is_reusable
@@ -120,16 +132,19 @@
         except NotConnectedError:
             return Finding.UNREACHABLE
         ask = self._ask if is_model else self._listen
-        finding = Finding.SILENT
         try:
             finding = await ask(connection, target)
         finally:
-            if finding is Finding.SAME_RUN:
-                self._connections.release(target.name, connection, None)
-            else:
-                connection.close()
+            connection.close()
+        if finding is Finding.SAME_RUN and self._has_new_run(target):
+            return Finding.OTHER_RUN
         return finding
 
+    def _has_new_run(self, target: TargetRecord) -> bool:
+        """Tell whether another run of a target is known by now."""
+        known = self._find_record(target.name)
+        return known is not None and 0 < target.born_ms < known.born_ms
+
     async def _ask(
         self, connection: Connection, target: TargetRecord
     ) -> Finding:
--- a/hornbeampulley/node/_sending.py
+++ b/hornbeampulley/node/_sending.py
@@ -71,7 +71,9 @@
         self._dialect = dialect
         self.clock = clock
         self._signals = signals
-        self._run_checker = RunChecker(connections, dialect)
+        self._run_checker = RunChecker(
+            connections, dialect, store_view.find_target
+        )
         self._report = report
         self._report_signals = report_signals
 
--- a/hornbeampulley/node/_store_view.py
+++ b/hornbeampulley/node/_store_view.py
@@ -206,6 +206,21 @@
         # An empty list too tells that the history is known.
         self._advance(Revision(), Revision(revision.epoch))
 
+    def find_target(self, name: str) -> TargetRecord | None:
+        """Return what is known of a target.
+
+        Parameters
+        ----------
+        name : str
+            Its name.
+
+        Returns
+        -------
+        TargetRecord or None
+            None if it is not registered.
+        """
+        return self.targets.records.get(name)
+
     def get_notice(self, record: TargetRecord) -> TargetNotice:
         """Return what is known now about a target that was looked up before.
 
