Give each test process a loopback network that no other one uses

Networks were chosen by the process id, modulo 200, so that two test runs at the same time could meet: 'Address already in use' in one test beside others. A process now holds its network by a bound socket.

--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -1,8 +1,10 @@
 """Test fixture: nodes, metadata store and backends in one event loop."""
 
 import contextlib
+import functools
 import itertools
 import os
+import socket
 
 import trio
 
@@ -29,7 +31,11 @@
 CALLER_PORT = 8221
 KEY = b'secret'
 EVENTS = [b'id: %d\ndata: t%d\n\n' % (number, number) for number in (1, 2, 3)]
+NETWORKS = 200
+FIRST_NETWORK = 20
+LOCK_PORT = 8200
 _network_numbers = itertools.count()
+_locks = []
 
 
 def make_route(name, kind, **changes):
@@ -72,13 +78,29 @@
     }
 
 
+@functools.cache
+def _take_network():
+    """Take a loopback network that no other test process uses."""
+    for place in range(NETWORKS):
+        network = FIRST_NETWORK + (os.getpid() + place) % NETWORKS
+        lock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            lock.bind((f'127.{network}.255.1', LOCK_PORT))
+        except OSError:
+            lock.close()
+        else:
+            # Open until the process ends.
+            _locks.append(lock)
+            return network
+    raise RuntimeError('all loopback networks are used; end other test runs')
+
+
 class Fleet:
     """Store, backends and nodes of a test, with their loopback addresses."""
 
     def __init__(self, nursery):
-        # Each test process uses a loopback network of its own.
-        slot = os.getpid() % 200 + 20
-        self.prefix = f'127.{slot}.{next(_network_numbers) % 250}.'
+        number = next(_network_numbers) % 250
+        self.prefix = f'127.{_take_network()}.{number}.'
         self.nursery = nursery
         self.store = MetadataStore()
         self.backends = {}
