Handle signals before all else when a node starts

What operators saw: SIGHUP or SIGTERM to a node that starts ends it by the signal (exit by -1 or -15) for the first 660 ms, and SIGTERM once more while it drains cuts what is open. Cause: signals had their default effect outside of the two receivers, which were opened last and closed with the first signal. Class: a phase of the process without a handler.

The main module sets handlers before it imports anything else: SIGHUP is ignored, since settings are read later and compared from then on; SIGTERM and SIGINT end the process with code 0, since nothing has begun. The receivers are opened before the node is built and stay open until it has drained.

Evidence: tests/test_node_start.py raises signals at exact stages of a real process: the first import after the handlers, seven more stages, and SIGHUP at every audit event up to the first bind.

--- a/hornbeampulley/node/program.py
+++ b/hornbeampulley/node/program.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import time
+from collections.abc import AsyncIterator
 from typing import Final
 
 import trio
@@ -85,33 +86,36 @@
         process=os.getpid(),
         store=settings.store.address,
     )
-    async with trio.open_nursery() as nursery:
-        node = Node(settings, identity, adapter, nursery)
-        node.start()
-        nursery.start_soon(_watch_settings, node, settings_file)
-        nursery.start_soon(_report_lost_lines, node, handler)
-        await _wait_for_signal()
-        await drain_node(node)
-        nursery.cancel_scope.cancel()
-    log_event(_log, 'process_ended')
-
-
-async def _wait_for_signal() -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for number in signals:
-            log_event(_log, 'signal_received', number=number)
-            return
-
-
-async def _watch_settings(node: Node, settings_file: SettingsFile) -> None:
+    with (
+        trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as ends,
+        trio.open_signal_receiver(signal.SIGHUP) as reloads,
+    ):
+        async with trio.open_nursery() as nursery:
+            node = Node(settings, identity, adapter, nursery)
+            node.start()
+            nursery.start_soon(_watch_settings, node, settings_file, reloads)
+            nursery.start_soon(_report_lost_lines, node, handler)
+            await _wait_for_signal(ends)
+            await drain_node(node)
+            nursery.cancel_scope.cancel()
+        log_event(_log, 'process_ended')
+
+
+async def _wait_for_signal(signals: AsyncIterator[int]) -> None:
+    number = await anext(signals)
+    log_event(_log, 'signal_received', number=number)
+
+
+async def _watch_settings(
+    node: Node, settings_file: SettingsFile, signals: AsyncIterator[int]
+) -> None:
     """Reload changed settings; check the file periodically and on SIGHUP."""
-    with trio.open_signal_receiver(signal.SIGHUP) as signals:
-        while True:
-            with trio.move_on_after(to_seconds(CHECK_SETTINGS_MS)):
-                await signals.__anext__()
-                log_event(_log, 'signal_received', number=signal.SIGHUP)
-            if settings_file.has_changed():
-                _reload(node, settings_file)
+    while True:
+        with trio.move_on_after(to_seconds(CHECK_SETTINGS_MS)):
+            number = await anext(signals)
+            log_event(_log, 'signal_received', number=number)
+        if settings_file.has_changed():
+            _reload(node, settings_file)
 
 
 def _reload(node: Node, settings_file: SettingsFile) -> None:
--- a/hornbeampulley/platform/node.py
+++ b/hornbeampulley/platform/node.py
@@ -1,17 +1,12 @@
 """Main program of the node on each machine of the platform."""
 
 import os
-import pathlib
 import sys
-from typing import Final
 
-from hornbeampulley.node import Adapter, run_node
-from hornbeampulley.platform._documents import PlatformDecoder
-from hornbeampulley.platform._headers import PlatformDialect
-from hornbeampulley.platform._store import StoreClient
+from hornbeampulley.platform._start_signals import handle_start_signals
 
-SETTINGS_VARIABLE: Final = 'HORNBEAMPULLEY_NODE_FILE'
-EXIT_USAGE: Final = 2
+SETTINGS_VARIABLE = 'HORNBEAMPULLEY_NODE_FILE'
+EXIT_USAGE = 2
 
 
 def main() -> int:
@@ -22,6 +17,7 @@
     int
         Exit code of the process.
     """
+    handle_start_signals()
     path = os.environ.get(SETTINGS_VARIABLE)
     if not path:
         sys.stderr.write(
@@ -29,8 +25,10 @@
             'settings file\n',
         )
         return EXIT_USAGE
-    adapter = Adapter(PlatformDialect(), PlatformDecoder(), StoreClient)
-    return run_node(pathlib.Path(path), adapter)
+    # Imports take long, so they come after the handlers of signals.
+    from hornbeampulley.platform._program import run_platform_node
+
+    return run_platform_node(path)
 
 
 if __name__ == '__main__':
--- a/tests/test_node_start.py
+++ b/tests/test_node_start.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -11,8 +12,10 @@
 from hornbeampulley.platform.node import SETTINGS_VARIABLE
 from tests.node_processes import SETTINGS
 from tests.nodes import Fleet
-from tests.start_stages import REACHED
+from tests.start_stages import EVERY, REACHED
 
+# Time from SIGTERM to SIGKILL on the platform.
+GRACE_S = 8
 # For the interpreter, all imports and the first gossip, beside load.
 START_S = 30
 GOSSIP_PORT = 7600
@@ -21,6 +24,15 @@
 SETTINGS_READ = 'open settings'
 WAKEUP_OPENED = 'socket.__new__'
 ADDRESS_BOUND = 'socket.bind'
+STAGES = (
+    'import hornbeampulley.node',
+    'import trio',
+    'import hornbeampulley.node._node',
+    'import hornbeampulley.platform._store',
+    SETTINGS_READ,
+    WAKEUP_OPENED,
+    ADDRESS_BOUND,
+)
 
 
 class Start:
@@ -67,8 +79,8 @@
                 str(self.changed),
             ],
             env={**os.environ, SETTINGS_VARIABLE: str(self.settings)},
-            stdout=subprocess.DEVNULL,
-            stderr=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
         )
 
 
@@ -79,18 +91,18 @@
     made.seed.close()
 
 
-def wait_for_stage(process):
-    """Read the process's output up to the mark of the stage."""
-    for line in process.stderr:
-        if line == REACHED:
+def wait_for_line(process, text=REACHED):
+    """Read the process's output up to a line with a text."""
+    for line in process.stdout:
+        if text in line:
             return
-    pytest.fail(f'ended with {process.wait()} before the stage')
+    pytest.fail(f'ended with {process.wait()} before {text}')
 
 
 def kill(process):
     process.kill()
     process.wait()
-    process.stderr.close()
+    process.stdout.close()
 
 
 def wait_for_gossip(start, process):
@@ -110,7 +122,46 @@
     start.change_settings()
     process = start.run(NO_SIGNAL, stage)
     try:
-        wait_for_stage(process)
+        wait_for_line(process)
         wait_for_gossip(start, process)
     finally:
         kill(process)
+
+
+# SIGTERM in the imports ended the process by the signal, before its handlers were set.
+@pytest.mark.parametrize('stage', [EVERY, *STAGES])
+def test_sigterm_at_any_stage_of_the_start_ends_with_0(start, stage):
+    process = start.run(signal.SIGTERM, stage)
+    try:
+        wait_for_line(process)
+        assert process.wait(GRACE_S) == 0
+    finally:
+        kill(process)
+
+
+# SIGHUP before the handlers were set ended the process; the settings that it told of
+# were not read.
+@pytest.mark.parametrize('stage', [EVERY, *STAGES])
+def test_settings_are_read_after_sighup_at_any_stage(start, stage):
+    start.change_settings()
+    process = start.run(signal.SIGHUP, stage)
+    try:
+        wait_for_line(process)
+        wait_for_gossip(start, process)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(GRACE_S) == 0
+    finally:
+        kill(process)
+
+
+# SIGTERM once more while a node drained ended it by the signal, with what was open.
+def test_more_signals_do_not_end_a_node_that_drains(start):
+    process = start.run(signal.SIGTERM, ADDRESS_BOUND)
+    try:
+        wait_for_line(process, b'event=drain_started')
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+            process.send_signal(number)
+        wait_for_line(process, b'event=drain_ended')
+        assert process.wait(GRACE_S) == 0
+    finally:
+        kill(process)
