Refill a usage cap only while its host is the owner

What operators would see: a workspace uses up to twice its cap while the owner of its bucket is paused again and again, or changes (QUOTA). Cause: a bucket that was left refilled over the time in which the next owner granted, and each had its whole burst and debts. Class: a local count taken for a common one after a time in which others counted.

The node confirms with each tick which buckets it owns; a draw confirms too. After more than 350 ms without either (a link ends after 500 ms of silence, heartbeats come each 150 ms) a bucket gets nothing for that time, keeps no more than a new one holds, and makes no debt in its next window. A bucket not owned for a whole window is removed.

Cost: a host whose ticks come over 350 ms late keeps of a full bucket what a new one holds.

--- a/hornbeampulley/node/_cap_buckets.py
+++ b/hornbeampulley/node/_cap_buckets.py
@@ -13,6 +13,9 @@
 )
 
 WHOLE: Final = 1.0
+# Others may take over from an owner that they have not heard for 500 ms; it
+# sends a heartbeat each 150 ms.
+MAX_UNCONFIRMED_MS: Final = 350.0
 
 
 class CapBuckets:
@@ -29,18 +32,23 @@
     ----------
     find_share : callable
         Returns the part of a workspace's cap that this node may grant.
+    is_owner : callable
+        Tells whether this node owns the bucket of a workspace.
     """
 
     def __init__(
         self, clock: Clock, settings: CapSettings | None = None
     ) -> None:
         self.find_share: Callable[[str], float] = _take_whole
+        self.is_owner: Callable[[str], bool] = _own_all
         self._clock = clock
         self._settings = settings or CapSettings()
         self._table: RoutingTable | None = None
         self._buckets: dict[str, TokenBucket] = {}
         # Parts of the caps that the buckets are set to.
         self._shares: dict[str, float] = {}
+        # Times up to which no other node granted from the caps.
+        self._owned_ms: dict[str, float] = {}
 
     def configure(self, table: RoutingTable) -> None:
         """Apply the caps of a routing table; the buckets keep their fill.
@@ -55,9 +63,23 @@
         for name, bucket in self._buckets.items():
             workspace = table.workspaces.get(name)
             if workspace is not None:
+                self._resume(name, bucket, now_ms)
                 bucket.set_cap(workspace.cap, now_ms, self._settings)
                 self._shares[name] = WHOLE
 
+    def confirm(self) -> None:
+        """Record which buckets this node owns now; called periodically.
+
+        A bucket that it did not own for a window is removed.
+        """
+        now_ms = self._clock.now()
+        for workspace, bucket in tuple(self._buckets.items()):
+            if self.is_owner(workspace):
+                self._resume(workspace, bucket, now_ms)
+                self._owned_ms[workspace] = now_ms
+            elif now_ms - self._owned_ms[workspace] > self._settings.window_ms:
+                self._remove(workspace)
+
     def draw(self, workspace: str, units: float) -> float:
         """Draw on the usage cap of a workspace.
 
@@ -105,6 +127,9 @@
         if bucket is None:
             bucket = TokenBucket(part, now_ms, settings)
             self._buckets[workspace] = bucket
+        else:
+            self._resume(workspace, bucket, now_ms)
+        self._owned_ms[workspace] = now_ms
         if share < WHOLE:
             bucket.set_cap(part, now_ms, settings, min(units, cap.burst))
         elif self._shares.get(workspace, WHOLE) < WHOLE:
@@ -112,6 +137,24 @@
         self._shares[workspace] = share
         return bucket
 
+    def _remove(self, workspace: str) -> None:
+        self._buckets.pop(workspace)
+        self._owned_ms.pop(workspace)
+        self._shares.pop(workspace)
+
+    def _resume(
+        self, workspace: str, bucket: TokenBucket, now_ms: float
+    ) -> None:
+        """Take nothing that another owner may have granted meanwhile."""
+        owned_ms = self._owned_ms[workspace]
+        if now_ms - owned_ms > MAX_UNCONFIRMED_MS:
+            bucket.resume(owned_ms, now_ms)
+
+
+def _own_all(_workspace: str) -> bool:
+    """Default of `CapBuckets.is_owner`."""
+    return True
+
 
 def _take_whole(_workspace: str) -> float:
     """Default of `CapBuckets.find_share`."""
--- a/hornbeampulley/node/_scheduling.py
+++ b/hornbeampulley/node/_scheduling.py
@@ -253,6 +253,7 @@
 
     def tick(self) -> None:
         """Process timers of all pools, and close pools that are not used."""
+        self.caps.confirm()
         now_ms = self._clock.now()
         self.streams.refuse_expired()
         for name, pool in tuple(self._pools.items()):
--- a/hornbeampulley/node/_usage_cap_client.py
+++ b/hornbeampulley/node/_usage_cap_client.py
@@ -70,6 +70,7 @@
         self._host_share = host_share
         self._clock = clock
         scheduling.caps.find_share = self._find_share
+        scheduling.caps.is_owner = self._is_owner
         self._numbers = itertools.count()
         self._pending_draws: dict[int, trio.Event] = {}
         self._grants: dict[int, float] = {}
@@ -143,6 +144,10 @@
         """Return the part of a cap that this node may grant as its owner."""
         return self._host_share.compute(self._make_key(workspace))
 
+    def _is_owner(self, workspace: str) -> bool:
+        owner = self._finder.find(self._make_key(workspace))
+        return owner == self.own_incarnation
+
     def _make_key(self, workspace: str) -> str:
         groups = len(self._membership.live) // HOSTS_PER_GROUP + 1
         return f'caps/{sum(workspace.encode()) % groups}'
--- a/hornbeampulley/routing/_caps.py
+++ b/hornbeampulley/routing/_caps.py
@@ -170,7 +170,8 @@
         self._cap = self._settings.widen(cap)
         self._max_debt = self._settings.get_max_debt(cap)
         self._debt_allowed_from_ms = now_ms + self._settings.window_ms
-        self._units = self._settings.get_initial_units(cap)
+        self._initial_units = self._settings.get_initial_units(cap)
+        self._units = self._initial_units
         self._refilled_ms = now_ms
         self._least_size = 0.0
 
@@ -200,8 +201,28 @@
         self._least_size = least_size
         self._cap = self._settings.widen(cap)
         self._max_debt = self._settings.get_max_debt(cap)
+        self._initial_units = self._settings.get_initial_units(cap)
         self._units = min(self._units, self._size)
 
+    def resume(self, owned_ms: float, now_ms: float) -> None:
+        """Go on after a time in which others may have granted.
+
+        Nothing is refilled for that time, and no more is kept than a new bucket
+        holds. So the buckets of several owners, however often they change, refill
+        together no faster than one, and each but the first adds one initial fill.
+
+        Parameters
+        ----------
+        owned_ms : float
+            Time in ms up to which no other granted.
+        now_ms : float
+            The current time in ms.
+        """
+        self._refill(owned_ms)
+        self._refilled_ms = now_ms
+        self._units = min(self._units, self._initial_units)
+        self._debt_allowed_from_ms = now_ms + self._settings.window_ms
+
     def draw(self, units: float, now_ms: float) -> float:
         """Draw units if the bucket holds enough.
 
