--- a/hornbeampulley/node/program.py
+++ b/hornbeampulley/node/program.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import time
+from collections.abc import AsyncIterator
 from typing import Final
 
 import trio
@@ -18,7 +19,8 @@
 from hornbeampulley.node._drain import drain_node
 from hornbeampulley.node._log_output import BoundedHandler, install_handler
 from hornbeampulley.node._node import ROLE, Node
-from hornbeampulley.node._settings import NodeSettings, read_node_settings
+from hornbeampulley.node._settings import NodeSettings
+from hornbeampulley.node._settings_file import SettingsFile
 from hornbeampulley.timeline import HybridClock
 
 EXIT_SETTINGS: Final = 2
@@ -44,8 +46,9 @@
     int
         Exit code of the process.
     """
+    settings_file = SettingsFile(path)
     try:
-        settings = read_node_settings(path)
+        settings = settings_file.read()
     except SettingsError as error:
         sys.stderr.write(f'{error}\n')
         return EXIT_SETTINGS
@@ -54,7 +57,7 @@
         int(Clock(time.time).now()),
     )
     handler = _set_up_logging(settings, identity)
-    trio.run(_serve, settings, identity, adapter, path, handler)
+    trio.run(_serve, settings, identity, adapter, settings_file, handler)
     return 0
 
 
@@ -73,7 +76,7 @@
     settings: NodeSettings,
     identity: Identity,
     adapter: Adapter,
-    path: pathlib.Path,
+    settings_file: SettingsFile,
     handler: BoundedHandler,
 ) -> None:
     log_event(
@@ -83,41 +86,41 @@
         process=os.getpid(),
         store=settings.store.address,
     )
-    async with trio.open_nursery() as nursery:
-        node = Node(settings, identity, adapter, nursery)
-        node.start()
-        nursery.start_soon(_watch_settings, node, path)
-        nursery.start_soon(_report_lost_lines, node, handler)
-        await _wait_for_signal()
-        await drain_node(node)
-        nursery.cancel_scope.cancel()
-    log_event(_log, 'process_ended')
-
-
-async def _wait_for_signal() -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for number in signals:
+    with (
+        trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as ends,
+        trio.open_signal_receiver(signal.SIGHUP) as reloads,
+    ):
+        async with trio.open_nursery() as nursery:
+            node = Node(settings, identity, adapter, nursery)
+            node.start()
+            nursery.start_soon(_watch_settings, node, settings_file, reloads)
+            nursery.start_soon(_report_lost_lines, node, handler)
+            await _wait_for_signal(ends)
+            await drain_node(node)
+            nursery.cancel_scope.cancel()
+        log_event(_log, 'process_ended')
+
+
+async def _wait_for_signal(signals: AsyncIterator[int]) -> None:
+    number = await anext(signals)
+    log_event(_log, 'signal_received', number=number)
+
+
+async def _watch_settings(
+    node: Node, settings_file: SettingsFile, signals: AsyncIterator[int]
+) -> None:
+    """Reload changed settings; check the file periodically and on SIGHUP."""
+    while True:
+        with trio.move_on_after(to_seconds(CHECK_SETTINGS_MS)):
+            number = await anext(signals)
             log_event(_log, 'signal_received', number=number)
-            return
+        if settings_file.has_changed():
+            _reload(node, settings_file)
 
 
-async def _watch_settings(node: Node, path: pathlib.Path) -> None:
-    """Reload changed settings; check the file periodically and on SIGHUP."""
-    seen = _read_bytes(path)
-    with trio.open_signal_receiver(signal.SIGHUP) as signals:
-        while True:
-            with trio.move_on_after(to_seconds(CHECK_SETTINGS_MS)):
-                await signals.__anext__()
-                log_event(_log, 'signal_received', number=signal.SIGHUP)
-            found = _read_bytes(path)
-            if found != seen:
-                seen = found
-                _reload(node, path)
-
-
-def _reload(node: Node, path: pathlib.Path) -> None:
+def _reload(node: Node, settings_file: SettingsFile) -> None:
     try:
-        settings = read_node_settings(path)
+        settings = settings_file.read()
     except SettingsError as error:
         log_event(
             _log,
@@ -129,19 +132,6 @@
     node.apply_settings(settings)
 
 
-def _read_bytes(path: pathlib.Path) -> bytes:
-    try:
-        return path.read_bytes()
-    except OSError as error:
-        log_event(
-            _log,
-            'settings_unreadable',
-            severity=logging.WARNING,
-            error=error,
-        )
-        return b''
-
-
 async def _report_lost_lines(node: Node, handler: BoundedHandler) -> None:
     while True:
         await trio.sleep(to_seconds(COUNT_LOST_MS))
