Let callers of the soak close streams, and kill engines that are processes

Callers close half of their answers after 1 to 8 events, chosen by the seed, and take the stream up at the next host, up to seven times. Two more engines are processes, one that answers in chunks and one that ends with its connection. They are killed beside the other faults and start again, at once or later, under their name with a new `born`, or with a new name and maybe another version. The faults are listed with their times in `faults.log`. Streams have 24 events, so that most are in progress when a fault comes. The killable engine rejects what is meant for another and, when half a request came, no longer loops.

--- a/standins/killable.py
+++ b/standins/killable.py
@@ -1,8 +1,10 @@
 """Stand-in for a users' server as a process of its own, which can be killed.
 
-Run as ``python -m standins.killable ADDRESS PORT EVENTS PAUSE_MS FRAMING``, with
-the framing ``chunks`` or ``close``. What the kernel tells the clients of a killed
-process can't be shown by a server in the process of a test.
+Run as ``python -m standins.killable ADDRESS PORT EVENTS PAUSE_MS FRAMING [NAME
+VERSION]``, with the framing ``chunks`` or ``close``. With a name it rejects what
+is meant for another server, and its events bear the software version. What the
+kernel tells the clients of a killed process can't be shown by a server in the
+process of a test.
 """
 
 import dataclasses
@@ -33,12 +35,18 @@
         Whether answers have framing; they end with their connection otherwise.
     born_ms : int
         Start of the process, in ms since 1970.
+    name : bytes
+        Instance id; empty if it answers for any.
+    mark : bytes
+        Text in each event.
     """
 
     events: int
     pause_ms: float
     is_chunked: bool
     born_ms: int
+    name: bytes = b''
+    mark: bytes = b''
 
 
 async def answer(plan: Plan, stream: trio.SocketStream) -> None:
@@ -53,18 +61,19 @@
     """
     received = b''
     while True:
-        while _HEAD_END not in received:
+        while not _is_request(received):
             part = await stream.receive_some(RECEIVE_BYTES)
             if not part:
                 return
             received += part
         head, _, received = received.partition(_HEAD_END)
         headers = _read_headers(head)
-        length = int(headers.get(b'content-length', b'0'))
-        while len(received) < length:
-            received += await stream.receive_some(RECEIVE_BYTES)
-        received = received[length:]
+        received = received[_read_length(headers) :]
         path = head.split(b' ', 2)[1]
+        expected = headers.get(b'expect-instance', plan.name)
+        if plan.name and expected != plan.name:
+            await _reject(stream, headers)
+            continue
         if path.startswith(REPORT_PATH):
             await _send_report(plan, stream)
         elif path.startswith(b'/stream/'):
@@ -75,6 +84,16 @@
             return
 
 
+def _is_request(received: bytes) -> bool:
+    """Tell whether a whole request has come."""
+    head, found, body = received.partition(_HEAD_END)
+    return bool(found) and len(body) >= _read_length(_read_headers(head))
+
+
+def _read_length(headers: dict[bytes, bytes]) -> int:
+    return int(headers.get(b'content-length', b'0'))
+
+
 def _read_headers(head: bytes) -> dict[bytes, bytes]:
     lines = [line.partition(b':') for line in head.split(b'\r\n')[1:]]
     return {name.lower(): text.strip() for name, _, text in lines}
@@ -87,6 +106,16 @@
     )
 
 
+async def _reject(
+    stream: trio.SocketStream, headers: dict[bytes, bytes]
+) -> None:
+    """Answer a request that is meant for another server."""
+    await stream.send_all(
+        b'HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: %b\r\n'
+        b'Content-Length: 0\r\n\r\n' % headers.get(b'attempt-id', b'')
+    )
+
+
 async def _send_plain(
     plan: Plan, stream: trio.SocketStream, headers: dict[bytes, bytes]
 ) -> None:
@@ -104,7 +133,7 @@
     last = int(headers.get(b'last-event-id', b'0'))
     for number in range(last + 1, plan.events + 1):
         await trio.sleep(plan.pause_ms / 1000)
-        event = b'id: %d\ndata: t%d\n\n' % (number, number)
+        event = b'id: %d\ndata: t%d%b\n\n' % (number, number, plan.mark)
         await stream.send_all(_encode(plan, event))
     await stream.send_all(_encode(plan, b''))
 
@@ -157,9 +186,16 @@
 def main() -> None:
     """Run the server that the command line describes."""
     address, port, *answers = sys.argv[1:]
-    events, pause_ms, framing = answers
-    born_ms = time.time_ns() // 1_000_000
-    plan = Plan(int(events), float(pause_ms), framing == 'chunks', born_ms)
+    events, pause_ms, framing, *identity = answers
+    name, version = identity or ('', '')
+    plan = Plan(
+        int(events),
+        float(pause_ms),
+        framing == 'chunks',
+        time.time_ns() // 1_000_000,
+        name.encode(),
+        f'@{version}'.encode() if version else b'',
+    )
     trio.run(serve, address, int(port), plan)
 
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -6,6 +6,8 @@
 """
 
 import dataclasses
+import datetime
+import math
 import pathlib
 import random
 import signal
@@ -26,11 +28,19 @@
 from tests.proxies import Mode
 from tests.stream_callers import read_stream
 from tests.stream_checks import ReceivedStream
+from tests.target_processes import TargetProcess
 
 CALLERS: Final = 6
 MAX_FAULT_S: Final = 2.5
 MAX_PAUSE_S: Final = 0.8
-STREAM_EVENTS: Final = 12
+STREAM_EVENTS: Final = 24
+MAX_TAKE_UPS: Final = 7
+# Share of the answers whose caller closes its connection before the end.
+CLOSED_SHARE: Final = 0.5
+TARGETS: Final = 2
+# Share of the faults beside which a target is killed.
+KILL_SHARE: Final = 0.5
+VERSIONS: Final = ('v1', 'v1.1')
 # Long enough for streams to be hit by faults.
 EVENT_PAUSE_MS: Final = 15
 # Longest time until a node serves requests again after all faults.
@@ -66,10 +76,16 @@
         Number of successful answers.
     taken_up : int
         Number of broken streams that went on at another attempt.
+    closed : int
+        Number of streams that their callers closed.
+    kills : int
+        Number of targets that were killed.
     releases : int
         Number of engines that were replaced by another software version.
     entries : dict
         Latest entry of each backend, by its place among them.
+    targets : list of TargetProcess
+        Engines that are processes.
     """
 
     nodes: Processes
@@ -81,8 +97,17 @@
     is_over: bool = False
     answered: int = 0
     taken_up: int = 0
+    closed: int = 0
+    kills: int = 0
     releases: int = 0
     entries: dict[int, dict] = dataclasses.field(default_factory=dict)
+    targets: list[TargetProcess] = dataclasses.field(default_factory=list)
+
+    def note(self, text):
+        """Write a line with the time into the log of the faults."""
+        now = datetime.datetime.now(datetime.UTC).isoformat()
+        with (self.nodes.folder / 'faults.log').open('a') as log:
+            log.write(f'{now} {text}\n')
 
     def register(self, place, backend, name='', **changes):
         """Write the entry of a backend, with a higher count each time."""
@@ -205,6 +230,9 @@
     for place, backend in enumerate(soak.nodes.fleet.backends.values()):
         await soak.wait(0.3)
         soak.register(place, backend)
+    for target in soak.targets:
+        if target.is_running:
+            target.register()
     store.put(KEY_OF_CONFIG, soak.nodes.document)
 
 
@@ -214,7 +242,7 @@
     soak.releases += 1
     place = soak.generator.randrange(2)
     backend = list(soak.nodes.fleet.backends.values())[place]
-    version = soak.generator.choice(('v1', 'v1.1'))
+    version = soak.generator.choice(VERSIONS)
     # Streams that have begun go on with the old mark.
     backend.behaviour.mark = b'@%s' % version.encode()
     soak.register(
@@ -226,6 +254,25 @@
     )
 
 
+async def kill_target(soak):
+    """Kill a target and start it again, at once or later, maybe renamed."""
+    running = [target for target in soak.targets if target.is_running]
+    if not running:
+        return
+    target = soak.generator.choice(running)
+    soak.kills += 1
+    soak.note(f'{target.name} is killed')
+    await target.kill()
+    if soak.generator.random() < 0.5:
+        await soak.wait()
+        target.remove()
+    if soak.generator.random() < 0.5:
+        version = soak.generator.choice(VERSIONS)
+        target.rename(f'process-k{soak.kills}', version)
+    soak.note(f'{target.name} starts with {target.version}')
+    await target.start()
+
+
 @faults.register('herd')
 async def kill_all_after_release(soak, number):
     """Kill all nodes just after an engine was replaced, if none has a fault."""
@@ -247,9 +294,13 @@
     """Inject faults, several of which may overlap."""
     ends_s = trio.current_time() + length_s
     async with trio.open_nursery() as nursery:
+        # One target is killed in any case.
+        nursery.start_soon(kill_target, soak)
         while trio.current_time() < ends_s:
             name = soak.generator.choice(sorted(name for name, _ in faults))
             nursery.start_soon(inject_fault, soak, name)
+            if soak.generator.random() < KILL_SHARE:
+                nursery.start_soon(kill_target, soak)
             await trio.sleep(soak.generator.uniform(0.1, MAX_PAUSE_S))
 
 
@@ -259,11 +310,13 @@
     if number is None:
         return
     soak.busy.add(number)
+    soak.note(f'{name} begins at node {number}')
     await faults.find(name)(soak, number)
+    soak.note(f'{name} has ended at node {number}')
     soak.busy.discard(number)
 
 
-async def call_all(soak, caller):
+async def call_all(soak, caller, generator):
     """Send requests until the run is over, each with an id of its own."""
     count = 0
     while not soak.is_over:
@@ -272,7 +325,7 @@
         number = (caller + count) % NODES
         kind = ('once', 'look', 'stream')[count % 3]
         if kind == 'stream':
-            await call_stream(soak, number, request_id)
+            await call_stream(soak, number, request_id, generator)
             continue
         status, body = await soak.nodes.call(
             number,
@@ -285,22 +338,36 @@
             soak.statuses[request_id] = status
 
 
-async def call_stream(soak, number, request_id):
-    """Ask for a stream; take it up at the next nodes while it breaks off."""
+async def call_stream(soak, number, request_id, generator):
+    """Ask for a stream; take it up at the next nodes until it is whole."""
     received = ReceivedStream(STREAM_EVENTS)
-    status, body = await read_stream(soak.nodes.address(number), request_id)
-    check_stream(soak, request_id, status, body, received)
-    for attempt in range(1, NODES):
-        if received.is_whole or not received.last or soak.is_over:
-            return
+    headers = {}
+    for attempt in range(MAX_TAKE_UPS + 1):
+        limit = choose_limit(generator)
         status, body = await read_stream(
             soak.nodes.address((number + attempt) % NODES),
-            b'%s-%d' % (request_id, attempt),
-            resumes=request_id.decode(),
-            last_event_id=str(received.last),
+            b'%s-%d' % (request_id, attempt) if attempt else request_id,
+            most_events=limit,
+            **headers,
         )
-        soak.taken_up += status == HTTP_OK
+        before = received.last
         check_stream(soak, request_id, status, body, received)
+        if status == HTTP_OK:
+            soak.taken_up += bool(attempt)
+            soak.closed += received.last - before >= limit
+        if received.is_whole or not received.last or soak.is_over:
+            return
+        headers = {
+            'resumes': request_id.decode(),
+            'last_event_id': str(received.last),
+        }
+
+
+def choose_limit(generator):
+    """Choose after how many events a caller closes its connection."""
+    if generator.random() >= CLOSED_SHARE:
+        return math.inf
+    return generator.randint(1, STREAM_EVENTS // 3)
 
 
 def check_answer(soak, request_id, status, body):
@@ -349,6 +416,23 @@
         await soak.nodes.wait_served(number, path, limit_s=CONFIG_S)
 
 
+async def run_all(soak, seed, length_s):
+    """Start the targets, call and inject faults, and wait for recovery."""
+    for number in range(TARGETS):
+        target = TargetProcess(
+            soak.nodes, number, STREAM_EVENTS, EVENT_PAUSE_MS
+        )
+        soak.targets.append(target)
+        await target.start()
+    async with trio.open_nursery() as nursery:
+        for caller in range(CALLERS):
+            generator = random.Random(f'{seed} {caller}')
+            nursery.start_soon(call_all, soak, caller, generator)
+        await inject_faults(soak, length_s)
+        await check_recovery(soak)
+        soak.is_over = True
+
+
 def run_seed(seed, folder, length_s):
     """Run the soak test with one seed.
 
@@ -375,12 +459,11 @@
         for backend in nodes.fleet.backends.values():
             backend.behaviour.events = STREAM_EVENTS
             backend.behaviour.pause_ms = EVENT_PAUSE_MS
-        async with trio.open_nursery() as nursery:
-            for caller in range(CALLERS):
-                nursery.start_soon(call_all, soak, caller)
-            await inject_faults(soak, length_s)
-            await check_recovery(soak)
-            soak.is_over = True
+        try:
+            await run_all(soak, seed, length_s)
+        finally:
+            for target in soak.targets:
+                target.end()
         soak.violations += list_booking_violations(nodes, soak.statuses)
 
     run_processes(scenario, folder)
@@ -400,7 +483,8 @@
         verdict = soak.violations or 'ok'
         counts = (
             f'{len(soak.statuses)} bookings, {soak.answered} answered, '
-            f'{soak.taken_up} taken up'
+            f'{soak.taken_up} taken up, {soak.closed} closed, '
+            f'{soak.kills} targets killed'
         )
         print(f'seed {seed}: {counts}, {verdict}; {folder}', flush=True)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,6 +24,9 @@
     assert not soak.violations
     assert soak.answered
     assert soak.statuses
+    assert soak.taken_up
+    assert soak.closed
+    assert soak.kills
 
 
 @pytest.mark.parametrize(
