Give a stand-in's stream the version that accepted the request

The mark was read after the head was sent. An engine that was replaced meanwhile wrote the events of the new version under the name of the old one, which the soak would report as a stream joined of two versions.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -187,8 +187,9 @@
         headers: list[tuple[bytes, bytes]],
     ) -> None:
         kind = (b'content-type', b'text/event-stream')
-        await reply.start(200, [*headers, kind])
+        # The engine may be replaced while the head is sent.
         mark = self.behaviour.mark
+        await reply.start(200, [*headers, kind])
         last = int(find_header(request.headers, b'last-event-id') or 0)
         for number in range(last + 1, self.behaviour.events + 1):
             await trio.sleep(self.behaviour.pause_ms / 1000)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,8 +7,10 @@
 import pytest
 import trio
 
+from hornbeampulley.http1 import Request
+from standins.backend import Backend
 from tests.node_processes import list_booking_violations
-from tests.nodes import run_nodes, wait_until
+from tests.nodes import EVENTS, run_nodes, wait_until
 from tests.soak import Soak, check_answer, run_seed
 
 LENGTH_S = 4
@@ -80,3 +82,23 @@
         assert statuses == [500]
 
     run_nodes(scenario)
+
+
+# A stream that was accepted under the old name had the mark of the new version.
+def test_a_stream_has_the_version_that_accepted_it():
+    backend = Backend('engines-1', 'engines')
+    written = []
+
+    class SlowReply:
+        async def start(self, _status, _headers):
+            backend.behaviour.mark = b'@v2'
+
+        async def write(self, part):
+            written.append(part)
+
+        async def finish(self):
+            """Ignore the end."""
+
+    request = Request(b'GET', b'/stream/a', ((b'attempt-id', b'r1'),), b'')
+    trio.run(backend.answer, request, SlowReply())
+    assert written == EVENTS
