Give each engine that starts again in the soak a name of its own

Two engines that were killed before either was renamed took the same new name, one at v1 and one at v1.1; streams of that name were reported as joined. A fault of the soak, not of a node.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -261,6 +261,7 @@
         return
     target = soak.generator.choice(running)
     soak.kills += 1
+    number = soak.kills
     soak.note(f'{target.name} is killed')
     await target.kill()
     if soak.generator.random() < 0.5:
@@ -268,7 +269,7 @@
         target.remove()
     if soak.generator.random() < 0.5:
         version = soak.generator.choice(VERSIONS)
-        target.rename(f'process-k{soak.kills}', version)
+        target.rename(f'process-k{number}', version)
     soak.note(f'{target.name} starts with {target.version}')
     await target.start()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,7 +11,7 @@
 from standins.backend import Backend
 from tests.node_processes import list_booking_violations
 from tests.nodes import EVENTS, run_nodes, wait_until
-from tests.soak import Soak, check_answer, run_seed
+from tests.soak import Soak, check_answer, kill_target, run_seed
 
 LENGTH_S = 4
 # In seeds 1 and 2 a node got SIGTERM before it listened, which ended it at
@@ -102,3 +102,41 @@
     request = Request(b'GET', b'/stream/a', ((b'attempt-id', b'r1'),), b'')
     trio.run(backend.answer, request, SlowReply())
     assert written == EVENTS
+
+
+class RenamedTarget:
+    """A target whose process takes a while to end."""
+
+    is_running = True
+    version = 'v1'
+    name = 'process'
+
+    async def kill(self):
+        self.is_running = False
+        await trio.sleep(0.1)
+
+    async def start(self):
+        """Start under the name that it was given."""
+
+    def remove(self):
+        """Remove its entry."""
+
+    def rename(self, name, version):
+        self.name = name
+
+
+# Two targets that were killed in the same moments had one name at two versions.
+@pytest.mark.parametrize('seed', range(10))
+def test_targets_that_start_again_never_share_a_name(seed, mock_run, tmp_path):
+    soak = Soak(types.SimpleNamespace(folder=tmp_path), random.Random(seed))
+    soak.targets = [RenamedTarget() for _ in range(6)]
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            for _ in soak.targets:
+                nursery.start_soon(kill_target, soak)
+
+    mock_run(main)
+    names = [one.name for one in soak.targets if one.name != 'process']
+    assert names
+    assert len(names) == len(set(names))
