--- a/tests/soak.py
+++ b/tests/soak.py
@@ -37,6 +37,7 @@
 MAX_TAKE_UPS: Final = 7
 # Share of the answers whose caller closes its connection before the end.
 CLOSED_SHARE: Final = 0.5
+UNNAMED_SHARE: Final = 0.3
 TARGETS: Final = 2
 # Share of the faults beside which a target is killed.
 KILL_SHARE: Final = 0.5
@@ -343,6 +344,8 @@
     """Ask for a stream; take it up at the next nodes until it is whole."""
     received = ReceivedStream(STREAM_EVENTS)
     headers = {}
+    # Some callers do not say which attempt began the stream.
+    is_named = generator.random() >= UNNAMED_SHARE
     for attempt in range(MAX_TAKE_UPS + 1):
         limit = choose_limit(generator)
         status, body = await read_stream(
@@ -358,10 +361,9 @@
             soak.closed += received.last - before >= limit
         if received.is_whole or not received.last or soak.is_over:
             return
-        headers = {
-            'resumes': request_id.decode(),
-            'last_event_id': str(received.last),
-        }
+        headers['last_event_id'] = str(received.last)
+        if is_named:
+            headers['resumes'] = request_id.decode()
 
 
 def choose_limit(generator):
