--- a/tests/soak.py
+++ b/tests/soak.py
@@ -6,9 +6,10 @@
 """
 
 import dataclasses
+import datetime
+import math
 import pathlib
 import random
-import re
 import signal
 import sys
 import tempfile
@@ -25,22 +26,28 @@
     run_processes,
 )
 from tests.proxies import Mode
+from tests.stream_callers import read_stream
+from tests.stream_checks import ReceivedStream
+from tests.target_processes import TargetProcess
 
 CALLERS: Final = 6
 MAX_FAULT_S: Final = 2.5
 MAX_PAUSE_S: Final = 0.8
-STREAM_EVENTS: Final = 12
+STREAM_EVENTS: Final = 24
+MAX_TAKE_UPS: Final = 7
+# Share of the answers whose caller closes its connection before the end.
+CLOSED_SHARE: Final = 0.5
+UNNAMED_SHARE: Final = 0.3
+TARGETS: Final = 2
+# Share of the faults beside which a target is killed.
+KILL_SHARE: Final = 0.5
+VERSIONS: Final = ('v1', 'v1.1')
 # Long enough for streams to be hit by faults.
 EVENT_PAUSE_MS: Final = 15
 # Longest time until a node serves requests again after all faults.
 RECOVERY_S: Final = 30
 CONFIG_S: Final = 5
 HTTP_OK: Final = 200
-# Id of a whole event, and the software version in its text.
-EVENT_ID: Final = re.compile(rb'id: (\d+)\ndata: t\d+(?:@[\w.]+)?\n\n')
-MARK: Final = re.compile(rb'\ndata: t\d+(@[\w.]+)?\n\n')
-# Version of engines that were never released, whose events have no mark.
-FIRST_MARK: Final = b'@v1'
 
 faults: Registry = Registry('fault')
 """Faults by name; each has ended when its function returns."""
@@ -70,10 +77,16 @@
         Number of successful answers.
     taken_up : int
         Number of broken streams that went on at another attempt.
+    closed : int
+        Number of streams that their callers closed.
+    kills : int
+        Number of targets that were killed.
     releases : int
         Number of engines that were replaced by another software version.
     entries : dict
         Latest entry of each backend, by its place among them.
+    targets : list of TargetProcess
+        Engines that are processes.
     """
 
     nodes: Processes
@@ -85,8 +98,17 @@
     is_over: bool = False
     answered: int = 0
     taken_up: int = 0
+    closed: int = 0
+    kills: int = 0
     releases: int = 0
     entries: dict[int, dict] = dataclasses.field(default_factory=dict)
+    targets: list[TargetProcess] = dataclasses.field(default_factory=list)
+
+    def note(self, text):
+        """Write a line with the time into the log of the faults."""
+        now = datetime.datetime.now(datetime.UTC).isoformat()
+        with (self.nodes.folder / 'faults.log').open('a') as log:
+            log.write(f'{now} {text}\n')
 
     def register(self, place, backend, name='', **changes):
         """Write the entry of a backend, with a higher count each time."""
@@ -209,6 +231,9 @@
     for place, backend in enumerate(soak.nodes.fleet.backends.values()):
         await soak.wait(0.3)
         soak.register(place, backend)
+    for target in soak.targets:
+        if target.is_running:
+            target.register()
     store.put(KEY_OF_CONFIG, soak.nodes.document)
 
 
@@ -218,7 +243,7 @@
     soak.releases += 1
     place = soak.generator.randrange(2)
     backend = list(soak.nodes.fleet.backends.values())[place]
-    version = soak.generator.choice(('v1', 'v1.1'))
+    version = soak.generator.choice(VERSIONS)
     # Streams that have begun go on with the old mark.
     backend.behaviour.mark = b'@%s' % version.encode()
     soak.register(
@@ -230,6 +255,26 @@
     )
 
 
+async def kill_target(soak):
+    """Kill a target and start it again, at once or later, maybe renamed."""
+    running = [target for target in soak.targets if target.is_running]
+    if not running:
+        return
+    target = soak.generator.choice(running)
+    soak.kills += 1
+    number = soak.kills
+    soak.note(f'{target.name} is killed')
+    await target.kill()
+    if soak.generator.random() < 0.5:
+        await soak.wait()
+        target.remove()
+    if soak.generator.random() < 0.5:
+        version = soak.generator.choice(VERSIONS)
+        target.rename(f'process-k{number}', version)
+    soak.note(f'{target.name} starts with {target.version}')
+    await target.start()
+
+
 @faults.register('herd')
 async def kill_all_after_release(soak, number):
     """Kill all nodes just after an engine was replaced, if none has a fault."""
@@ -251,9 +296,13 @@
     """Inject faults, several of which may overlap."""
     ends_s = trio.current_time() + length_s
     async with trio.open_nursery() as nursery:
+        # One target is killed in any case.
+        nursery.start_soon(kill_target, soak)
         while trio.current_time() < ends_s:
             name = soak.generator.choice(sorted(name for name, _ in faults))
             nursery.start_soon(inject_fault, soak, name)
+            if soak.generator.random() < KILL_SHARE:
+                nursery.start_soon(kill_target, soak)
             await trio.sleep(soak.generator.uniform(0.1, MAX_PAUSE_S))
 
 
@@ -263,11 +312,13 @@
     if number is None:
         return
     soak.busy.add(number)
+    soak.note(f'{name} begins at node {number}')
     await faults.find(name)(soak, number)
+    soak.note(f'{name} has ended at node {number}')
     soak.busy.discard(number)
 
 
-async def call_all(soak, caller):
+async def call_all(soak, caller, generator):
     """Send requests until the run is over, each with an id of its own."""
     count = 0
     while not soak.is_over:
@@ -275,86 +326,88 @@
         request_id = b'%08x%08x' % (caller, count)
         number = (caller + count) % NODES
         kind = ('once', 'look', 'stream')[count % 3]
+        if kind == 'stream':
+            await call_stream(soak, number, request_id, generator)
+            continue
         status, body = await soak.nodes.call(
             number,
             f'/{kind}/a',
             request_id,
             body=request_id,
         )
-        check_answer(soak, kind, request_id, status, body)
-        if kind == 'stream':
-            await take_up(soak, number, request_id, body)
+        check_answer(soak, request_id, status, body)
         if kind == 'once':
             soak.statuses[request_id] = status
 
 
-async def take_up(soak, number, request_id, body):
-    """Take a broken stream up at the next nodes; its version must not change."""
-    marks = list_marks(body)
-    for attempt in range(1, NODES):
-        ids = EVENT_ID.findall(body)
-        if not ids or not is_chunked(body) or body.endswith(b'\r\n0\r\n\r\n'):
-            return
-        status, body = await soak.nodes.call(
-            (number + attempt) % NODES,
-            '/stream/a',
-            b'%s-%d' % (request_id, attempt),
-            body=request_id,
-            resumes=request_id.decode(),
-            last_event_id=ids[-1].decode(),
+async def call_stream(soak, number, request_id, generator):
+    """Ask for a stream; take it up at the next nodes until it is whole."""
+    received = ReceivedStream(STREAM_EVENTS)
+    headers = {}
+    # Some callers do not say which attempt began the stream.
+    is_named = generator.random() >= UNNAMED_SHARE
+    for attempt in range(MAX_TAKE_UPS + 1):
+        limit = choose_limit(generator)
+        status, body = await read_stream(
+            soak.nodes.address((number + attempt) % NODES),
+            b'%s-%d' % (request_id, attempt) if attempt else request_id,
+            most_events=limit,
+            **headers,
         )
-        if status != HTTP_OK:
+        before = received.last
+        check_stream(soak, request_id, status, body, received)
+        if status == HTTP_OK:
+            soak.taken_up += bool(attempt)
+            soak.closed += received.last - before >= limit
+        if received.is_whole or not received.last or soak.is_over:
             return
-        soak.taken_up += 1
-        marks |= list_marks(body)
-        if len(marks) > 1:
-            soak.violations.append(f'{request_id}: joined from {marks}')
+        headers['last_event_id'] = str(received.last)
+        if is_named:
+            headers['resumes'] = request_id.decode()
 
 
-def check_answer(soak, kind, request_id, status, body):
-    """Check that a successful answer is complete and to this request."""
+def choose_limit(generator):
+    """Choose after how many events a caller closes its connection."""
+    if generator.random() >= CLOSED_SHARE:
+        return math.inf
+    return generator.randint(1, STREAM_EVENTS // 3)
+
+
+def check_answer(soak, request_id, status, body):
+    """Check that a successful answer is to this request."""
     if status != HTTP_OK:
         return
     soak.answered += 1
-    if kind != 'stream':
-        if not body.endswith(b' ' + request_id):
-            soak.violations.append(f'{request_id}: answer of another: {body!r}')
-        return
-    if not is_chunked(body):
-        soak.violations.append(f'{request_id}: no answer in HTTP: {body!r}')
-        return
-    if not body.endswith(b'\r\n0\r\n\r\n'):
-        # Broken off; the caller detects that the stream is incomplete.
-        return
-    if len(list_marks(body)) > 1:
-        soak.violations.append(f'{request_id}: two versions in {body!r}')
-    ids = [b'id: %d\n' % number for number in range(1, STREAM_EVENTS + 1)]
-    if [body.count(one) for one in ids] != [1] * STREAM_EVENTS:
-        soak.violations.append(
-            f'{request_id}: events lost or doubled: {body!r}'
-        )
+    if not body.endswith(b' ' + request_id):
+        soak.violations.append(f'{request_id}: answer of another: {body!r}')
 
 
-def list_marks(body):
-    """Return the software versions that have written the events of a body."""
-    return {mark or FIRST_MARK for mark in MARK.findall(body)}
+def check_stream(soak, request_id, status, body, received):
+    """Check what came of a stream, whole or broken off, after what came before.
 
-
-def is_chunked(body):
-    """Return whether bytes are HTTP chunks, the last possibly truncated."""
-    while body:
-        size, found, rest = body.partition(b'\r\n')
-        digits = size.removesuffix(b'\r')
-        try:
-            length = int(digits, 16)
-        except ValueError:
-            return not digits and not found
-        if not found or len(rest) < length:
-            return True
-        if not b'\r\n'.startswith(rest[length : length + 2]):
-            return False
-        body = rest[length + 2 :]
-    return True
+    Parameters
+    ----------
+    soak : Soak
+        State of the run.
+    request_id : bytes
+        Id of the request that began the stream.
+    status : int
+        Status of the answer.
+    body : bytes
+        Body of the answer, as far as it came.
+    received : ReceivedStream
+        What has come of the stream before.
+    """
+    if status != HTTP_OK:
+        return
+    soak.answered += 1
+    before = received.last
+    received.add(body)
+    soak.violations += [
+        f'{request_id}: {fault}, in what came after event {before}: {body!r}'
+        for fault in received.faults
+    ]
+    received.faults.clear()
 
 
 async def check_recovery(soak):
@@ -366,6 +419,23 @@
         await soak.nodes.wait_served(number, path, limit_s=CONFIG_S)
 
 
+async def run_all(soak, seed, length_s):
+    """Start the targets, call and inject faults, and wait for recovery."""
+    for number in range(TARGETS):
+        target = TargetProcess(
+            soak.nodes, number, STREAM_EVENTS, EVENT_PAUSE_MS
+        )
+        soak.targets.append(target)
+        await target.start()
+    async with trio.open_nursery() as nursery:
+        for caller in range(CALLERS):
+            generator = random.Random(f'{seed} {caller}')
+            nursery.start_soon(call_all, soak, caller, generator)
+        await inject_faults(soak, length_s)
+        await check_recovery(soak)
+        soak.is_over = True
+
+
 def run_seed(seed, folder, length_s):
     """Run the soak test with one seed.
 
@@ -392,12 +462,11 @@
         for backend in nodes.fleet.backends.values():
             backend.behaviour.events = STREAM_EVENTS
             backend.behaviour.pause_ms = EVENT_PAUSE_MS
-        async with trio.open_nursery() as nursery:
-            for caller in range(CALLERS):
-                nursery.start_soon(call_all, soak, caller)
-            await inject_faults(soak, length_s)
-            await check_recovery(soak)
-            soak.is_over = True
+        try:
+            await run_all(soak, seed, length_s)
+        finally:
+            for target in soak.targets:
+                target.end()
         soak.violations += list_booking_violations(nodes, soak.statuses)
 
     run_processes(scenario, folder)
@@ -417,7 +486,8 @@
         verdict = soak.violations or 'ok'
         counts = (
             f'{len(soak.statuses)} bookings, {soak.answered} answered, '
-            f'{soak.taken_up} taken up'
+            f'{soak.taken_up} taken up, {soak.closed} closed, '
+            f'{soak.kills} targets killed'
         )
         print(f'seed {seed}: {counts}, {verdict}; {folder}', flush=True)
 
