--- a/hornbeampulley/node/_exchanges.py
+++ b/hornbeampulley/node/_exchanges.py
@@ -1,6 +1,5 @@
 """Sends one request to one target and handles the response."""
 
-import dataclasses
 import logging
 from collections.abc import Awaitable, Callable
 from typing import Final
@@ -17,6 +16,7 @@
 )
 from hornbeampulley.http1.errors import ResponseBrokenError
 from hornbeampulley.logs import log_event
+from hornbeampulley.node._attempts import Attempt
 from hornbeampulley.node._calls import Answer, Call
 from hornbeampulley.node._knowledge import TargetNotice
 from hornbeampulley.node.dialect import Dialect, Dispatch, ResponseMetadata
@@ -34,41 +34,6 @@
 _log = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass(slots=True)
-class Attempt:
-    """Result of sending a request to one target.
-
-    Attributes
-    ----------
-    outcome : Outcome
-        Outcome reported to the scheduler.
-    reason : str
-        Short description for the log.
-    answer : Answer or None
-        Response to forward; None if there is none, or it was streamed.
-    is_complete : bool
-        Whether a stream was forwarded to its end.
-    events : int
-        Number of stream events forwarded.
-    first_ms : float
-        Time in ms from dispatch to the first part of a stream; 0 if none
-        came.
-    duration_ms : float
-        Time in ms from dispatch to the end.
-    is_unframed : bool
-        Whether the answer has neither a length nor chunks.
-    """
-
-    outcome: Outcome
-    reason: str
-    answer: Answer | None = None
-    is_complete: bool = False
-    events: int = 0
-    first_ms: float = 0
-    duration_ms: float = 0
-    is_unframed: bool = False
-
-
 class Exchange:
     """Request and response on one connection to a target.
 
--- a/hornbeampulley/node/_sending.py
+++ b/hornbeampulley/node/_sending.py
@@ -16,8 +16,9 @@
 )
 from hornbeampulley.http1.errors import NotConnectedError, ResponseBrokenError
 from hornbeampulley.logs import log_event
+from hornbeampulley.node._attempts import Attempt
 from hornbeampulley.node._calls import Call
-from hornbeampulley.node._exchanges import Attempt, Exchange
+from hornbeampulley.node._exchanges import Exchange
 from hornbeampulley.node._knowledge import TargetNotice
 from hornbeampulley.node._run_checks import RunChecker
 from hornbeampulley.node._store_view import StoreView
--- a/hornbeampulley/node/_serving.py
+++ b/hornbeampulley/node/_serving.py
@@ -8,8 +8,8 @@
 from hornbeampulley import decisions
 from hornbeampulley.clock import to_seconds
 from hornbeampulley.logs import log_event
+from hornbeampulley.node._attempts import Attempt
 from hornbeampulley.node._calls import Call, CallError
-from hornbeampulley.node._exchanges import Attempt
 from hornbeampulley.node._home import Home
 from hornbeampulley.node._lease_client import Reservation
 from hornbeampulley.node._reserves import make_call_stream_name, make_reserve
