Count an answer of the store from its question, not from its reading

What callers would see: 404 or 401 for a route or key that was added while the host stood still (DENIED, CONFIG). Cause: an answer that was given before the pause and read after it made the view count as confirmed at the reading. Class: a conclusion from a view that is not known to be fresh.

A lower bound of the moment of the answer is that of its question. A watch that tells of no change was held for its whole wait, so it shows that there was none until then, unless it came sooner than that. An answer with changes may have been given at once; the next wait is shorter by the age that this leaves, so that the view of a calm host never is older than one wait and the time of an answer.

Ruled out: counting each answer from its question alone.

Evidence: ten cases of tests/test_node_view_age.py fail before (404, 401). Open: the views of peers.

--- a/hornbeampulley/node/_reading.py
+++ b/hornbeampulley/node/_reading.py
@@ -9,6 +9,7 @@
 
 from hornbeampulley.clock import Clock, to_seconds
 from hornbeampulley.logs import log_event
+from hornbeampulley.node._freshness import bound_held_time
 from hornbeampulley.node._store_view import StoreView
 from hornbeampulley.node.stored import (
     HistoryLostError,
@@ -59,7 +60,7 @@
     is_reached : bool
         Whether the last call succeeded.
     confirmed_ms : float
-        Time of the last answer of the store, in ms.
+        Latest moment in ms at which the items are known to have been up to date.
     on_answer : callable
         Called after each answer of the store.
     wait_ms : int
@@ -135,7 +136,7 @@
     async def _read_or_pause(self) -> None:
         call_ms = self._clock.now()
         try:
-            await self._read_once()
+            self.confirmed_ms = await self._read_once()
         except HistoryLostError as error:
             log_event(
                 _log,
@@ -155,28 +156,37 @@
         else:
             self._record_success()
 
-    async def _read_once(self) -> None:
+    async def _read_once(self) -> float:
+        """Make one call; return when its answer was given, at the earliest."""
+        asked_ms = self._clock.now()
         if self._revision is None:
             await self._list()
-            return
+            return asked_ms
+        wait_ms = self._choose_wait()
         changes = await self._store.watch(
             self._prefix,
             self._revision,
-            self._choose_wait(),
+            wait_ms,
         )
+        taken_ms = self._clock.now() - asked_ms
         self._check_epoch(changes)
         self._store_view.apply_items(changes.items, SOURCE)
         self._revision = max(self._revision, changes.revision)
+        held_ms = bound_held_time(changes, wait_ms, taken_ms)
+        return asked_ms + held_ms
 
     def _choose_wait(self) -> int:
         """Choose for how long the store may hold the next call, in ms.
 
         After a failure the store may have come back from a copy, which only
-        its answer tells.
+        its answer tells. After changes the wait is shorter by the age of the
+        view, which their answer leaves at the time since its question.
         """
         if self._failures:
             return CHECK_WAIT_MS
-        return round(self.wait_ms * self._wait_share)
+        age_ms = self._clock.now() - self.confirmed_ms
+        left_ms = self.wait_ms * self._wait_share - age_ms
+        return max(round(left_ms), CHECK_WAIT_MS)
 
     async def _list(self) -> None:
         changes = await self._store.list_items(self._prefix)
@@ -207,7 +217,6 @@
             self._revision = max(known, self._revision or known)
 
     def _record_success(self) -> None:
-        self.confirmed_ms = self._clock.now()
         if not self.is_reached:
             log_event(
                 _log,
