Count the age of a peer's view from the question that it answers

What callers would see: 404 or 401 for a route or key that was added while the host stood still (DENIED, CONFIG). Cause: what a peer had told before the pause, and was read after it, counted as told at the reading. An acknowledgement of a probe carries the age of the sender's view, and was sent after the probe, so the age counts from there; what a peer tells unasked shows no more how fresh this host's view is, only who is ahead.

Unasked positions had spread freshness too. So a host whose view is 2 s old asks one of the hosts that read the store, which also bounds the age among many hosts: that was no bound before.

Ruled out: asking each peer that tells unasked of a fresher view.

--- a/hornbeampulley/node/_gossip.py
+++ b/hornbeampulley/node/_gossip.py
@@ -8,7 +8,7 @@
 import itertools
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, Final
 
 import trio
@@ -26,6 +26,8 @@
 from hornbeampulley.node._knowledge import Position
 from hornbeampulley.node._membership import Membership
 from hornbeampulley.node._positions import PeerPositions
+from hornbeampulley.node._questions import Questions
+from hornbeampulley.node._reader_election import READERS
 from hornbeampulley.node._relayed_items import read_position, write_position
 from hornbeampulley.node._store_view import StoreView
 from hornbeampulley.wire import (
@@ -102,6 +104,7 @@
         self._membership = membership
         self._store_view = store_view
         self._positions = positions
+        self._questions = Questions(clock)
         self._endpoint = endpoint
         self._clock = clock
         self._generator = generator
@@ -160,6 +163,8 @@
         now_ms = self._clock.now()
         for step in self._membership.detect_failures():
             await self._send_step(step)
+        if self._positions.has_to_ask_reader():
+            await self._ask_reader()
         if now_ms - self._round_ms >= ROUND_MS:
             if not self._is_joined:
                 await self._join()
@@ -179,7 +184,7 @@
         hosts = {node.host: node for node in self._membership.live}
         if isinstance(step, SendProbe) and step.host in hosts:
             address = hosts[step.host].peers.address
-            await self._send(address, ttypes.Probe(step.number))
+            await self._probe(address, step.number)
         elif step.host in hosts and step.helper in hosts:
             await self._send(
                 hosts[step.helper].peers.address,
@@ -259,8 +264,9 @@
             frame = decode_body(received[_LENGTH_BYTES:])
             self._membership.record_heard()
             self._helper = address
+            asked_ms = self._find_question(frame.messages)
             for message in frame.messages:
-                await self._handle_message(message, address)
+                await self._handle_message(message, address, asked_ms)
         except _MALFORMED as error:
             log_event(
                 _log,
@@ -270,7 +276,16 @@
                 error=repr(error),
             )
 
-    async def _handle_message(self, message: Any, address: str) -> None:
+    def _find_question(self, messages: Iterable[Any]) -> float | None:
+        """Return when the question was sent that a datagram answers, in ms."""
+        for message in messages:
+            if isinstance(message, ttypes.ProbeAck):
+                return self._questions.pop(message.number)
+        return None
+
+    async def _handle_message(
+        self, message: Any, address: str, asked_ms: float | None
+    ) -> None:
         match message:
             case ttypes.MembershipNews():
                 self._merge(message)
@@ -284,9 +299,20 @@
                 await self._relay_probe(message, address)
             case ttypes.Position():
                 self._positions.record(
-                    address, read_position(message), message.age_ms
+                    address, read_position(message), message.age_ms, asked_ms
                 )
 
+    async def _ask_reader(self) -> None:
+        readers = self._membership.list_readers(READERS)
+        own = self._membership.incarnation
+        if readers and all(node.incarnation != own for node in readers):
+            address = self._generator.choice(readers).peers.address
+            await self._probe(address, next(self._relay_numbers))
+
+    async def _probe(self, address: str, number: int) -> None:
+        self._questions.record(number)
+        await self._send(address, ttypes.Probe(number))
+
     def _merge(self, message: ttypes.MembershipNews) -> None:
         is_sync = bool(message.is_sync)
         self._is_joined = self._is_joined or is_sync
@@ -321,7 +347,7 @@
         self._relayed[number] = (address, message.number)
         if len(self._relayed) > MAX_RELAYED:
             self._relayed.pop(next(iter(self._relayed)))
-        await self._send(message.address, ttypes.Probe(number))
+        await self._probe(message.address, number)
 
     async def _send(self, address: str, *messages: Any) -> None:
         news = self._membership.roster.pick_news(MAX_NEWS)
--- a/hornbeampulley/node/_membership.py
+++ b/hornbeampulley/node/_membership.py
@@ -4,7 +4,7 @@
 import logging
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Final
 
 from hornbeampulley.clock import Clock
@@ -243,12 +243,31 @@
         bool
             True if it is; all hosts that know the same hosts agree.
         """
+        return self.roster.own.host in self._choose_readers(readers)
+
+    def list_readers(self, readers: int) -> list[NodeAddress]:
+        """List the hosts that read the store.
+
+        Parameters
+        ----------
+        readers : int
+            Number of readers.
+
+        Returns
+        -------
+        list of NodeAddress
+            Their nodes; all hosts that know the same hosts agree.
+        """
+        chosen = frozenset(self._choose_readers(readers))
+        return [node for node in self.live if node.host in chosen]
+
+    def _choose_readers(self, readers: int) -> Collection[str]:
         peers = (
             Peer(node.host, node.availability_zone)
             for node in self.live
             if not (node.is_draining or node.is_suspect)
         )
-        return self.roster.own.host in choose_readers(peers, readers)
+        return choose_readers(peers, readers)
 
     def _suspect(self, host: str, now_ms: float) -> None:
         is_isolated = self.prober.is_isolated(now_ms)
--- a/tests/test_node_reader_election.py
+++ b/tests/test_node_reader_election.py
@@ -35,7 +35,8 @@
         )
 
     def hear(self, age_ms=0, position=None):
-        self.positions.record(PEER, position or Position(), age_ms)
+        asked_ms = self.clock.now()
+        self.positions.record(PEER, position or Position(), age_ms, asked_ms)
 
 
 def make_sides(count):
@@ -103,7 +104,7 @@
 
 def test_a_peer_that_tells_no_age_is_not_taken_for_fresh(many):
     _clock, (side, *_) = many
-    side.positions.record(PEER, Position(), None)
+    side.hear(age_ms=None)
     assert side.freshness.age_ms == MAX_AGE_MS
 
 
