Let a stream go on when its origin is told after its take-up

What callers would see: a stream that they take up at another host right after its first events is refused for good (other_software) while two versions serve, though the version that began it is known and runs. Cause: the origin is sent to the owner of the pool before the caller gets the event, but the caller's next request may get there first; where several versions were known it was refused at once, and one that waited for a check of the store was refused when that was not answered, though the origin had come meanwhile. Class: a conclusion from news that may still be on the way.

A held request is bound as soon as its origin is told; one of a pool of several versions waits 250 ms for that. Nothing else proves more than before: what is held is bound by its own origin, or by a check as before (ORDER).

--- a/hornbeampulley/node/_lease_client.py
+++ b/hornbeampulley/node/_lease_client.py
@@ -203,7 +203,7 @@
         origin : StreamOrigin
             The stream and its software version.
         """
-        self._scheduling.origins.keep(origin)
+        self._scheduling.keep_origin(origin)
         message = write_stream_origins((origin,))
         for keeper in self._finder.list_keepers(f'pool/{pool}'):
             self._send_message(keeper, message)
--- a/hornbeampulley/node/_peers.py
+++ b/hornbeampulley/node/_peers.py
@@ -229,7 +229,7 @@
                 self._apply_signals(message, peer)
             case ttypes.StreamOrigins():
                 for origin in read_stream_origins(message):
-                    self._scheduling.origins.keep(origin)
+                    self._scheduling.keep_origin(origin)
 
     def _apply_signals(self, message: ttypes.TargetSignals, peer: str) -> None:
         told = read_target_signals(message)
--- a/hornbeampulley/node/_scheduling.py
+++ b/hornbeampulley/node/_scheduling.py
@@ -16,7 +16,7 @@
     find_longest_stream,
     make_unknown_refusal,
 )
-from hornbeampulley.node._stream_origins import StreamOrigins
+from hornbeampulley.node._stream_origins import StreamOrigin, StreamOrigins
 from hornbeampulley.node._target_signals import SignalStore
 from hornbeampulley.routing import CapSettings, RoutingTable, find_pool
 
@@ -154,6 +154,17 @@
             self._pool_of_request.pop(request_id)
         self._handle(self._get_or_open_pool(name), event)
 
+    def keep_origin(self, origin: StreamOrigin) -> None:
+        """Keep where a stream began, for requests that take it up.
+
+        Parameters
+        ----------
+        origin : StreamOrigin
+            The stream and its software version.
+        """
+        self.origins.keep(origin)
+        self.streams.finish_told(origin.stream)
+
     def _announce(self, reserve: decisions.Reserve) -> None:
         name = find_pool(reserve.service)
         self._pool_of_request[reserve.request_id] = name
--- a/hornbeampulley/node/_stream_binder.py
+++ b/hornbeampulley/node/_stream_binder.py
@@ -13,7 +13,7 @@
     bind_stream,
     weigh_history,
 )
-from hornbeampulley.node._stream_origins import StreamOrigins
+from hornbeampulley.node._stream_origins import UNNAMED, StreamOrigins
 from hornbeampulley.node._unknown_streams import UnknownStreams
 from hornbeampulley.routing import find_pool
 
@@ -72,11 +72,24 @@
         bound = bind_stream(reserve, self._origins)
         if bound is not None:
             self._announce(bound)
-        elif self._weigh(reserve) is Evidence.SEVERAL_VERSIONS:
+        elif self._weigh(reserve) is not Evidence.SEVERAL_VERSIONS:
+            self._unknown.hold(reserve, needs_check=True)
+            self.request_check(self.longest_ms)
+        elif reserve.stream == UNNAMED:
             self._refuse_with(reserve, Evidence.SEVERAL_VERSIONS)
         else:
-            self._unknown.hold(reserve)
-            self.request_check(self.longest_ms)
+            self._unknown.hold(reserve, needs_check=False)
+
+    def finish_told(self, stream: int) -> None:
+        """Bind the requests that have waited for the origin of a stream.
+
+        Parameters
+        ----------
+        stream : int
+            Name of the stream, whose origin is known now.
+        """
+        for reserve in self._unknown.pop_told(stream):
+            self.bind(reserve)
 
     def finish_check(self, sent_ms: float) -> None:
         """Decide on the requests that have waited for a check.
@@ -86,13 +99,17 @@
         sent_ms : float
             Time when the store was asked, in ms.
         """
-        for reserve in tuple(self._unknown.pop_checked(sent_ms)):
+        for reserve in self._unknown.pop_checked(sent_ms):
             self._decide(reserve)
 
     def refuse_expired(self) -> None:
-        """Refuse the requests whose check was not answered in time."""
-        for reserve in tuple(self._unknown.pop_expired()):
-            self._refuse_with(reserve, Evidence.MISSING_HISTORY)
+        """Refuse the requests whose version was not found out in time."""
+        for reserve in self._unknown.pop_expired():
+            evidence = self._weigh(reserve)
+            if evidence is Evidence.ONE_VERSION:
+                # The store has not confirmed it.
+                evidence = Evidence.MISSING_HISTORY
+            self._refuse_with(reserve, evidence)
 
     def withdraw(self, request_id: str) -> None:
         """Drop a request whose home does not wait for it any more.
--- a/hornbeampulley/node/_unknown_streams.py
+++ b/hornbeampulley/node/_unknown_streams.py
@@ -4,12 +4,14 @@
 This host's view may be old without its knowledge, e.g. after it was paused, and
 other hosts may have begun streams on targets that it has not heard of. So each of
 these requests waits until the store has answered a call that was sent after the
-request had come.
+request had come. A stream of one of several versions waits for a moment, as its
+origin may still be on the way: its caller may take it up at another host as soon as
+it has got its first event.
 """
 
 import dataclasses
 import logging
-from collections.abc import Iterator
+from collections.abc import Callable
 from typing import Final
 
 from hornbeampulley.clock import Clock
@@ -18,6 +20,8 @@
 
 # Time for which the answer of the store is waited for.
 CHECK_LIMIT_MS: Final = 1000.0
+# Time for which the origin of a stream of several versions is waited for.
+ORIGIN_LIMIT_MS: Final = 250.0
 _log = logging.getLogger(__name__)
 
 
@@ -25,10 +29,15 @@
 class _Held:
     reserve: Reserve
     held_ms: float
+    needs_check: bool
+
+    @property
+    def limit_ms(self) -> float:
+        return CHECK_LIMIT_MS if self.needs_check else ORIGIN_LIMIT_MS
 
 
 class UnknownStreams:
-    """Holds requests until the versions of their targets are checked.
+    """Holds requests until their origin is told or the versions are checked.
 
     Parameters
     ----------
@@ -40,15 +49,19 @@
         self._clock = clock
         self._held: dict[str, _Held] = {}
 
-    def hold(self, reserve: Reserve) -> None:
+    def hold(self, reserve: Reserve, *, needs_check: bool) -> None:
         """Hold a request.
 
         Parameters
         ----------
         reserve : Reserve
             Announcement of the request.
+        needs_check : bool
+            Whether a check may show its version; if not, only its origin can.
         """
-        self._held[reserve.request_id] = _Held(reserve, self._clock.now())
+        self._held[reserve.request_id] = _Held(
+            reserve, self._clock.now(), needs_check
+        )
         log_event(_log, 'stream_unknown', request=reserve.request_id)
 
     def withdraw(self, request_id: str) -> None:
@@ -73,7 +86,7 @@
             if held.reserve.home == home:
                 self._held.pop(request_id)
 
-    def pop_checked(self, sent_ms: float) -> Iterator[Reserve]:
+    def pop_checked(self, sent_ms: float) -> list[Reserve]:
         """Take the requests that a check has covered.
 
         Parameters
@@ -81,22 +94,45 @@
         sent_ms : float
             Time when the call of the check was sent, in ms.
 
-        Yields
-        ------
-        Reserve
+        Returns
+        -------
+        list of Reserve
             Requests that came before.
         """
-        for request_id, held in tuple(self._held.items()):
-            if held.held_ms <= sent_ms:
-                self._held.pop(request_id)
-                yield held.reserve
+        return self._pop(
+            lambda held: held.needs_check and held.held_ms <= sent_ms
+        )
+
+    def pop_told(self, stream: int) -> list[Reserve]:
+        """Take the requests that take up a stream whose origin was told.
+
+        Parameters
+        ----------
+        stream : int
+            Name of the stream.
+
+        Returns
+        -------
+        list of Reserve
+            Requests that take it up.
+        """
+        return self._pop(lambda held: held.reserve.stream == stream)
 
-    def pop_expired(self) -> Iterator[Reserve]:
-        """Take the requests for which the store has not answered in time.
+    def pop_expired(self) -> list[Reserve]:
+        """Take the requests that have waited for too long.
 
-        Yields
-        ------
-        Reserve
-            Requests that have waited for too long.
+        Returns
+        -------
+        list of Reserve
+            Requests of which nothing has shown the version in time.
         """
-        yield from self.pop_checked(self._clock.now() - CHECK_LIMIT_MS)
+        now_ms = self._clock.now()
+        return self._pop(lambda held: held.held_ms + held.limit_ms <= now_ms)
+
+    def _pop(self, is_wanted: Callable[[_Held], bool]) -> list[Reserve]:
+        wanted = [
+            held.reserve for held in self._held.values() if is_wanted(held)
+        ]
+        for reserve in wanted:
+            self._held.pop(reserve.request_id)
+        return wanted
