--- a/bench/node_cost.py
+++ b/bench/node_cost.py
@@ -134,7 +134,7 @@
     node : int
         Id of the node's process.
     """
-    await _wait_ready()
+    await wait_ready()
     await send_all('/look/a', WARM_UP_CALLS)
     begun_ms = read_cpu_ms(node)
     await trio.sleep(to_seconds(IDLE_MS))
@@ -181,7 +181,8 @@
     return bool(is_sized) and len(body) >= int(rest.split(b'\r\n')[0])
 
 
-async def _wait_ready() -> None:
+async def wait_ready() -> None:
+    """Wait until the node answers."""
     with trio.fail_after(to_seconds(READY_MS)):
         while True:
             try:
