Read a large body only when there is memory for it

Cause: each body had a limit, their sum had none; a body was held up to three times (joined from its parts, and once more with its head while it was sent), and a kept connection referred to its last request until the next one came.

The budget of held bytes counts bodies too, at most half of it, so that room is left for the answers. A body over 64 KiB has its whole room before it is read, in order of arrival, so none holds a part while it waits for others that wait too. It waits unread for 500 ms, then its request ends with 503 and a time to come back (memory_full) by the first filter, before anything is drawn or sent; the connection closes, and what follows is dropped unparsed. A long body is written after its head without a copy.

--- a/hornbeampulley/http1/_connections.py
+++ b/hornbeampulley/http1/_connections.py
@@ -9,7 +9,12 @@
 from hornbeampulley.endpoints import Endpoint
 from hornbeampulley.errors import HornbeamError
 from hornbeampulley.http1._buffers import Buffer
-from hornbeampulley.http1._messages import Request, ResponseHead, encode_request
+from hornbeampulley.http1._messages import (
+    Request,
+    ResponseHead,
+    encode_request_head,
+    split_message,
+)
 from hornbeampulley.http1._responses import (
     MessageBoundary,
     Part,
@@ -125,8 +130,10 @@
         """
         self._is_request_sent = False
         self.uses += 1
+        head = encode_request_head(request)
         try:
-            await self._stream.send_all(encode_request(request))
+            for part in split_message(head, request.body):
+                await self._stream.send_all(part)
         except _CONNECTION_ERRORS as error:
             self._is_broken = True
             raise ResponseBrokenError(
--- a/hornbeampulley/http1/_messages.py
+++ b/hornbeampulley/http1/_messages.py
@@ -25,6 +25,8 @@
 )
 """Hop-by-hop and framing headers, which are not forwarded."""
 
+# A body up to this length is written together with its head.
+MAX_JOINED_BYTES: Final = 65_536
 _LINE_END: Final = b'\r\n'
 _REASON_PHRASES: Final = {
     status.value: status.phrase.encode() for status in http.HTTPStatus
@@ -47,6 +49,8 @@
         Complete body.
     is_persistent : bool
         Whether the connection stays open for another request.
+    is_unread : bool
+        Whether the body was not read, as there was no memory for it.
     """
 
     method: bytes
@@ -54,6 +58,7 @@
     headers: tuple[Header, ...] = ()
     body: bytes = b''
     is_persistent: bool = True
+    is_unread: bool = False
 
     @property
     def path(self) -> bytes:
@@ -133,11 +138,27 @@
     bytes
         Head and body.
     """
+    return encode_request_head(request) + request.body
+
+
+def encode_request_head(request: Request) -> bytes:
+    """Encode the head of a request for a persistent connection.
+
+    Parameters
+    ----------
+    request : Request
+        A request without any of `CONNECTION_HEADERS`.
+
+    Returns
+    -------
+    bytes
+        The head, including the empty line that ends it.
+    """
     lines = [b'%s %s HTTP/1.1' % (request.method, request.target)]
     lines.extend(b'%s: %s' % header for header in request.headers)
     if request.body or request.method not in {b'GET', b'HEAD', b'DELETE'}:
         lines.append(b'content-length: %d' % len(request.body))
-    return _LINE_END.join((*lines, b'', request.body))
+    return _LINE_END.join((*lines, b'', b''))
 
 
 def encode_response_head(status: int, headers: Iterable[Header]) -> bytes:
@@ -159,3 +180,21 @@
     lines = [b'HTTP/1.1 %d %s' % (status, phrase)]
     lines.extend(b'%s: %s' % header for header in headers)
     return _LINE_END.join((*lines, b'', b''))
+
+
+def split_message(head: bytes, body: bytes) -> tuple[bytes, ...]:
+    """Return the parts in which a message is written.
+
+    Parameters
+    ----------
+    head, body : bytes
+        The message.
+
+    Returns
+    -------
+    tuple of bytes
+        One part, but for a long body, of which no copy is made.
+    """
+    if len(body) > MAX_JOINED_BYTES:
+        return head, body
+    return (head + body,)
--- a/hornbeampulley/http1/_replies.py
+++ b/hornbeampulley/http1/_replies.py
@@ -3,7 +3,11 @@
 from collections.abc import Iterable
 from typing import Final, Protocol
 
-from hornbeampulley.http1._messages import Header, encode_response_head
+from hornbeampulley.http1._messages import (
+    Header,
+    encode_response_head,
+    split_message,
+)
 
 _LAST_CHUNK: Final = b'0\r\n\r\n'
 
@@ -68,7 +72,8 @@
         """
         framing = (b'content-length', b'%d' % len(body))
         head = self._encode_head(status, headers, framing)
-        await self._connection.transmit(head + body)
+        for part in split_message(head, body):
+            await self._connection.transmit(part)
         self.is_complete = True
 
     async def start(self, status: int, headers: Iterable[Header]) -> None:
--- a/hornbeampulley/http1/_requests.py
+++ b/hornbeampulley/http1/_requests.py
@@ -70,6 +70,12 @@
     awaits_continue : bool
         Whether the caller expects a ``100 Continue`` response before it
         sends the body.
+    declared_bytes : int or None
+        Length of the body that is being received; None if its head has none.
+    body_bytes : int
+        Bytes of that body that have been received.
+    reserved_bytes : int
+        Bytes of it for which there is room.
     """
 
     def __init__(self, limits: MessageLimits) -> None:
@@ -79,11 +85,13 @@
         self.awaits_continue = False
         self.limits = limits
         self._parser = httptools.HttpRequestParser(self)
+        self.declared_bytes: int | None = None
+        self.body_bytes = 0
+        self.reserved_bytes = 0
         self._head_bytes = 0
-        self._body_bytes = 0
         self._url = bytearray()
         self._headers: list[Header] = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
 
     def feed(self, received: bytes) -> None:
         """Parse the next bytes.
@@ -122,8 +130,7 @@
         self.is_in_head = True
         self._url.clear()
         self._headers = []
-        self._body = []
-        self._body_bytes = 0
+        self._drop_body()
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target."""
@@ -145,18 +152,19 @@
         )
         if size > self.limits.max_header_bytes:
             raise self._make_head_error()
-        declared = find_header(self._headers, b'content-length') or b'0'
-        if int(declared) > self.limits.max_body_bytes:
+        declared = find_header(self._headers, b'content-length')
+        self.declared_bytes = None if declared is None else int(declared)
+        if int(declared or 0) > self.limits.max_body_bytes:
             raise self._make_body_error()
         expected = find_header(self._headers, b'expect') or b''
         self.awaits_continue = expected.lower() == b'100-continue'
 
     def on_body(self, body: bytes) -> None:
         """Append to the body and check its length."""
-        self._body_bytes += len(body)
-        if self._body_bytes > self.limits.max_body_bytes:
+        self.body_bytes += len(body)
+        if self.body_bytes > self.limits.max_body_bytes:
             raise self._make_body_error()
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
@@ -174,10 +182,33 @@
                 self._parser.get_method(),
                 bytes(self._url),
                 tuple(self._headers),
-                b''.join(self._body),
+                bytes(self._body),
                 self._parser.should_keep_alive(),
             ),
         )
+        self._drop_body()
+
+    def refuse_body(self) -> None:
+        """Queue the request without its body, which is not read on.
+
+        Nothing may be fed afterwards.
+        """
+        self.awaits_continue = False
+        self.requests.append(
+            Request(
+                self._parser.get_method(),
+                bytes(self._url),
+                tuple(self._headers),
+                is_persistent=False,
+                is_unread=True,
+            ),
+        )
+        self._drop_body()
+
+    def _drop_body(self) -> None:
+        self._body = bytearray()
+        self.body_bytes = 0
+        self.reserved_bytes = 0
 
     def _make_head_error(self) -> BadRequestError:
         limit = self.limits.max_header_bytes
--- a/hornbeampulley/http1/_server.py
+++ b/hornbeampulley/http1/_server.py
@@ -8,6 +8,8 @@
 import trio
 
 from hornbeampulley.clock import to_seconds
+from hornbeampulley.http1._bodies import RequestBodies
+from hornbeampulley.http1._buffers import BufferBudget
 from hornbeampulley.http1._messages import Request
 from hornbeampulley.http1._replies import Reply
 from hornbeampulley.http1._requests import (
@@ -19,6 +21,8 @@
 from hornbeampulley.logs import log_event
 
 RECEIVE_BYTES: Final = 65_536
+# A large body must not be received before there is memory for it.
+RECEIVE_HEAD_BYTES: Final = 16_384
 LINGER_MS: Final = 1000.0
 # Grace added to the idle timeout before a connection is closed.
 IDLE_MARGIN_MS: Final = 2000.0
@@ -51,6 +55,9 @@
         immediately.
     connections : set of CallerConnection
         Open connections.
+    read_budget : callable
+        Returns the budget of memory for the bodies of requests; called for
+        each new connection.
     """
 
     handle: Handler
@@ -60,6 +67,7 @@
     connections: set['CallerConnection'] = dataclasses.field(
         default_factory=set,
     )
+    read_budget: Callable[[], BufferBudget] = BufferBudget
 
 
 class CallerConnection:
@@ -81,11 +89,13 @@
         self._stream = stream
         self._options = options
         self._parser = RequestParser(options.read_limits())
+        self._bodies = RequestBodies(self._parser, options.read_budget())
         self._state_changed = trio.Event()
         self._request_dequeued = trio.Event()
         self._last_activity_s = trio.current_time()
         self._head_started_s: float | None = None
         self._is_disconnected = False
+        self._is_body_refused = False
         self._error: BadRequestError | None = None
         self._scope = trio.CancelScope()
         self._request_scope: trio.CancelScope | None = None
@@ -134,8 +144,12 @@
                     nursery.cancel_scope.cancel()
                 await self._linger()
         finally:
-            self._options.connections.discard(self)
-            self._stream.socket.close()
+            self._release()
+
+    def _release(self) -> None:
+        self._options.connections.discard(self)
+        self._bodies.close()
+        self._stream.socket.close()
 
     async def _read(self) -> None:
         while not self._is_disconnected and self._error is None:
@@ -153,14 +167,24 @@
             self._state_changed.set()
 
     async def _receive(self) -> None:
-        received = await self._stream.receive_some(RECEIVE_BYTES)
+        received = await self._stream.receive_some(
+            RECEIVE_BYTES if self._parser.is_in_body else RECEIVE_HEAD_BYTES
+        )
         if not received:
             self._handle_disconnect()
             return
         if not (self._parser.is_in_head or self._parser.is_in_body):
             self._parser.limits = self._options.read_limits()
+        if self._is_body_refused:
+            return
         self._parser.feed(received)
         self._record_activity()
+        # What waits for memory has arrived in time.
+        self._state_changed.set()
+        if not await self._bodies.admit():
+            self._is_body_refused = True
+            return
+        self._record_activity()
         if self._parser.awaits_continue and self._request_scope is None:
             self._parser.awaits_continue = False
             await self.transmit(_CONTINUE)
@@ -172,14 +196,16 @@
         self._state_changed.set()
 
     async def _answer_all(self) -> None:
-        while True:
-            request = await self._next_request()
-            if request is None:
-                return
-            if not await self._answer(request):
-                return
+        # No request is referred to while the connection waits for the next.
+        while await self._answer_next():
+            self._bodies.end_answer()
+
+    async def _answer_next(self) -> bool:
+        request = await self._next_request()
+        return request is not None and await self._answer(request)
 
     async def _answer(self, request: Request) -> bool:
+        self._bodies.start_answer(request)
         reply = Reply(self, request.is_persistent)
         with trio.CancelScope() as scope:
             self._request_scope = scope
@@ -251,12 +277,16 @@
         )
 
     async def _linger(self) -> None:
-        """Discard further input for up to `LINGER_MS` before closing.
+        """Discard further input for a while before closing.
 
         Closing a socket with unread input resets the connection, so the
         caller could lose the last response.
         """
-        with trio.move_on_after(to_seconds(LINGER_MS)):
+        linger_ms = LINGER_MS
+        if self._is_body_refused:
+            # The caller may read only after it has sent all.
+            linger_ms = max(linger_ms, self._parser.limits.header_timeout_ms)
+        with trio.move_on_after(to_seconds(linger_ms)):
             try:
                 await self._drain()
             except _CONNECTION_ERRORS:
--- a/hornbeampulley/node/_counters.py
+++ b/hornbeampulley/node/_counters.py
@@ -1,10 +1,12 @@
 """Metrics of a node in the text format of Prometheus."""
 
+from collections.abc import Callable
 from typing import Final
 
 import prometheus_client
 
 from hornbeampulley.clock import MS_PER_SECOND, to_seconds
+from hornbeampulley.http1 import BufferBudget
 from hornbeampulley.node._calls import Call
 
 _BUCKETS_S: Final = (0.01, 0.03, 0.1, 0.2, 0.4, 0.7, 1, 2, 4, 8, 16)
@@ -67,6 +69,12 @@
             'Time since the view is known to have matched the store.',
             registry=registry,
         )
+        self._held = prometheus_client.Gauge(
+            'hornbeam_held_bytes',
+            'Bytes of bodies that are held, by kind of message.',
+            ('kind',),
+            registry=registry,
+        )
         self._lost_lines = prometheus_client.Counter(
             'hornbeam_lost_log_lines',
             'Log lines dropped to keep the volume bounded.',
@@ -92,6 +100,21 @@
         if call.metadata.prompt_tokens:
             self._count_tokens(call, rank)
 
+    def watch_held(self, read_budget: Callable[[], BufferBudget]) -> None:
+        """Read the bytes that are held whenever the metrics are.
+
+        Parameters
+        ----------
+        read_budget : callable
+            Returns the budget of the process.
+        """
+        self._held.labels('request').set_function(
+            lambda: read_budget().request_bytes
+        )
+        self._held.labels('answer').set_function(
+            lambda: read_budget().answer_bytes
+        )
+
     def _count_tokens(self, call: Call, rank: str) -> None:
         is_served = call.reply.is_complete and call.status < _FIRST_FAILURE
         labels = (rank, 'yes' if is_served else 'no')
--- a/hornbeampulley/node/_filters.py
+++ b/hornbeampulley/node/_filters.py
@@ -16,6 +16,7 @@
 from hornbeampulley.registry import Registry
 from hornbeampulley.routing import choose_pool
 
+MEMORY_FULL_MS: Final = 500.0
 NOT_READY_MS: Final = 500.0
 DRAINING_MS: Final = 50.0
 # A host whose view may be older than this doesn't tell that a route or a key
@@ -30,6 +31,27 @@
 """Filters by name, in the order in which they are applied."""
 
 
+@filters.register('memory')
+async def refuse_unread(home: Home, call: Call) -> None:
+    """Refuse requests whose bodies were not read for want of memory.
+
+    Parameters
+    ----------
+    home : Home
+        Home of the request.
+    call : Call
+        The request.
+    """
+    if call.request.is_unread:
+        raise CallError(
+            503,
+            'memory_full',
+            'this host holds as many bytes of requests and answers as it has '
+            'memory for; come back after the time given',
+            MEMORY_FULL_MS,
+        )
+
+
 @filters.register('ready')
 async def refuse_until_ready(home: Home, call: Call) -> None:
     """Refuse requests before a routing table is known and during a drain.
--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -90,6 +90,7 @@
         self.clock = Clock(trio.current_time)
         self.counters = Counters()
         self.buffers = BufferBudget(settings.resources.buffer_bytes)
+        self.counters.watch_held(lambda: self.buffers)
         self._identity = identity
         self._nursery = nursery
         self._generator = random.Random(identity.incarnation)
@@ -112,6 +113,7 @@
             self._answer,
             self._get_limits,
             max_connections=max(settings.bounds.max_files // 2, 16),
+            read_budget=lambda: self.buffers,
         )
         self._configured_changes = -1
         self.store_view.on_change = self._follow_store
--- a/hornbeampulley/node/_settings.py
+++ b/hornbeampulley/node/_settings.py
@@ -155,7 +155,7 @@
 
     @property
     def buffer_bytes(self) -> int:
-        """Bytes of answers that may be held until they are complete."""
+        """Bytes of requests and answers that may be held at the same time."""
         return round(self.memory_mb * BUFFER_SHARE * BYTES_PER_MB)
 
 
--- a/tests/test_http1_buffers.py
+++ b/tests/test_http1_buffers.py
@@ -1,11 +1,14 @@
 """Tests of the memory for responses that are held."""
 
 import pytest
+import trio
+import trio.testing
 from hypothesis import given
 from hypothesis import strategies as st
 
 from hornbeampulley.http1 import Buffer, BufferBudget
-from hornbeampulley.http1._buffers import SMALL_BYTES
+from hornbeampulley.http1._buffers import SMALL_BYTES, RequestBuffer
+from hornbeampulley.http1._messages import split_message
 from hornbeampulley.http1.errors import BuffersFullError
 
 LIMIT = 10 * SMALL_BYTES
@@ -51,3 +54,39 @@
     for one in buffers:
         one.close()
     assert budget.held_bytes == 0
+
+
+# Memory: requests could leave no room for the answers to them.
+def test_requests_have_half_of_the_budget_in_the_order_of_their_coming():
+    async def reserve(buffer, size, admitted):
+        if await buffer.reserve(size * SMALL_BYTES, 1000):
+            admitted.append(size)
+
+    async def main():
+        budget = BufferBudget(LIMIT)
+        held = RequestBuffer(budget)
+        assert await held.reserve(5 * SMALL_BYTES, 0)
+        assert not await RequestBuffer(budget).reserve(1, 1000)
+        assert not await RequestBuffer(budget).reserve(LIMIT, 1000)
+        budget.open().resize(5 * SMALL_BYTES)
+        admitted = []
+        async with trio.open_nursery() as nursery:
+            for size in (3, 1, 2, 4):
+                buffer = RequestBuffer(budget)
+                nursery.start_soon(reserve, buffer, size, admitted)
+                await trio.testing.wait_all_tasks_blocked()
+            held.resize(4 * SMALL_BYTES)
+            await trio.testing.wait_all_tasks_blocked()
+            assert admitted == []
+            held.resize(0)
+        assert sorted(admitted) == [1, 3]
+        assert budget.request_bytes == 4 * SMALL_BYTES
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+# Memory: a body was held once more, joined to its head, until it was sent.
+def test_a_long_body_is_not_copied_to_be_written():
+    body = bytes(SMALL_BYTES + 1)
+    assert split_message(b'head', body)[1] is body
+    assert split_message(b'head', b'body') == (b'headbody',)
