Let large answers wait for memory

Cause: each answer took its room as it grew, so that many left one another none, and one that found none failed at once.

An answer over 64 KiB has room for all of it (its length, or 4 MiB) before it is read on, in order of arrival and before all bodies of requests. It waits until the time limit of its request. No answer waits for one that waits, and bodies leave half of the budget, so those that hold room end. The wait is not counted as time of the target, which would be taken for a slow one.

Evidence: test_a_large_answer_without_room_waits fails on the code before (502); without the last point too.

Not mended: a target that announces much and sends slowly keeps its room until the time limit; events of streams still fail where there is no room.

--- a/hornbeampulley/http1/_bodies.py
+++ b/hornbeampulley/http1/_bodies.py
@@ -100,4 +100,4 @@
         parser = self._parser
         if parser.declared_bytes is not None:
             return parser.declared_bytes
-        return self._budget.limit_request(parser.limits.max_body_bytes)
+        return self._budget.limit_message(parser.limits.max_body_bytes)
--- a/hornbeampulley/http1/_buffers.py
+++ b/hornbeampulley/http1/_buffers.py
@@ -1,17 +1,19 @@
 """Memory for the messages that are held until they are complete."""
 
-from collections import deque
+import math
 from typing import Final
 
 import trio
 
-from hornbeampulley.clock import to_seconds
+from hornbeampulley.clock import MS_PER_SECOND
 from hornbeampulley.http1._responses import ResponseBrokenError
+from hornbeampulley.http1._waiting import WaitingLine
 
 # A message up to this size is held in any case.
 SMALL_BYTES: Final = 65_536
 UNLIMITED: Final = 1 << 62
-# The rest is kept for the responses to the requests that are held.
+# The rest is kept for the responses to the requests that are held, so that
+# these end. No message is longer than either part.
 REQUEST_SHARE: Final = 0.5
 
 
@@ -40,7 +42,8 @@
         self.request_bytes = 0
         self._max_bytes = max_bytes
         self._max_request_bytes = int(max_bytes * REQUEST_SHARE)
-        self._waiting: deque[_Waiter] = deque()
+        self._waiting_responses = WaitingLine(self.has_room)
+        self._waiting_requests = WaitingLine(self.has_request_room)
 
     @property
     def answer_bytes(self) -> int:
@@ -90,8 +93,8 @@
             more_bytes
         )
 
-    def limit_request(self, max_bytes: int) -> int:
-        """Limit a size to that of the largest body that can be held.
+    def limit_message(self, max_bytes: int) -> int:
+        """Limit a size to that of the longest body that can be held.
 
         Parameters
         ----------
@@ -115,7 +118,8 @@
         """
         self.held_bytes += more_bytes
         if more_bytes < 0:
-            self._admit()
+            self._waiting_responses.admit()
+            self._waiting_requests.admit()
 
     def count_request(self, more_bytes: int) -> None:
         """Count bytes of bodies of requests that are held, or given back.
@@ -128,6 +132,18 @@
         self.request_bytes += more_bytes
         self.count(more_bytes)
 
+    async def reserve_response(self, buffer: 'Buffer', more_bytes: int) -> None:
+        """Wait for room for a response, first come first served.
+
+        Parameters
+        ----------
+        buffer : Buffer
+            Gets the room.
+        more_bytes : int
+            Number of bytes.
+        """
+        await self._waiting_responses.wait(buffer, more_bytes, math.inf)
+
     async def reserve_request(
         self, buffer: 'RequestBuffer', more_bytes: int, timeout_ms: float
     ) -> bool:
@@ -147,26 +163,9 @@
         bool
             Whether the buffer has got the room.
         """
-        if self.limit_request(more_bytes) < more_bytes:
+        if self.limit_message(more_bytes) < more_bytes:
             return False
-        waiter = _Waiter(buffer, more_bytes)
-        self._waiting.append(waiter)
-        self._admit()
-        try:
-            with trio.move_on_after(to_seconds(timeout_ms)):
-                await waiter.is_admitted.wait()
-        finally:
-            if not waiter.is_admitted.is_set():
-                self._waiting.remove(waiter)
-                self._admit()
-        return waiter.is_admitted.is_set()
-
-    def _admit(self) -> None:
-        """Give room to those that wait, in order."""
-        while self._waiting and self.has_request_room(self._waiting[0].bytes):
-            waiter = self._waiting.popleft()
-            waiter.buffer.resize(waiter.buffer.size + waiter.bytes)
-            waiter.is_admitted.set()
+        return await self._waiting_requests.wait(buffer, more_bytes, timeout_ms)
 
 
 class Buffer:
@@ -176,11 +175,19 @@
     ----------
     budget : BufferBudget, optional
         Budget of the process; without a limit if not given.
+
+    Attributes
+    ----------
+    size : int
+        Bytes that are held.
+    waited_ms : float
+        Time spent waiting for room, in ms.
     """
 
     def __init__(self, budget: BufferBudget | None = None) -> None:
+        self.size = 0
+        self.waited_ms = 0.0
         self._budget = budget or BufferBudget()
-        self._bytes = 0
 
     def resize(self, size: int) -> None:
         """Set how many bytes are held.
@@ -195,17 +202,57 @@
         BuffersFullError
             If the budget does not allow more and the size is not small.
         """
-        more = size - self._bytes
+        more = size - self.size
         if more > 0 and size > SMALL_BYTES and not self._budget.has_room(more):
-            raise BuffersFullError(
-                f'messages of {self._budget.held_bytes} bytes are held, so '
-                f'that a response of over {size} bytes is not read on; look '
-                'for targets whose answers do not end, or give the host more '
-                'memory',
-            )
-        self._bytes = size
+            raise self._make_error(size)
+        self.size = size
         self._budget.count(more)
 
+    def add(self, more_bytes: int) -> None:
+        """Count more bytes that are held, without a check.
+
+        Parameters
+        ----------
+        more_bytes : int
+            Number of bytes.
+        """
+        self.size += more_bytes
+        self._budget.count(more_bytes)
+
+    async def hold(self, size: int, expected_bytes: int) -> None:
+        """Hold a response that grows; wait for room for all of it.
+
+        Parameters
+        ----------
+        size : int
+            Number of bytes until now.
+        expected_bytes : int
+            Number of bytes that it may have in the end.
+
+        Raises
+        ------
+        BuffersFullError
+            If there can't be room for it.
+        """
+        if size <= SMALL_BYTES:
+            self.resize(max(size, self.size))
+            return
+        if size <= self.size:
+            return
+        needed = self._budget.limit_message(expected_bytes)
+        if size > needed:
+            raise self._make_error(size)
+        begun_s = trio.current_time()
+        await self._budget.reserve_response(self, needed - self.size)
+        self.waited_ms += (trio.current_time() - begun_s) * MS_PER_SECOND
+
+    def _make_error(self, size: int) -> BuffersFullError:
+        return BuffersFullError(
+            f'messages of {self._budget.held_bytes} bytes are held, so that '
+            f'a response of over {size} bytes is not read on; look for targets '
+            'whose answers do not end, or give the host more memory',
+        )
+
     def close(self) -> None:
         """Give back all bytes."""
         self.resize(0)
@@ -254,15 +301,15 @@
         size : int
             Number of bytes.
         """
-        more = size - self.size
-        self.size = size
-        self._budget.count_request(more)
-
+        self.add(size - self.size)
 
-class _Waiter:
-    """A request that waits for room."""
+    def add(self, more_bytes: int) -> None:
+        """Count more bytes that are held, without a check.
 
-    def __init__(self, buffer: RequestBuffer, more_bytes: int) -> None:
-        self.buffer = buffer
-        self.bytes = more_bytes
-        self.is_admitted = trio.Event()
+        Parameters
+        ----------
+        more_bytes : int
+            Number of bytes; negative for what is given back.
+        """
+        self.size += more_bytes
+        self._budget.count_request(more_bytes)
--- a/hornbeampulley/http1/_connections.py
+++ b/hornbeampulley/http1/_connections.py
@@ -193,7 +193,8 @@
         max_bytes : int
             Maximum length of the body.
         buffer : Buffer, optional
-            Counts the bytes that are held.
+            Counts the bytes that are held; the rest is not read before there
+            is room for it.
 
         Returns
         -------
@@ -203,19 +204,22 @@
         Raises
         ------
         ResponseBrokenError
-            If the body is incomplete or longer than `max_bytes`, or if the
-            buffer may not grow.
+            If the body is incomplete or longer than `max_bytes`, or if there
+            can't be room for it.
         """
+        buffer = buffer or Buffer()
         body = bytearray()
         while part := await self.read_body():
             body += part
-            if buffer is not None:
-                buffer.resize(len(body))
             if len(body) > max_bytes:
                 raise ResponseBrokenError(
                     f'a response is longer than {max_bytes} bytes; '
                     'raise the limit or shorten the response',
                 )
+            declared = self._parser.declared_bytes
+            expected = max_bytes if declared is None else declared
+            await buffer.hold(len(body), min(expected, max_bytes))
+        buffer.resize(len(body))
         return bytes(body)
 
     def close(self) -> None:
--- a/hornbeampulley/http1/_responses.py
+++ b/hornbeampulley/http1/_responses.py
@@ -47,6 +47,8 @@
     is_unframed : bool
         Whether the last response has neither a length nor chunks, so that it
         ends with the connection.
+    declared_bytes : int or None
+        Length of the last response's body; None if its head has none.
     """
 
     def __init__(self) -> None:
@@ -54,6 +56,7 @@
         self.is_persistent = True
         self.is_idle = True
         self.is_unframed = False
+        self.declared_bytes: int | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
         self._is_informational = False
@@ -130,9 +133,11 @@
         if self._is_informational:
             return
         headers = tuple(self._headers)
+        length = find_header(headers, b'content-length')
+        self.declared_bytes = None if length is None else int(length)
         has_framing = (
             status in _NO_BODY
-            or find_header(headers, b'content-length') is not None
+            or length is not None
             or find_header(headers, b'transfer-encoding') is not None
         )
         self.is_unframed = not has_framing
--- a/hornbeampulley/node/_exchanges.py
+++ b/hornbeampulley/node/_exchanges.py
@@ -122,6 +122,7 @@
         self._events = 0
         self._is_unframed = False
         self._resumes_after: bytes | None = None
+        self._waited_before_ms = call.buffer.waited_ms
         self._may_have_run_before = call.may_have_run
 
     async def run(
@@ -201,13 +202,17 @@
         return result[0]
 
     def make_attempt(self, outcome: Outcome, reason: str) -> Attempt:
-        """Make the result of the exchange with the measurements so far."""
+        """Make the result of the exchange with the measurements so far.
+
+        What an answer has waited for memory here says nothing of its target.
+        """
+        waited_ms = self._call.buffer.waited_ms - self._waited_before_ms
         return Attempt(
             outcome,
             reason,
             events=self._events,
             first_ms=self._first_ms,
-            duration_ms=self._clock.now() - self._sent_ms,
+            duration_ms=self._clock.now() - self._sent_ms - waited_ms,
             is_unframed=self._is_unframed,
         )
 
--- a/tests/test_http1_buffers.py
+++ b/tests/test_http1_buffers.py
@@ -90,3 +90,45 @@
     body = bytes(SMALL_BYTES + 1)
     assert split_message(b'head', body)[1] is body
     assert split_message(b'head', b'body') == (b'headbody',)
+
+
+# Sound answers failed when many came at once; they wait for room now.
+def test_a_response_waits_for_room_for_all_of_it():
+    async def main():
+        budget = BufferBudget(LIMIT)
+        other = budget.open()
+        other.resize(9 * SMALL_BYTES)
+        first, second, third = (budget.open() for _ in range(3))
+        await first.hold(SMALL_BYTES, 3 * SMALL_BYTES)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(first.hold, SMALL_BYTES + 1, 3 * SMALL_BYTES)
+            await trio.sleep(2)
+            nursery.start_soon(second.hold, SMALL_BYTES + 1, SMALL_BYTES + 1)
+            await trio.sleep(1)
+            assert (first.size, second.size) == (SMALL_BYTES, 0)
+            other.resize(5 * SMALL_BYTES)
+        assert (first.size, second.size) == (3 * SMALL_BYTES, SMALL_BYTES + 1)
+        assert (first.waited_ms, second.waited_ms) == (3000, 1000)
+        with trio.move_on_after(1):
+            await third.hold(2 * SMALL_BYTES, 2 * SMALL_BYTES)
+        assert third.size == 0
+        # The one that was given up is not waited for.
+        other.close()
+        assert budget.held_bytes == 4 * SMALL_BYTES + 1
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+# Memory: a response that can never fit must not wait until its time limit.
+def test_a_response_that_does_not_fit_fails():
+    async def main():
+        budget = BufferBudget(LIMIT)
+        buffer = budget.open()
+        await buffer.hold(2 * SMALL_BYTES, LIMIT)
+        assert buffer.size == LIMIT // 2
+        with pytest.raises(BuffersFullError):
+            await buffer.hold(LIMIT // 2 + 1, LIMIT)
+        buffer.close()
+        assert budget.held_bytes == 0
+
+    trio.run(main)
--- a/tests/test_node_memory.py
+++ b/tests/test_node_memory.py
@@ -2,9 +2,15 @@
 
 import trio.testing
 
-from hornbeampulley.http1 import BufferBudget
+from hornbeampulley.http1 import (
+    BufferBudget,
+    ServerOptions,
+    find_header,
+    serve_http,
+)
 from hornbeampulley.http1._buffers import SMALL_BYTES
-from tests.nodes import run_nodes
+from standins.backend import SEAL
+from tests.nodes import BACKEND_PORT, run_nodes
 
 BUDGET_BYTES = 8 * SMALL_BYTES
 LARGE = bytes(3 * SMALL_BYTES)
@@ -36,3 +42,70 @@
         assert b'hornbeam_held_bytes{kind="answer"} 0.0' in metrics
 
     run_nodes(scenario)
+
+
+class LargeTarget:
+    """Answers each request with a large body."""
+
+    def __init__(self):
+        self.is_answering = trio.Event()
+
+    async def serve(self, address):
+        options = ServerOptions(self._answer)
+        await serve_http(address, BACKEND_PORT, options)
+
+    async def _answer(self, request, reply):
+        self.is_answering.set()
+        request_id = find_header(request.headers, b'attempt-id')
+        headers = ((b'attempt-id', request_id), (SEAL, b'sealed'))
+        await reply.send(200, headers, LARGE)
+
+
+# 502: a sound answer failed because others held all room; it waits now.
+def test_a_large_answer_without_room_waits():
+    async def scenario(fleet):
+        node = fleet.nodes[0]
+        node.buffers = BufferBudget(BUDGET_BYTES)
+        held = node.buffers.open()
+        held.resize(BUDGET_BYTES)
+        target = LargeTarget()
+        address = fleet.address(200)
+        fleet.nursery.start_soon(target.serve, address)
+        for number in (1, 2):
+            name = f'ledger-{number}'
+            entry = fleet.backends[name].describe(address, BACKEND_PORT)
+            changes = {'sequence': 2, 'born': 2}
+            fleet.store.put(f'servers/{name}', {**entry, **changes})
+        await trio.sleep(0.3)
+        answers, attempts = [], []
+        send = node.home.sender.send
+
+        async def measure(call, *others):
+            begun_ms = node.clock.now()
+            attempt = await send(call, *others)
+            took_ms = node.clock.now() - begun_ms
+            attempts.append((attempt.duration_ms, took_ms, call.buffer))
+            return attempt
+
+        node.home.sender.send = measure
+
+        async def ask():
+            answers.append(await fleet.call('/once/a', request_id=b'large'))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await target.is_answering.wait()
+            await trio.sleep(0.3)
+            assert not answers
+            assert (await fleet.call('/none/a'))[0] == 404
+            held.close()
+        assert answers[0][0] == 200
+        assert answers[0][2] == LARGE
+        duration_ms, took_ms, buffer = attempts[0]
+        # The target is not taken for a slow one.
+        assert buffer.waited_ms > 0
+        assert duration_ms <= took_ms - buffer.waited_ms
+        await trio.testing.wait_all_tasks_blocked()
+        assert node.buffers.held_bytes == 0
+
+    run_nodes(scenario)
