Read no bodies at the directory, the readiness probe and the metrics

What callers saw: nothing; read while the budget of bodies was built. These servers took the default limits of callers, 4 MiB a body, without a budget, so that they could fill the memory of a host as well. Their requests have no body; one with a body gets 413 now.

--- a/hornbeampulley/http1/__init__.py
+++ b/hornbeampulley/http1/__init__.py
@@ -25,6 +25,7 @@
 from hornbeampulley.http1._responses import ResponseParser
 from hornbeampulley.http1._server import (
     CallerConnection,
+    Handler,
     ServerOptions,
     serve_http,
 )
@@ -36,6 +37,7 @@
     'Connection',
     'ConnectionPool',
     'ConnectionSettings',
+    'Handler',
     'Header',
     'MessageLimits',
     'Reply',
--- a/hornbeampulley/node/_endpoints.py
+++ b/hornbeampulley/node/_endpoints.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable
 from typing import Final
 
-from hornbeampulley.http1 import Reply, Request
+from hornbeampulley.http1 import (
+    Handler,
+    MessageLimits,
+    Reply,
+    Request,
+    ServerOptions,
+)
 from hornbeampulley.node._counters import Counters
 from hornbeampulley.node._entry_choice import choose_entries
 from hornbeampulley.node._freshness import Freshness
@@ -12,6 +18,8 @@
 from hornbeampulley.node.dialect import Dialect
 
 MAX_ADDRESSES: Final = 64
+# Requests to these endpoints have no body.
+LIMITS: Final = MessageLimits(max_body_bytes=0)
 _JSON: Final = ((b'content-type', b'application/json'),)
 _TEXT: Final = ((b'content-type', b'text/plain; version=0.0.4'),)
 
@@ -132,3 +140,19 @@
         """
         text = self._counters.format(self._count_open(), self._freshness.age_ms)
         await reply.send(200, _TEXT, text)
+
+
+def make_options(handle: Handler) -> ServerOptions:
+    """Make the options of a server for one of these endpoints.
+
+    Parameters
+    ----------
+    handle : callable
+        Method that answers requests.
+
+    Returns
+    -------
+    ServerOptions
+        Options that allow no bodies.
+    """
+    return ServerOptions(handle, lambda: LIMITS)
--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -29,6 +29,7 @@
     DirectoryEndpoint,
     MetricsEndpoint,
     ReadinessEndpoint,
+    make_options,
 )
 from hornbeampulley.node._filters import answer_call
 from hornbeampulley.node._following import StoreFollower
@@ -147,14 +148,14 @@
             self.home.dialect,
         )
         readiness = ReadinessEndpoint(lambda: self.is_ready)
-        self._serve(listen.directory, ServerOptions(directory.answer))
-        self._serve(listen.readiness, ServerOptions(readiness.answer))
+        self._serve(listen.directory, make_options(directory.answer))
+        self._serve(listen.readiness, make_options(readiness.answer))
         if listen.metrics_port:
             metrics = MetricsEndpoint(
                 self.counters, self._count_open, self.store_view.freshness
             )
             endpoint = Endpoint(self.settings.host.address, listen.metrics_port)
-            self._serve(endpoint, ServerOptions(metrics.answer))
+            self._serve(endpoint, make_options(metrics.answer))
 
     def apply_settings(self, settings: NodeSettings) -> None:
         """Apply changed settings.
--- a/tests/test_node_memory.py
+++ b/tests/test_node_memory.py
@@ -1,5 +1,6 @@
 """Tests that a node reads no more bodies than it has memory for."""
 
+import pytest
 import trio.testing
 
 from hornbeampulley.http1 import (
@@ -44,6 +45,24 @@
     run_nodes(scenario)
 
 
+# Memory: the directory and the readiness probe read bodies of 4 MiB as well.
+@pytest.mark.parametrize('port', [8220, 8224])
+def test_endpoints_beside_that_of_callers_read_no_bodies(port):
+    async def scenario(fleet):
+        request = b'POST /-/readyz HTTP/1.1\r\nHost: h\r\nContent-Length: %d'
+        address = fleet.nodes[0].settings.host.address
+        stream = await trio.open_tcp_stream(address, port)
+        async with stream:
+            await stream.send_all(request % len(LARGE) + b'\r\n\r\n')
+            assert b' 413 ' in await stream.receive_some()
+        stream = await trio.open_tcp_stream(address, port)
+        async with stream:
+            await stream.send_all(request % 0 + b'\r\n\r\n')
+            assert b' 200 ' in await stream.receive_some()
+
+    run_nodes(scenario)
+
+
 class LargeTarget:
     """Answers each request with a large body."""
 
