Give room back before a closing connection is drained

What callers saw: other large requests waited or were refused up to 1 s longer than needed. Cause: a connection that closes after its answer discards input for up to 1 s, and kept the room of its body meanwhile. Found when the change was read through.

Evidence: test_a_connection_that_closes_holds_no_body, both cases fail on the code before.

--- a/hornbeampulley/http1/_bodies.py
+++ b/hornbeampulley/http1/_bodies.py
@@ -82,7 +82,8 @@
         return False
 
     def close(self) -> None:
-        """Give back everything."""
+        """Give back everything; nothing may be fed afterwards."""
+        self._parser.drop_body()
         self._complete.resize(0)
         self._incoming.resize(0)
 
--- a/hornbeampulley/http1/_requests.py
+++ b/hornbeampulley/http1/_requests.py
@@ -130,7 +130,7 @@
         self.is_in_head = True
         self._url.clear()
         self._headers = []
-        self._drop_body()
+        self.drop_body()
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target."""
@@ -186,7 +186,7 @@
                 self._parser.should_keep_alive(),
             ),
         )
-        self._drop_body()
+        self.drop_body()
 
     def refuse_body(self) -> None:
         """Queue the request without its body, which is not read on.
@@ -203,9 +203,10 @@
                 is_unread=True,
             ),
         )
-        self._drop_body()
+        self.drop_body()
 
-    def _drop_body(self) -> None:
+    def drop_body(self) -> None:
+        """Forget what has been received of a body."""
         self._body = bytearray()
         self.body_bytes = 0
         self.reserved_bytes = 0
--- a/hornbeampulley/http1/_server.py
+++ b/hornbeampulley/http1/_server.py
@@ -142,6 +142,7 @@
                     nursery.start_soon(self._read)
                     await self._answer_all()
                     nursery.cancel_scope.cancel()
+                self._bodies.close()
                 await self._linger()
         finally:
             self._release()
--- a/tests/test_http1_bodies.py
+++ b/tests/test_http1_bodies.py
@@ -277,6 +277,22 @@
     run(scenario)
 
 
+# Memory: room was kept while the rest of a closing connection was discarded.
+@pytest.mark.parametrize(
+    ('sent', 'status'), [(LARGE, b' 200 '), (SMALL_BYTES, b' 408 ')]
+)
+def test_a_connection_that_closes_holds_no_body(sent, status):
+    async def scenario(server):
+        client = server.connect()
+        await client.send_all(POST % (LARGE, b'Connection: close\r\n'))
+        await client.send_all(bytes(sent))
+        assert status in await client.receive_some()
+        await trio.testing.wait_all_tasks_blocked()
+        assert server.budget.held_bytes == 0
+
+    run(scenario)
+
+
 # Memory: a kept connection held its last request until the next one came.
 def test_an_idle_connection_holds_no_body():
     def count():
