--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -29,6 +29,7 @@
     DirectoryEndpoint,
     MetricsEndpoint,
     ReadinessEndpoint,
+    make_options,
 )
 from hornbeampulley.node._filters import answer_call
 from hornbeampulley.node._following import StoreFollower
@@ -90,6 +91,7 @@
         self.clock = Clock(trio.current_time)
         self.counters = Counters()
         self.buffers = BufferBudget(settings.resources.buffer_bytes)
+        self.counters.watch_held(lambda: self.buffers)
         self._identity = identity
         self._nursery = nursery
         self._generator = random.Random(identity.incarnation)
@@ -112,6 +114,7 @@
             self._answer,
             self._get_limits,
             max_connections=max(settings.bounds.max_files // 2, 16),
+            read_budget=lambda: self.buffers,
         )
         self._configured_changes = -1
         self.store_view.on_change = self._follow_store
@@ -145,14 +148,14 @@
             self.home.dialect,
         )
         readiness = ReadinessEndpoint(lambda: self.is_ready)
-        self._serve(listen.directory, ServerOptions(directory.answer))
-        self._serve(listen.readiness, ServerOptions(readiness.answer))
+        self._serve(listen.directory, make_options(directory.answer))
+        self._serve(listen.readiness, make_options(readiness.answer))
         if listen.metrics_port:
             metrics = MetricsEndpoint(
                 self.counters, self._count_open, self.store_view.freshness
             )
             endpoint = Endpoint(self.settings.host.address, listen.metrics_port)
-            self._serve(endpoint, ServerOptions(metrics.answer))
+            self._serve(endpoint, make_options(metrics.answer))
 
     def apply_settings(self, settings: NodeSettings) -> None:
         """Apply changed settings.
