Close the connection of a question whose caller leaves

What targets would see: a connection left open, over which a host had asked when the target started, after its caller had left (GONE). Evidence: the last test of tests/test_node_sending.py fails before.

--- a/hornbeampulley/node/_run_checks.py
+++ b/hornbeampulley/node/_run_checks.py
@@ -39,7 +39,7 @@
     UNREACHABLE = 'unreachable'
 
 
-_PROVES_DEATH: Final = frozenset((Finding.OTHER_RUN, Finding.UNREACHABLE))
+_NOT_RUNNING: Final = frozenset((Finding.OTHER_RUN, Finding.UNREACHABLE))
 
 
 class RunChecker:
@@ -84,7 +84,7 @@
         """
         finding = await self._find(target, call.is_model)
         _log_finding(finding, target, call)
-        if finding in _PROVES_DEATH:
+        if finding in _NOT_RUNNING:
             raise ResponseBrokenError(
                 'an answer without a length ended when its target did '
                 f'({finding.value}); look at the log of the target',
--- a/hornbeampulley/node/_sending.py
+++ b/hornbeampulley/node/_sending.py
@@ -117,8 +117,10 @@
             connection.close()
             return _reject_leaving(call, target, notice)
         if not await self._may_resume(call, connection, target):
-            connection.close()
-            return Attempt(Outcome.NOT_SENT, 'the target has started anew')
+            return Attempt(
+                Outcome.NOT_SENT,
+                'the target is not known to be the run of its record',
+            )
         exchange = Exchange(
             self._dialect,
             self.clock,
@@ -139,11 +141,19 @@
         """Tell whether a stream may go on at the end of a connection.
 
         A target may have started as another software version under its old
-        name, before this host knows it.
+        name, before this host knows it. The connection is closed if not.
         """
         if call.resumes_after is None or not call.is_model:
             return True
-        return await self._run_checker.is_same_run(connection, target, call)
+        may_resume = False
+        try:
+            may_resume = await self._run_checker.is_same_run(
+                connection, target, call
+            )
+        finally:
+            if not may_resume:
+                connection.close()
+        return may_resume
 
     def _get_notice(self, target: TargetRecord) -> TargetNotice:
         """Return what the store and the target itself have told of it."""
--- a/tests/test_node_sending.py
+++ b/tests/test_node_sending.py
@@ -1,5 +1,7 @@
 """Tests of sending to targets, in virtual time and without network."""
 
+import json
+
 import pytest
 import trio
 
@@ -11,10 +13,13 @@
 from hornbeampulley.node._store_view import StoreView
 from hornbeampulley.node._target_signals import SignalStore
 from hornbeampulley.node.dialect import RequestMetadata
+from hornbeampulley.node.stored import StoredItem
 from hornbeampulley.platform._documents import PlatformDecoder
 from hornbeampulley.platform._headers import PlatformDialect
 from hornbeampulley.routing import CallKind, HttpRoute, Split
-from tests.stored import gone, server
+from standins.metadata import KEY_OF_CONFIG
+from tests.nodes import make_config
+from tests.stored import at, gone, server
 
 
 class RecordingConnection:
@@ -110,3 +115,39 @@
 def test_a_target_that_stays_gets_the_request(mock_run):
     connection, _ = send(mock_run, [server('u', 3, state='draining')], 5, 350)
     assert len(connection.sent) == 1
+
+
+# GONE: the connection over which a target was asked, before a stream went on there,
+# stayed open when its caller left meanwhile.
+def test_a_caller_that_leaves_while_its_target_is_asked_closes_the_connection(
+    mock_run,
+):
+    async def main():
+        clock = Clock(trio.current_time)
+        store_view = StoreView(PlatformDecoder(), clock)
+        config = json.dumps(make_config()).encode()
+        store_view.apply_items(
+            [StoredItem(KEY_OF_CONFIG, config, at(1)), server('t', 2)], 'store'
+        )
+        call = make_call(clock)
+        call.table, call.pool = store_view.table, 'engines'
+        call.route = HttpRoute(
+            'r', 'h', '/', (Split('p'),), CallKind.STREAM, is_resumable=True
+        )
+        call.events.reset(b'3')
+        pool = SlowPool(10)
+        sender = Sender(
+            pool,
+            store_view,
+            PlatformDialect(),
+            clock,
+            SignalStore(clock),
+            None,
+            None,
+        )
+        with trio.move_on_after(0.1):
+            await sender.send(call, store_view.find_target('t'), print)
+        assert len(pool.connection.sent) == 1
+        return pool.connection.is_closed
+
+    assert mock_run(main)
