--- a/tests/target_processes.py
+++ b/tests/target_processes.py
@@ -23,30 +23,43 @@
     nodes : Processes
         Nodes that use it.
     number : int
-        Number of its address and first name; chooses its framing.
+        Number of its address and first name.
     events : int
         Number of events of a stream.
     pause_ms : float
-        Delay before each event.
+        Delay before each event, and within a plain answer.
+    framing : str, optional
+        One of `FRAMINGS`; chosen by its number if not given.
+    service : str
+        Name of its service.
 
     Attributes
     ----------
-    name : str
-        Instance id.
+    service, name : str
+        Name of its service, and its instance id.
     version : str
         Software version.
     is_running : bool
         Whether it accepts connections and has an entry.
     """
 
-    def __init__(self, nodes, number, events, pause_ms):
+    def __init__(
+        self,
+        nodes,
+        number,
+        events,
+        pause_ms,
+        framing='',
+        service='engines',
+    ):
+        self.service = service
         self.name = f'process-{number}'
         self.version = 'v1'
         self.is_running = False
         self._store = nodes.fleet.store
         self._log_path = nodes.folder / f'process-{number}.log'
         self._address = nodes.fleet.address(FIRST_ADDRESS + number)
-        framing = FRAMINGS[number % len(FRAMINGS)]
+        framing = framing or FRAMINGS[number % len(FRAMINGS)]
         self._options = [str(events), str(pause_ms), framing]
         self._sequence = 0
         self._born = 0
@@ -71,7 +84,7 @@
         """Write its entry and remove those of its former names."""
         self._sequence += 1
         entry = {
-            'service': 'engines',
+            'service': self.service,
             'address': f'{self._address}:{BACKEND_PORT}',
             'zone': 'a',
             'version': self.version,
--- a/tests/test_target_processes.py
+++ b/tests/test_target_processes.py
@@ -1,68 +1,22 @@
 """Tests of nodes whose targets are processes, while either is hit by signals."""
 
-import json
 import signal
-import subprocess
-import sys
 
 import pytest
 import trio
 
 from hornbeampulley.http1 import Request, encode_request
 from tests.node_processes import run_processes
-from tests.nodes import BACKEND_PORT, CALLER_PORT, KEY, unchunk, wait_until
+from tests.nodes import CALLER_PORT, KEY, unchunk, wait_until
+from tests.target_processes import TargetProcess
 
 EVENTS = 40
 PAUSE_MS = 50
 WHOLE = b''.join(
-    b'id: %d\ndata: t%d\n\n' % (number, number)
+    b'id: %d\ndata: t%d@v1\n\n' % (number, number)
     for number in range(1, EVENTS + 1)
 )
 LAST_CHUNK = b'0\r\n\r\n'
-# Numbers of the addresses of targets that are processes.
-FIRST_ADDRESS = 200
-
-
-class Target:
-    """A target that is a process, with its entry in the store."""
-
-    pause_ms = PAUSE_MS
-
-    def __init__(self, nodes, name, number, framing, service):
-        self.nodes = nodes
-        self.name = name
-        self.service = service
-        self.address = nodes.fleet.address(FIRST_ADDRESS + number)
-        self._framing = framing
-        self._sequence = 1
-        self.process = None
-
-    async def start(self):
-        """Start the process and write its entry."""
-        command = [sys.executable, '-m', 'standins.killable', self.address]
-        command += [str(BACKEND_PORT), str(EVENTS), str(self.pause_ms)]
-        self.process = await trio.lowlevel.open_process(
-            [*command, self._framing], stdout=subprocess.PIPE
-        )
-        line = await self.process.stdout.receive_some()
-        self._sequence += 1
-        entry = {
-            'service': self.service,
-            'address': f'{self.address}:{BACKEND_PORT}',
-            'zone': 'a',
-            'version': 'v1',
-            'slots': 4,
-            'state': 'ready',
-            'cold_remaining_ms': 0,
-            'sequence': self._sequence,
-            'born': json.loads(line)['born'],
-        }
-        self.nodes.fleet.store.put(f'servers/{self.name}', entry)
-
-    async def kill(self):
-        """Kill the process and wait for its end."""
-        self.process.send_signal(signal.SIGKILL)
-        await self.process.wait()
 
 
 class Reader:
@@ -130,20 +84,21 @@
     await trio.sleep(4)
 
 
-def run_targets(scenario, folder, *framings, service='engines'):
+def run_targets(
+    scenario, folder, *framings, service='engines', pause_ms=PAUSE_MS
+):
     """Run a scenario with targets that are processes."""
 
     async def play(nodes):
         targets = [
-            Target(nodes, f'process-{number}', number, framing, service)
+            TargetProcess(nodes, number, EVENTS, pause_ms, framing, service)
             for number, framing in enumerate(framings)
         ]
         try:
             await scenario(nodes, targets)
         finally:
             for target in targets:
-                if target.process is not None:
-                    target.process.kill()
+                target.end()
 
     run_processes(play, folder)
 
@@ -186,7 +141,6 @@
 # its target was killed between two parts of it.
 def test_a_plain_answer_of_a_killed_target_is_not_passed_on(tmp_path):
     async def scenario(nodes, targets):
-        targets[0].pause_ms = 2000
         await replace_targets(nodes, targets[0])
         reader = Reader(nodes)
         async with trio.open_nursery() as nursery:
@@ -196,7 +150,7 @@
         assert reader.status == 502
         assert b'first half' not in reader.body
 
-    run_targets(scenario, tmp_path, 'close', service='ledger')
+    run_targets(scenario, tmp_path, 'close', service='ledger', pause_ms=2000)
 
 
 def test_a_plain_answer_of_a_target_that_runs_is_passed_on(tmp_path):
