Let raw targets of tests tell questions for their start from requests

Targets of four test files took the question that goes before a stream goes on for the request itself, so that 11 tests failed; their checks are the same. One reader of requests for all of them.

--- a/tests/test_node_cut_heads.py
+++ b/tests/test_node_cut_heads.py
@@ -8,7 +8,7 @@
 
 from standins.backend import SEAL
 from tests.nodes import BACKEND_PORT, EVENTS, run_nodes, wait_until
-from tests.test_node_repeated_answers import receive
+from tests.raw_targets import receive
 
 SEALED = b'HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n' + SEAL + b': s\r\n'
 EVENT_STREAM = b'Content-Type: text/event-stream\r\n'
--- a/tests/test_node_event_order.py
+++ b/tests/test_node_event_order.py
@@ -11,30 +11,19 @@
     run_nodes,
     unchunk,
 )
+from tests.raw_targets import receive
 
 HEAD = (
     b'HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: s\r\n'
     b'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
 )
 LAST_CHUNK = b'0\r\n\r\n'
-NOT_FOUND = b'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n'
 
 
 def make_events(*numbers):
     return b''.join(b'id: %d\ndata: t%d\n\n' % (one, one) for one in numbers)
 
 
-async def read_head(stream):
-    """Read a request without a body; nothing at the end of the connection."""
-    request = b''
-    while b'\r\n\r\n' not in request:
-        part = await stream.receive_some()
-        if not part:
-            return b''
-        request += part
-    return request
-
-
 class Script:
     """A target that answers the attempts in turn with lists of event ids.
 
@@ -50,10 +39,7 @@
         await trio.serve_tcp(self._serve, BACKEND_PORT, host=address)
 
     async def _serve(self, stream):
-        lower = (await read_head(stream)).lower()
-        if b'attempt-id: ' not in lower:
-            await stream.send_all(NOT_FOUND)
-            lower = (await read_head(stream)).lower()
+        lower = (await receive(stream)).lower()
         if not lower:
             return
         request_id = lower.partition(b'attempt-id: ')[2].split()[0]
--- a/tests/test_node_repeated_answers.py
+++ b/tests/test_node_repeated_answers.py
@@ -5,6 +5,7 @@
 
 from standins.backend import SEAL
 from tests.nodes import BACKEND_PORT, run_nodes, wait_until
+from tests.raw_targets import receive
 
 REFUSAL = b'HTTP/1.1 503 X\r\n%sNot-Executed: 1\r\nContent-Length: 0\r\n\r\n'
 ANSWER = b'HTTP/1.1 200 OK\r\n%s' + SEAL + b': s\r\nContent-Length: 2\r\n\r\nok'
@@ -38,16 +39,6 @@
             await stream.send_all(ANSWER % line)
 
 
-async def receive(stream):
-    request = b''
-    while b'\r\n\r\n' not in request:
-        part = await stream.receive_some()
-        if not part:
-            return b''
-        request += part
-    return request
-
-
 async def put_target(fleet, target):
     """Leave a service only this target."""
     address = fleet.address(200)
--- a/tests/test_node_unframed.py
+++ b/tests/test_node_unframed.py
@@ -8,6 +8,7 @@
 
 from standins.backend import SEAL
 from tests.nodes import BACKEND_PORT, EVENTS, run_nodes, unchunk
+from tests.raw_targets import receive
 
 HEAD = b'HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n' + SEAL + b': s\r\n'
 STREAM = HEAD + b'Content-Type: text/event-stream\r\n'
@@ -15,14 +16,10 @@
 WHOLE = b''.join(EVENTS)
 CUT = WHOLE[:-9]
 LAST_CHUNK = b'0\r\n\r\n'
-NOT_FOUND = b'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n'
 
 
 class RawTarget:
-    """Answers each request with the same bytes and ends the connection.
-
-    What has no id is no request of a caller, and is not found.
-    """
+    """Answers each request with the same bytes and ends the connection."""
 
     def __init__(self, answer, is_reset):
         self._answer = answer
@@ -32,14 +29,8 @@
         await trio.serve_tcp(self._serve, port, host=address)
 
     async def _serve(self, stream):
-        request = b''
-        while b'\r\n\r\n' not in request:
-            part = await stream.receive_some()
-            if not part:
-                return
-            request += part
-        if b'attempt-id: ' not in request.lower():
-            await stream.send_all(NOT_FOUND)
+        request = await receive(stream)
+        if not request:
             return
         request_id = request.lower().partition(b'attempt-id: ')[2].split()[0]
         await stream.send_all(self._answer.replace(b'%s', request_id))
