--- a/review/lib2/lab.py
+++ b/review/lib2/lab.py
@@ -20,6 +20,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import AsyncIterator, Awaitable, Callable
 from urllib.parse import parse_qs, urlsplit
 
@@ -891,8 +892,10 @@
 
     try:
         is_broken = asyncio.run(run())
-    except (CouldNotRunError, OSError, TimeoutError) as error:
+    except Exception as error:
+        # Python ends with 1 otherwise, which says that the rule was broken.
         record.write('could_not_run', error=repr(error))
+        traceback.print_exc()
         return 2
     record.write('ended', broken=is_broken)
     return int(is_broken)
