--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import os
 import pathlib
 import random
 import sys
@@ -10,6 +11,9 @@
 sys.path.insert(0, str(FOLDER.parent / 'lib2'))
 import lab as deployment  # noqa: E402
 
+# With TROUBLE=0 the case does the same without the disruption.
+HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+
 # Kinds of magline-obits with requests a second, at half of the sheet as the site
 # plays them; objective, rank and events of an answer, of which plain ones have none.
 KINDS = {
@@ -179,4 +183,4 @@
 
 
 if __name__ == '__main__':
-    raise SystemExit(deployment.main(play, FOLDER))
+    raise SystemExit(deployment.main(play, FOLDER, HAS_TROUBLE))
--- a/review/lib2/lab.py
+++ b/review/lib2/lab.py
@@ -879,11 +879,11 @@
 def main(
     play: Callable[[Record, bool], Awaitable[bool]],
     folder: pathlib.Path,
+    has_trouble: bool,
     limit_s: float = 110,
 ) -> int:
     """Play a case; return 1 if the rule was broken, 0 if not, 2 if it failed."""
     record = Record(folder / 'record.txt')
-    has_trouble = os.environ.get('TROUBLE', '1') != '0'
     record.write('begun', trouble=has_trouble)
 
     async def run() -> bool:
