Free a connection at once when it ends, not when the collector comes

Cause: a parser and the library's parser refer to each other, and an error that a connection keeps refers by its traceback to the connection and to what was fed. So each connection that ended left its head (up to 16 KB) or what it had received last (up to 64 KB) to the garbage collector. Connections live for some collections and their garbage is old then, so it waits for a collection of everything.

A list of what the collector finds held two parsers for each connection, and for refused ones also the connection, frames and tracebacks.

Why it works: the reference to the library's parser is dropped as soon as nothing may be fed any more, and the error that is kept is a new one. Nothing refers in a circle any more, so the last reference frees all.

The test counts parsers after a connection has ended, with the collector off: on all its cases failed.

--- a/hornbeampulley/http1/_requests.py
+++ b/hornbeampulley/http1/_requests.py
@@ -49,6 +49,10 @@
         super().__init__(message)
         self.status = status
 
+    def copy(self) -> 'BadRequestError':
+        """Return an error without the traceback, which refers to what was fed."""
+        return BadRequestError(self.status, str(self))
+
 
 class RequestParser:
     """Splits the bytes received from a caller into requests.
@@ -87,6 +91,7 @@
         self.is_in_body = False
         self.awaits_continue = False
         self.limits = limits
+        # Refers to this object; set to None at the end, which frees both at once.
         self._parser = httptools.HttpRequestParser(self)
         self.declared_bytes: int | None = None
         self.body_bytes = 0
@@ -128,13 +133,7 @@
                 'protocol upgrades are not served; send plain HTTP/1.1',
             ) from error
         except httptools.HttpParserError as error:
-            cause = error.__context__
-            if isinstance(cause, BadRequestError):
-                raise cause from None
-            raise BadRequestError(
-                400,
-                f'not a request of HTTP/1.1: {error}; correct the message',
-            ) from error
+            raise _explain(error) from error
         if self.is_in_head and self._head_bytes > self.limits.max_header_bytes:
             raise self._make_head_error()
 
@@ -220,6 +219,7 @@
             ),
         )
         self.drop_body()
+        self._parser = None
 
     def drop_body(self) -> None:
         """Forget what has been received of a body."""
@@ -234,6 +234,7 @@
         self._headers = []
         self._url = bytearray()
         self.drop_body()
+        self._parser = None
 
     def _make_head_error(self) -> BadRequestError:
         limit = self.limits.max_header_bytes
@@ -248,3 +249,18 @@
             413,
             f'the body is longer than {limit} bytes; send a shorter one',
         )
+
+
+def _explain(error: httptools.HttpParserError) -> BadRequestError:
+    """Return the error that a callback has raised, or one for the parser's own.
+
+    It is a new one: a variable that refers to an error that is raised further
+    would keep all that its traceback refers to.
+    """
+    cause = error.__context__
+    if isinstance(cause, BadRequestError):
+        return cause.copy()
+    return BadRequestError(
+        400,
+        f'not a request of HTTP/1.1: {error}; correct the message',
+    )
--- a/hornbeampulley/http1/_server.py
+++ b/hornbeampulley/http1/_server.py
@@ -184,7 +184,7 @@
             try:
                 await self._receive()
             except BadRequestError as error:
-                self._error = error
+                self._error = error.copy()
             except _CONNECTION_ERRORS:
                 self._handle_disconnect()
             self._state_changed.set()
--- a/tests/test_http1_bodies.py
+++ b/tests/test_http1_bodies.py
@@ -11,6 +11,7 @@
     CallerConnection,
     MessageLimits,
     Request,
+    RequestParser,
     ServerOptions,
 )
 from hornbeampulley.http1._bodies import MAX_WAIT_MS
@@ -309,3 +310,56 @@
         assert server.budget.held_bytes == 0
 
     run(scenario)
+
+
+# Memory: the head of each connection that was cut off was kept until the garbage
+# collector came, thousands of them during a crowd.
+@pytest.mark.parametrize(
+    'start',
+    [
+        b'GET / HTTP/1.1\r\nHost: ' + b'h' * 14_000,
+        POST % (LARGE, b'') + bytes(1000),
+        CHUNKED + CHUNK,
+        b'GET / HTTP/1.1\r\nHost: ' + b'h' * 20_000,
+        POST % (1 << 30, b'') + bytes(1000),
+        CHUNKED + CHUNK * 65,
+        CHUNKED + b'0\r\nx: ' + b'y' * 20_000,
+        b'\x00' * 100,
+    ],
+    ids=[
+        'head',
+        'body',
+        'chunks',
+        'long head',
+        'far over',
+        'far over in chunks',
+        'long trailer',
+        'malformed',
+    ],
+)
+@pytest.mark.parametrize('is_evicted', [False, True])
+def test_a_connection_that_has_ended_is_freed_at_once(
+    start, is_evicted, mock_run
+):
+    async def scenario():
+        async with trio.open_nursery() as nursery:
+            server = Server(nursery, MessageLimits())
+            client = server.connect()
+            await client.send_all(start)
+            await trio.testing.wait_all_tasks_blocked()
+            if is_evicted:
+                server.budget.clients.reclaim(1)
+                await trio.testing.wait_all_tasks_blocked()
+            await client.aclose()
+            await trio.sleep(10)
+            nursery.cancel_scope.cancel()
+        return [
+            one for one in gc.get_objects() if isinstance(one, RequestParser)
+        ]
+
+    gc.collect()
+    gc.disable()
+    try:
+        assert mock_run(scenario) == []
+    finally:
+        gc.enable()
