Limit trailers and chunk extensions, and take trailers for no headers

What callers would see: one client that sends a chunked body and then a trailer without end fills the memory of the process: nothing limited it, and it counted neither as head nor as body. Trailers that did end were appended to the headers of the request, so that an `api-key` after the body counted as one before it.

Cause: the size of a head is checked while a head is received, that of a body where a part of it arrives. What stands between two parts, or behind the last one, is neither, and the library's parser collects a trailer until it is whole.

Why it works: bytes since the last part of a body count as what the connection holds, and get 431 above `max_header_bytes`, as a head does. The request was not complete, so it was given to nobody. Trailers are dropped, as the standard asks of those that do not know them.

--- a/hornbeampulley/http1/_requests.py
+++ b/hornbeampulley/http1/_requests.py
@@ -97,7 +97,7 @@
         self.body_bytes = 0
         self.reserved_bytes = 0
         self.head_size = 0
-        self._head_bytes = 0
+        self._framing_bytes = 0
         self._url = bytearray()
         self._headers: list[Header] = []
         self._body = bytearray()
@@ -106,9 +106,10 @@
     def incoming_bytes(self) -> int:
         """Memory held for the request that is not complete."""
         if self.is_in_head:
-            return self._head_bytes + len(self._headers) * HEADER_BYTES
+            return self._framing_bytes + len(self._headers) * HEADER_BYTES
         if self.is_in_body:
-            return self.head_size + max(self.body_bytes, self.reserved_bytes)
+            body_bytes = max(self.body_bytes, self.reserved_bytes)
+            return self.head_size + body_bytes + self._framing_bytes
         return 0
 
     def feed(self, received: bytes) -> None:
@@ -124,7 +125,7 @@
         BadRequestError
             If they are not a valid request, or exceed a limit.
         """
-        self._head_bytes += len(received)
+        self._framing_bytes += len(received)
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserUpgrade as error:
@@ -134,8 +135,8 @@
             ) from error
         except httptools.HttpParserError as error:
             raise _explain(error) from error
-        if self.is_in_head and self._head_bytes > self.limits.max_header_bytes:
-            raise self._make_head_error()
+        if self._framing_bytes > self.limits.max_header_bytes:
+            self._refuse_framing()
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
@@ -150,6 +151,9 @@
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Store a header and check the number of headers."""
+        if self.is_in_body:
+            # A trailer is not a header.
+            return
         self._headers.append((name.lower(), text))
         if len(self._headers) > MAX_HEADERS:
             raise self._make_head_error()
@@ -158,7 +162,7 @@
         """Check the size of the head and the declared length of the body."""
         self.is_in_head = False
         self.is_in_body = True
-        self._head_bytes = 0
+        self._framing_bytes = 0
         size = len(self._url) + sum(
             len(name) + len(text) + 4 for name, text in self._headers
         )
@@ -174,6 +178,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append to the body and check its length."""
+        self._framing_bytes = 0
         self.body_bytes += len(body)
         if self.body_bytes > self.limits.max_body_bytes:
             raise self._make_body_error()
@@ -182,7 +187,7 @@
     def on_message_complete(self) -> None:
         """Queue the complete request."""
         self.is_in_body = False
-        self._head_bytes = 0
+        self._framing_bytes = 0
         self.awaits_continue = False
         if len(self.requests) >= MAX_PIPELINED:
             raise BadRequestError(
@@ -236,6 +241,18 @@
         self.drop_body()
         self._parser = None
 
+    def _refuse_framing(self) -> None:
+        """Refuse a head, or what stands between two parts of a body."""
+        if self.is_in_head:
+            raise self._make_head_error()
+        if self.is_in_body:
+            limit = self.limits.max_header_bytes
+            raise BadRequestError(
+                431,
+                f'chunk extensions or trailers are longer than {limit} bytes; '
+                'send them shorter or not at all',
+            )
+
     def _make_head_error(self) -> BadRequestError:
         limit = self.limits.max_header_bytes
         return BadRequestError(
--- a/tests/test_http1_requests.py
+++ b/tests/test_http1_requests.py
@@ -96,3 +96,29 @@
     with pytest.raises(BadRequestError) as raised:
         parse(message, limits=limits)
     assert raised.value.status == 413
+
+
+CHUNKED = b'POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+
+# Memory: trailers counted neither as head nor as body.
+@pytest.mark.parametrize('start', [b'0\r\nx: ', b'1;x='])
+def test_trailers_and_extensions_have_a_limit(start):
+    limits = MessageLimits(max_header_bytes=1000)
+    parser = parse(CHUNKED, b'1\r\na\r\n', start, limits=limits)
+    parser.feed(b'y' * 900)
+    assert parser.incoming_bytes >= 900
+    with pytest.raises(BadRequestError) as caught:
+        parser.feed(b'y' * 200)
+    assert caught.value.status == 431
+    assert 'trailers' in str(caught.value)
+
+
+def test_trailers_are_no_headers():
+    message = CHUNKED + b'1\r\na\r\n0\r\nApi-Key: k\r\n\r\n'
+    (request,) = parse(message).requests
+    assert request.body == b'a'
+    assert request.headers == (
+        (b'host', b'x'),
+        (b'transfer-encoding', b'chunked'),
+    )
