Free a connection to a target at once when it is closed

What they held of answers waited for the collector; how much that is beside a crowd was not measured.

The parser of a closed connection is dropped, and of an error that is met again only the text is kept.

--- a/hornbeampulley/http1/_connections.py
+++ b/hornbeampulley/http1/_connections.py
@@ -94,7 +94,7 @@
         self._send_ended = trio.Event()
         self._send_ended.set()
         self._is_broken = False
-        self._error: ResponseBrokenError | None = None
+        self._failure = ''
 
     @property
     def is_reusable(self) -> bool:
@@ -236,6 +236,7 @@
     def close(self) -> None:
         """Close the connection immediately."""
         self._is_broken = True
+        self._parser.close()
         self._stream.socket.close()
 
     async def _send_parts(self, request: Request) -> None:
@@ -246,8 +247,8 @@
 
     async def _read_part(self) -> Part:
         while not self._parser.parts:
-            if self._error is not None:
-                raise self._error
+            if self._failure:
+                raise ResponseBrokenError(self._failure)
             await self._receive()
         return self._parser.parts.popleft()
 
@@ -266,7 +267,7 @@
             self._feed(received)
         except ResponseBrokenError as error:
             self._is_broken = True
-            self._error = error
+            self._failure = str(error)
 
     async def _wait_for_send(self) -> None:
         """Wait until the server has received the request, or sending has failed.
--- a/hornbeampulley/http1/_responses.py
+++ b/hornbeampulley/http1/_responses.py
@@ -59,6 +59,7 @@
         self.is_idle = True
         self.is_unframed = False
         self.declared_bytes: int | None = None
+        # Refers to this object; set to None at the end, which frees both at once.
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
         self._is_informational = False
@@ -88,13 +89,7 @@
             httptools.HttpParserUpgrade,
         ) as error:
             self.is_persistent = False
-            cause = error.__context__
-            if isinstance(cause, ResponseBrokenError):
-                raise cause from None
-            raise ResponseBrokenError(
-                f'a target sent bytes that are not HTTP/1.1: {error}; '
-                'look at the log of the target',
-            ) from error
+            raise _explain(error) from error
         if self._overhead_bytes > MAX_OVERHEAD_BYTES:
             self.is_persistent = False
             raise ResponseBrokenError(
@@ -102,6 +97,13 @@
                 'in them; look at the log of the target',
             )
 
+    def close(self) -> None:
+        """Forget what has been received; nothing may be fed afterwards."""
+        self.is_persistent = False
+        self.parts.clear()
+        self._headers = []
+        self._parser = None
+
     def end(self, *, is_request_sent: bool = True) -> None:
         """Handle the end of the connection.
 
@@ -175,3 +177,18 @@
     def _append_part(self, part: Part) -> None:
         self.parts.append(part)
         self._overhead_bytes = 0
+
+
+def _explain(error: Exception) -> ResponseBrokenError:
+    """Return the error that a callback has raised, or one for the parser's own.
+
+    It is a new one: a variable that refers to an error that is raised further
+    would keep all that its traceback refers to.
+    """
+    cause = error.__context__
+    if isinstance(cause, ResponseBrokenError):
+        return ResponseBrokenError(str(cause))
+    return ResponseBrokenError(
+        f'a target sent bytes that are not HTTP/1.1: {error}; '
+        'look at the log of the target',
+    )
