Parse one part of requests in small pieces in each turn of the event loop

No process ends, but ordinary callers get no answers in time.

Cause: what has arrived on a connection, up to 64 KB, was parsed at once. In chunks of one byte these are 10,922 calls, some 2 ms here, and each connection did that in each turn of the event loop. A request needs some twenty turns, and each waited for all connections. Packets of a few bytes cost the same way.

Change: a request in more than 32 chunks or packets of less than 64 bytes on average is received 4 KB at a time, and takes turns with all others like it: a lock that is first come first served passes on once in a turn of the event loop. So a turn gets longer by one part, not by the whole crowd. Nothing is refused for its chunks, and what waits for its turn counts as held. Chunked bodies are received 16 KB at a time, as it is not known before what they consist of.

--- a/hornbeampulley/http1/_bodies.py
+++ b/hornbeampulley/http1/_bodies.py
@@ -28,9 +28,18 @@
         Parser of the connection.
     budget : BufferBudget
         Budget of the process.
+
+    Attributes
+    ----------
+    is_refused : bool
+        Whether nothing may be fed to the parser any more.
+    unfed_bytes : int
+        Bytes that were received and not fed yet.
     """
 
     def __init__(self, parser: RequestParser, budget: BufferBudget) -> None:
+        self.is_refused = False
+        self.unfed_bytes = 0
         self._parser = parser
         self._budget = budget
         self._complete = RequestBuffer(budget)
@@ -68,7 +77,7 @@
         """Bytes of what comes after the request that is answered."""
         waiting = self._parser.requests
         complete = sum(one.head_bytes + len(one.body) for one in waiting)
-        return complete + self._parser.incoming_bytes
+        return complete + self._parser.incoming_bytes + self.unfed_bytes
 
     def count(self) -> None:
         """Count what is held after the parser has been fed."""
@@ -113,11 +122,13 @@
 
     def refuse(self) -> None:
         """Queue the incomplete request without its body."""
+        self.is_refused = True
         self._parser.refuse_body()
         self.count()
 
     def drop_ahead(self) -> None:
         """Forget all requests after the one that is answered."""
+        self.is_refused = True
         self._parser.requests.clear()
         self._parser.drop_request()
         self.count()
--- a/hornbeampulley/http1/_options.py
+++ b/hornbeampulley/http1/_options.py
@@ -9,6 +9,7 @@
 from hornbeampulley.http1._messages import Request
 from hornbeampulley.http1._replies import Reply
 from hornbeampulley.http1._requests import MessageLimits
+from hornbeampulley.http1._turns import ParsingTurns
 
 Handler = Callable[[Request, Reply], Awaitable[None]]
 """Handles a request; cancelled when the caller disconnects."""
@@ -49,6 +50,8 @@
     receive_buffer_bytes : int
         Received bytes that the kernel holds for a connection; 0 for its
         default, which grows.
+    turns : ParsingTurns
+        Turns of the process for requests in small pieces.
     """
 
     handle: Handler
@@ -60,3 +63,4 @@
     )
     read_budget: Callable[[], BufferBudget] = BufferBudget
     receive_buffer_bytes: int = 0
+    turns: ParsingTurns = dataclasses.field(default_factory=ParsingTurns)
--- a/hornbeampulley/http1/_requests.py
+++ b/hornbeampulley/http1/_requests.py
@@ -12,6 +12,10 @@
 
 MAX_HEADERS: Final = 200
 MAX_PIPELINED: Final = 64
+# Pieces are small if they have fewer bytes than this on average; a few of them do
+# not matter.
+SMALL_PIECE_BYTES: Final = 64
+FEW_PIECES: Final = 32
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,6 +101,7 @@
         self.body_bytes = 0
         self.reserved_bytes = 0
         self.head_size = 0
+        self._pieces = 0
         self._framing_bytes = 0
         self._url = bytearray()
         self._headers: list[Header] = []
@@ -112,12 +117,24 @@
             return self.head_size + body_bytes + self._framing_bytes
         return 0
 
-    def feed(self, received: bytes) -> None:
+    @property
+    def is_in_sized_body(self) -> bool:
+        """Whether a body is being received whose length is known."""
+        return self.is_in_body and self.declared_bytes is not None
+
+    @property
+    def comes_in_small_pieces(self) -> bool:
+        """Whether the request that is received has small chunks or packets."""
+        received_bytes = self.body_bytes + self._framing_bytes
+        few_bytes = self._pieces * SMALL_PIECE_BYTES
+        return self._pieces > FEW_PIECES and received_bytes < few_bytes
+
+    def feed(self, received: bytes | memoryview) -> None:
         """Parse the next bytes.
 
         Parameters
         ----------
-        received : bytes
+        received : bytes or memoryview
             Bytes as read from the connection.
 
         Raises
@@ -126,6 +143,8 @@
             If they are not a valid request, or exceed a limit.
         """
         self._framing_bytes += len(received)
+        if self.is_in_head:
+            self._pieces += 1
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserUpgrade as error:
@@ -179,6 +198,7 @@
     def on_body(self, body: bytes) -> None:
         """Append to the body and check its length."""
         self._framing_bytes = 0
+        self._pieces += 1
         self.body_bytes += len(body)
         if self.body_bytes > self.limits.max_body_bytes:
             raise self._make_body_error()
@@ -231,6 +251,7 @@
         self._body = bytearray()
         self.body_bytes = 0
         self.reserved_bytes = 0
+        self._pieces = 0
 
     def drop_request(self) -> None:
         """Forget the incomplete request; nothing may be fed afterwards."""
--- a/hornbeampulley/http1/_server.py
+++ b/hornbeampulley/http1/_server.py
@@ -8,15 +8,13 @@
 from hornbeampulley.clock import to_seconds
 from hornbeampulley.http1._bodies import MAX_AHEAD_BYTES, RequestBodies
 from hornbeampulley.http1._clients import PROGRESS_BYTES, STALLED_S
+from hornbeampulley.http1._feeding import RECEIVE_BYTES, ParserFeed
 from hornbeampulley.http1._messages import Request
 from hornbeampulley.http1._options import ServerOptions
 from hornbeampulley.http1._replies import Reply
 from hornbeampulley.http1._requests import BadRequestError, RequestParser
 from hornbeampulley.logs import log_event
 
-RECEIVE_BYTES: Final = 65_536
-# A large body must not be received before there is memory for it.
-RECEIVE_HEAD_BYTES: Final = 16_384
 LINGER_MS: Final = 1000.0
 # Grace added to the idle timeout before a connection is closed.
 IDLE_MARGIN_MS: Final = 2000.0
@@ -52,6 +50,7 @@
         self._parser = RequestParser(options.read_limits())
         self._budget = options.read_budget()
         self._bodies = RequestBodies(self._parser, self._budget)
+        self._feed = ParserFeed(self._parser, self._bodies, options.turns)
         self.progress_s = trio.current_time()
         self._unmarked_bytes = 0
         self._sending_bytes = 0
@@ -61,7 +60,6 @@
         self._last_activity_s = trio.current_time()
         self._head_started_s: float | None = None
         self._is_disconnected = False
-        self._is_body_refused = False
         self._error: BadRequestError | None = None
         self._scope = trio.CancelScope()
         self._request_scope: trio.CancelScope | None = None
@@ -116,7 +114,6 @@
             self._bodies.drop_ahead()
         else:
             self._bodies.refuse()
-        self._is_body_refused = True
         self._state_changed.set()
         self._request_dequeued.set()
 
@@ -196,24 +193,23 @@
         )
 
     async def _receive(self) -> None:
-        received = await self._stream.receive_some(
-            RECEIVE_BYTES if self._parser.is_in_body else RECEIVE_HEAD_BYTES
-        )
+        received = await self._stream.receive_some(self._feed.max_bytes)
         if not received:
             self._handle_disconnect()
             return
         if not (self._parser.is_in_head or self._parser.is_in_body):
             self._parser.limits = self._options.read_limits()
             self._mark_progress()
-        if self._is_body_refused:
+        if self._bodies.is_refused:
+            return
+        await self._feed.feed(received)
+        if self._bodies.is_refused:
             return
-        self._parser.feed(received)
         self._count_received(len(received))
         self._record_activity()
         # What waits for memory has arrived in time.
         self._state_changed.set()
         if not await self._bodies.admit():
-            self._is_body_refused = True
             return
         self._record_activity()
         if self._parser.awaits_continue and self._request_scope is None:
@@ -330,7 +326,7 @@
         caller could lose the last response.
         """
         linger_ms = LINGER_MS
-        if self._is_body_refused:
+        if self._bodies.is_refused:
             # The caller may read only after it has sent all.
             linger_ms = max(linger_ms, self._parser.limits.header_timeout_ms)
         with trio.move_on_after(to_seconds(linger_ms)):
--- a/tests/test_http1_bodies.py
+++ b/tests/test_http1_bodies.py
@@ -60,6 +60,7 @@
         self._options = ServerOptions(
             self._handle, lambda: limits, read_budget=lambda: self.budget
         )
+        self.turns = self._options.turns
 
     def connect(self):
         client, server = trio.testing.memory_stream_pair()
