Feed nothing to a connection that was evicted in the same turn

Cause: the reader has its bytes already when the connection is cancelled, and feeds them to a parser that was given up. Whether a request was refused was asked, but not whether the connection was released.

Now the parser tells whether anything may be fed, and that is asked before each part. The test lets a byte arrive and evicts at once; before it failed with an AttributeError.

--- a/hornbeampulley/http1/_bodies.py
+++ b/hornbeampulley/http1/_bodies.py
@@ -32,7 +32,7 @@
     Attributes
     ----------
     is_refused : bool
-        Whether nothing may be fed to the parser any more.
+        Whether a request was refused or dropped before all of it was read.
     unfed_bytes : int
         Bytes that were received and not fed yet.
     """
--- a/hornbeampulley/http1/_feeding.py
+++ b/hornbeampulley/http1/_feeding.py
@@ -43,7 +43,7 @@
         return RECEIVE_FRAMED_BYTES
 
     async def feed(self, received: bytes) -> None:
-        """Feed bytes until all are parsed or the body is refused.
+        """Feed bytes until all are parsed or the parser is closed.
 
         Parameters
         ----------
@@ -60,7 +60,7 @@
             for part in self._split(received):
                 if self._parser.comes_in_small_pieces:
                     await self._wait(unfed_bytes)
-                if self._bodies.is_refused:
+                if self._parser.is_closed:
                     return
                 self._parser.feed(part)
                 unfed_bytes -= len(part)
--- a/hornbeampulley/http1/_requests.py
+++ b/hornbeampulley/http1/_requests.py
@@ -117,6 +117,11 @@
             return self.head_size + body_bytes + self._framing_bytes
         return 0
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether nothing may be fed any more."""
+        return self._parser is None
+
     @property
     def is_in_sized_body(self) -> bool:
         """Whether a body is being received whose length is known."""
--- a/hornbeampulley/http1/_server.py
+++ b/hornbeampulley/http1/_server.py
@@ -200,10 +200,8 @@
         if not (self._parser.is_in_head or self._parser.is_in_body):
             self._parser.limits = self._options.read_limits()
             self._mark_progress()
-        if self._bodies.is_refused:
-            return
         await self._feed.feed(received)
-        if self._bodies.is_refused:
+        if self._parser.is_closed:
             return
         self._count_received(len(received))
         self._record_activity()
--- a/tests/test_http1_bodies.py
+++ b/tests/test_http1_bodies.py
@@ -364,3 +364,17 @@
         assert mock_run(scenario) == []
     finally:
         gc.enable()
+
+
+# The log told of a failed connection: its parser was fed after it had been closed.
+def test_bytes_that_arrive_as_a_connection_is_evicted_are_dropped():
+    async def scenario(server):
+        client = server.connect()
+        await client.send_all(b'GET / HTTP/1.1\r\nHost: ')
+        await trio.testing.wait_all_tasks_blocked()
+        await client.send_all(b'h')
+        server.budget.clients.reclaim(1)
+        assert not await client.receive_some()
+        assert server.budget.clients.held_bytes == 0
+
+    run(scenario)
