Count what the connections to all ports of a node hold in one budget

Cause: only the connections of callers and of the directory counted in the budget. Those to readiness and metrics had a budget without a limit, one each, so nothing made them give way, and the backlog of their ports was 1,024; the kernel also held up to 32 KB for each connection to a port whose requests have no body.

Change: `ClientLimits` makes the options of the servers of all ports, with the same budget and the same turns. At ports without bodies the kernel holds 4 KB, doubled. The bytes parsed in a turn are a setting, with a counter and a line a second.

`test_connections_to_all_endpoints_count` failed on at the port of readiness. `node.buffers` is now `node.client_limits.buffers`, in the tests too.

--- a/hornbeampulley/http1/__init__.py
+++ b/hornbeampulley/http1/__init__.py
@@ -26,6 +26,7 @@
 from hornbeampulley.http1._requests import MessageLimits, RequestParser
 from hornbeampulley.http1._responses import ResponseParser
 from hornbeampulley.http1._server import CallerConnection
+from hornbeampulley.http1._turns import ParsingTurns
 
 __all__ = (
     'Buffer',
@@ -40,6 +41,7 @@
     'Reply',
     'Request',
     'RequestParser',
+    'ParsingTurns',
     'ResponseHead',
     'ResponseParser',
     'ServerOptions',
--- a/hornbeampulley/node/_counters.py
+++ b/hornbeampulley/node/_counters.py
@@ -6,7 +6,7 @@
 import prometheus_client
 
 from hornbeampulley.clock import MS_PER_SECOND, to_seconds
-from hornbeampulley.http1 import BufferBudget
+from hornbeampulley.http1 import BufferBudget, ParsingTurns
 from hornbeampulley.node._calls import Call
 from hornbeampulley.views import PoolState
 
@@ -95,6 +95,11 @@
             'Connections that had to give back what they held.',
             registry=registry,
         )
+        self._delayed_parts = prometheus_client.Gauge(
+            'hornbeam_delayed_parts',
+            'Parts of requests in small pieces that waited for their turn.',
+            registry=registry,
+        )
         self._limits = prometheus_client.Gauge(
             'hornbeam_target_limit',
             'Requests that may run on a target, at the owner of its pool.',
@@ -149,6 +154,16 @@
             lambda: read_budget().answer_bytes
         )
 
+    def watch_limits(self, turns: ParsingTurns) -> None:
+        """Read how often limits have acted whenever the metrics are read.
+
+        Parameters
+        ----------
+        turns : ParsingTurns
+            Turns of requests in small pieces.
+        """
+        self._delayed_parts.set_function(lambda: turns.waits)
+
     def watch_evacuated(self, count: Callable[[], int]) -> None:
         """Count the evacuated zones whenever the metrics are read.
 
--- a/hornbeampulley/node/_endpoints.py
+++ b/hornbeampulley/node/_endpoints.py
@@ -5,22 +5,16 @@
 from typing import Final
 
 from hornbeampulley.http1 import (
-    Handler,
-    MessageLimits,
     Reply,
     Request,
-    ServerOptions,
 )
 from hornbeampulley.node._counters import Counters
 from hornbeampulley.node._entry_choice import choose_entries
 from hornbeampulley.node._freshness import Freshness
 from hornbeampulley.node._membership import Membership
-from hornbeampulley.node._settings import RECEIVE_BUFFER_BYTES
 from hornbeampulley.node.dialect import Dialect
 
 MAX_ADDRESSES: Final = 64
-# Requests to these endpoints have no body.
-LIMITS: Final = MessageLimits(max_body_bytes=0)
 _JSON: Final = ((b'content-type', b'application/json'),)
 _TEXT: Final = ((b'content-type', b'text/plain; version=0.0.4'),)
 
@@ -141,26 +135,3 @@
         """
         text = self._counters.format(self._count_open(), self._freshness.age_ms)
         await reply.send(200, _TEXT, text)
-
-
-def make_options(handle: Handler, max_connections: int) -> ServerOptions:
-    """Make the options of a server for one of these endpoints.
-
-    Parameters
-    ----------
-    handle : callable
-        Method that answers requests.
-    max_connections : int
-        Maximum number of connections.
-
-    Returns
-    -------
-    ServerOptions
-        Options that allow no bodies.
-    """
-    return ServerOptions(
-        handle,
-        lambda: LIMITS,
-        max_connections=max_connections,
-        receive_buffer_bytes=RECEIVE_BUFFER_BYTES,
-    )
--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -12,8 +12,8 @@
 from hornbeampulley.decisions import Action, TargetSignals
 from hornbeampulley.endpoints import Endpoint
 from hornbeampulley.http1 import (
-    BufferBudget,
     ConnectionPool,
+    Handler,
     MessageLimits,
     Reply,
     Request,
@@ -24,12 +24,12 @@
 from hornbeampulley.membership import HostRecord
 from hornbeampulley.node._adapters import Adapter, Identity
 from hornbeampulley.node._calls import Call
+from hornbeampulley.node._client_limits import ClientLimits
 from hornbeampulley.node._counters import Counters
 from hornbeampulley.node._endpoints import (
     DirectoryEndpoint,
     MetricsEndpoint,
     ReadinessEndpoint,
-    make_options,
 )
 from hornbeampulley.node._filters import answer_call
 from hornbeampulley.node._following import StoreFollower
@@ -89,8 +89,7 @@
         self.settings = settings
         self.clock = Clock(trio.current_time)
         self.counters = Counters()
-        self.buffers = BufferBudget(settings.resources.buffer_bytes)
-        self.counters.watch_held(lambda: self.buffers)
+        self.client_limits = ClientLimits(settings, self.counters)
         self._identity = identity
         self._nursery = nursery
         self._generator = random.Random(identity.incarnation)
@@ -116,12 +115,11 @@
         self._build_scheduling()
         self._build_follower(adapter)
         self.home = self._build_home(adapter)
-        self.options = ServerOptions(
+        self.options = self.client_limits.make_options(
             self._answer,
+            settings.bounds.max_caller_connections,
             self._get_limits,
-            max_connections=settings.bounds.max_caller_connections,
-            read_budget=lambda: self.buffers,
-            receive_buffer_bytes=RECEIVE_BUFFER_BYTES,
+            RECEIVE_BUFFER_BYTES,
         )
         self._configured_changes = -1
         self._ticker = Ticker(
@@ -182,23 +180,21 @@
         )
         readiness = ReadinessEndpoint(lambda: self.is_ready)
         bounds = self.settings.bounds
-        directory_options = make_options(
-            directory.answer, bounds.max_directory_connections
+        self._serve_endpoint(
+            listen.directory,
+            directory.answer,
+            bounds.max_directory_connections,
         )
-        directory_options.read_budget = lambda: self.buffers
-        self._serve(listen.directory, directory_options)
-        self._serve(
-            listen.readiness,
-            make_options(readiness.answer, bounds.max_probe_connections),
+        self._serve_endpoint(
+            listen.readiness, readiness.answer, bounds.max_probe_connections
         )
         if listen.metrics_port:
             metrics = MetricsEndpoint(
                 self.counters, self._count_open, self.store_view.freshness
             )
             endpoint = Endpoint(self.settings.host.address, listen.metrics_port)
-            self._serve(
-                endpoint,
-                make_options(metrics.answer, bounds.max_probe_connections),
+            self._serve_endpoint(
+                endpoint, metrics.answer, bounds.max_probe_connections
             )
 
     def _build_scheduling(self) -> None:
@@ -365,6 +361,12 @@
             ),
         )
 
+    def _serve_endpoint(
+        self, endpoint: Endpoint, handle: Handler, max_connections: int
+    ) -> None:
+        options = self.client_limits.make_options(handle, max_connections)
+        self._serve(endpoint, options)
+
     def _get_limits(self) -> MessageLimits:
         table = self.store_view.table
         return MessageLimits() if table is None else table.limits
@@ -380,7 +382,7 @@
             metadata,
             reply,
             self.clock.now(),
-            buffer=self.buffers.open(),
+            buffer=self.client_limits.buffers.open(),
         )
         try:
             await answer_call(self.home, call)
@@ -403,7 +405,7 @@
 
     def _sweep(self) -> None:
         self.connections.close_stale()
-        self.buffers.reclaim_stalled()
+        self.client_limits.buffers.reclaim_stalled()
         self.store_view.sweep()
         self.store_view.evacuations.warn_of_unknown_zones(
             self.membership.live, self.store_view.targets.records.values()
--- a/hornbeampulley/node/_settings.py
+++ b/hornbeampulley/node/_settings.py
@@ -22,6 +22,8 @@
 # What the kernel may hold for a caller, which doubles it; it held 31 MB for 800
 # with 32 KiB. Allows 1.6 MB a second at a round trip of 10 ms.
 RECEIVE_BUFFER_BYTES: Final = 16_384
+# The same at ports whose requests have no body.
+HEAD_BUFFER_BYTES: Final = 4096
 # Shares of the descriptors: peers, store, logs and listening sockets; the
 # directory; the readiness probe and, as many, the metrics. A request of a
 # caller needs two of the rest.
@@ -29,6 +31,8 @@
 DIRECTORY_SHARE: Final = 1 / 16
 PROBE_SHARE: Final = 1 / 32
 MIN_CONNECTIONS: Final = 8
+MIN_PART_BYTES: Final = 512
+MAX_PART_BYTES: Final = 65_536
 
 
 def _checked_field(rule: ValueRule, default: Any = dataclasses.MISSING) -> Any:
@@ -43,8 +47,10 @@
     return _checked_field(ValueRule('duration', minimum, MAX_TIME_MS), default)
 
 
-def _count_field(default: int) -> Any:
-    return _checked_field(ValueRule('integer', 0, MAX_COUNT), default)
+def _count_field(
+    default: int, minimum: int = 0, maximum: int = MAX_COUNT
+) -> Any:
+    return _checked_field(ValueRule('integer', minimum, maximum), default)
 
 
 def _number_field(default: float) -> Any:
@@ -208,6 +214,20 @@
         return round(max(shared_mb, least_mb) * BYTES_PER_MB)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitSettings:
+    """Limits for clients that nobody controls.
+
+    Attributes
+    ----------
+    part_bytes : int
+        Bytes of requests in small pieces that are parsed in each turn of the
+        event loop.
+    """
+
+    part_bytes: int = _count_field(4096, MIN_PART_BYTES, MAX_PART_BYTES)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodeSettings:
     """All settings of a node; each attribute is a section of the file."""
@@ -219,6 +239,7 @@
     bounds: BoundSettings
     resources: ResourceSettings
     logs: LogSettings
+    limits: LimitSettings = LimitSettings()
 
 
 def read_node_settings(path: pathlib.Path | str) -> NodeSettings:
--- a/hornbeampulley/node/program.py
+++ b/hornbeampulley/node/program.py
@@ -25,7 +25,7 @@
 
 EXIT_SETTINGS: Final = 2
 CHECK_SETTINGS_MS: Final = 1000.0
-COUNT_LOST_MS: Final = 1000.0
+REPORT_LIMITS_MS: Final = 1000.0
 _INCARNATION_BYTES: Final = 8
 _STANDARD_OUTPUT: Final = 1
 _log = logging.getLogger(__name__)
@@ -94,7 +94,7 @@
             node = Node(settings, identity, adapter, nursery)
             node.start()
             nursery.start_soon(_watch_settings, node, settings_file, reloads)
-            nursery.start_soon(_report_lost_lines, node, handler)
+            nursery.start_soon(_report_limits, node, handler)
             await _wait_for_signal(ends)
             await drain_node(node)
             nursery.cancel_scope.cancel()
@@ -132,9 +132,10 @@
     node.apply_settings(settings)
 
 
-async def _report_lost_lines(node: Node, handler: BoundedHandler) -> None:
+async def _report_limits(node: Node, handler: BoundedHandler) -> None:
     while True:
-        await trio.sleep(to_seconds(COUNT_LOST_MS))
+        await trio.sleep(to_seconds(REPORT_LIMITS_MS))
+        node.client_limits.reports.write()
         lost = handler.reset_lost()
         if lost:
             node.counters.count_lost_lines(lost)
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -20,8 +20,11 @@
     make_route,
 )
 
+GOSSIP_PORT = 7600
+METRICS_PORT = 7615
 DIRECTORY_PORT = 8220
 READINESS_PORT = 8224
+PEER_PORT = 8229
 BYTES_PER_MB = 1_000_000
 SAMPLE_MS = 100
 # A crowd has gathered after this time.
@@ -47,6 +50,8 @@
 readiness = {address}:8224
 directory = {address}:8220
 peers = {address}:8229
+gossip_port = 7600
+metrics_port = 7615
 
 [store]
 address = {store}:8225
@@ -125,13 +130,22 @@
             self.peak_queued = max(self.peak_queued, self._read_queued())
             await trio.sleep(SAMPLE_MS / 1000)
 
-    async def join(self, parts, port=CALLER_PORT, is_reading=True):
+    async def join(
+        self, parts, port=CALLER_PORT, is_reading=True, pause_s=0, hold_s=0
+    ):
         """Open a connection, send and stay; come back when it is closed."""
         while True:
-            await self._stay(parts, port, is_reading)
+            with trio.move_on_after(hold_s or float('inf')):
+                await self._stay(parts, port, is_reading, pause_s)
             await trio.sleep(RETURN_S)
 
-    async def _stay(self, parts, port, is_reading):
+    async def send_datagrams(self, datagram, port, count):
+        """Send datagrams to a port, as fast as they leave."""
+        with trio.socket.socket(type=socket.SOCK_DGRAM) as sock:
+            for _ in range(count):
+                await sock.sendto(datagram, (self.address, port))
+
+    async def _stay(self, parts, port, is_reading, pause_s):
         sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         if not is_reading:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
@@ -140,6 +154,7 @@
             stream = trio.SocketStream(sock)
             for part in parts:
                 await stream.send_all(part)
+                await trio.sleep(pause_s)
             while is_reading and await stream.receive_some(65_536):
                 continue
             if not is_reading:
--- a/tests/test_node_crowds.py
+++ b/tests/test_node_crowds.py
@@ -7,7 +7,13 @@
 
 import pytest
 
-from tests.crowds import DIRECTORY_PORT, make_head, run_crowd
+from tests.crowds import (
+    DIRECTORY_PORT,
+    METRICS_PORT,
+    READINESS_PORT,
+    make_head,
+    run_crowd,
+)
 
 MEMORY_MB = 80
 MAX_FILES = 6000
@@ -28,6 +34,28 @@
     return (make_head(b'/look/a', CHUNKED), part * (size // chunk))
 
 
+def have_endless(start):
+    """Return a chunked request that goes on without end after a chunk."""
+    return (*have_chunks(1, 1), start + b'y' * (5 << 20))
+
+
+def have_pieces(size, sent, piece):
+    """Return a request with a length, whose body comes piece by piece."""
+    head, body = have_length(size, sent)
+    pieces = (body[at : at + piece] for at in range(0, sent, piece))
+    return (head, *pieces)
+
+
+def gather_all(*gathers):
+    """Return a crowd of several crowds at once."""
+
+    def gather(node, crowd):
+        for one in gathers:
+            one(node, crowd)
+
+    return gather
+
+
 def repeat(parts, count, **options):
     """Return a crowd of clients that all send the same."""
 
@@ -64,6 +92,48 @@
     'unread-answers': repeat((ASK,), 150, is_reading=False),
     'unread-streams': repeat((FOLLOW,), 150, is_reading=False),
 }
+AUXILIARY = {
+    'directory': DIRECTORY_PORT,
+    'readiness': READINESS_PORT,
+    'metrics': METRICS_PORT,
+}
+MANY_CHUNKS = have_chunks(60_000, 1)
+CROWDS |= {
+    'bodies-piece-by-piece': repeat(
+        have_pieces(61_440, 61_439, 2048), 800, pause_s=0.02
+    ),
+    'many-one-byte-chunks': repeat(MANY_CHUNKS, 600),
+    'long-one-byte-chunks': repeat(have_chunks(200_000, 1), 300),
+    'several-kinds': gather_all(
+        repeat(have_length(100_000, 99_999), 300),
+        repeat(have_chunks(60_000, 60_000), 300),
+        repeat(MANY_CHUNKS, 100),
+        repeat(have_length(100 << 20, 5 << 20), 30),
+        repeat(have_chunks(6 << 20, 1 << 16), 30),
+    ),
+    'cut-off-and-back': gather_all(
+        repeat(have_length(61_440, 61_439), 500, hold_s=0.3),
+        repeat(have_chunks(60_000, 30_000), 500, hold_s=0.3),
+        repeat(MANY_CHUNKS, 100, hold_s=0.3),
+    ),
+    'trailers-without-end': repeat(have_endless(b'0\r\nx: '), 60),
+    'chunk-extensions-without-end': repeat(have_endless(b'1;x='), 60),
+}
+for place, port in AUXILIARY.items():
+    CROWDS |= {
+        f'bodies-at-{place}': gather_all(
+            repeat(have_length(100_000, 99_999), 400, port=port),
+            repeat(have_pieces(61_440, 61_439, 2048), 200, port=port),
+        ),
+        f'chunks-at-{place}': gather_all(
+            repeat(have_chunks(60_000, 30_000), 300, port=port),
+            repeat(MANY_CHUNKS, 200, port=port),
+        ),
+        f'far-over-at-{place}': gather_all(
+            repeat(have_length(100 << 20, 5 << 20), 60, port=port),
+            repeat(have_chunks(6 << 20, 1 << 16), 60, port=port),
+        ),
+    }
 
 
 def check(outcome, max_files):
--- a/tests/test_node_endless.py
+++ b/tests/test_node_endless.py
@@ -103,7 +103,7 @@
 def test_many_answers_without_end_are_held_within_the_budget(path, service):
     async def scenario(fleet):
         node = fleet.nodes[0]
-        node.buffers = BufferBudget(BUDGET_BYTES)
+        node.client_limits.buffers = BufferBudget(BUDGET_BYTES)
         put_targets(fleet, service, BODY, CHUNK)
         await trio.sleep(0.3)
         peaks, statuses, others = [0], [], []
@@ -114,7 +114,7 @@
 
         async def watch():
             while True:
-                peaks.append(node.buffers.held_bytes)
+                peaks.append(node.client_limits.buffers.held_bytes)
                 await trio.lowlevel.checkpoint()
 
         async with trio.open_nursery() as watchers:
@@ -128,6 +128,6 @@
         assert len(statuses) == AT_ONCE
         assert others == [404]
         assert SMALL_BYTES < max(peaks) <= BUDGET_BYTES + AT_ONCE * SMALL_BYTES
-        assert node.buffers.held_bytes == 0
+        assert node.client_limits.buffers.held_bytes == 0
 
     run_nodes(scenario)
--- a/tests/test_node_memory.py
+++ b/tests/test_node_memory.py
@@ -1,5 +1,7 @@
 """Tests that a node reads no more bodies than it has memory for."""
 
+import contextlib
+
 import pytest
 import trio.testing
 
@@ -11,7 +13,7 @@
 )
 from hornbeampulley.http1._buffers import SMALL_BYTES
 from standins.backend import SEAL
-from tests.nodes import BACKEND_PORT, run_nodes
+from tests.nodes import BACKEND_PORT, run_nodes, wait_until
 
 BUDGET_BYTES = 8 * SMALL_BYTES
 LARGE = bytes(3 * SMALL_BYTES)
@@ -21,8 +23,8 @@
 def test_a_body_without_room_is_refused_as_not_run():
     async def scenario(fleet):
         node = fleet.nodes[0]
-        node.buffers = BufferBudget(BUDGET_BYTES)
-        held = node.buffers.open()
+        node.client_limits.buffers = BufferBudget(BUDGET_BYTES)
+        held = node.client_limits.buffers.open()
         held.resize(BUDGET_BYTES)
         status, head, _ = await fleet.call('/once/a', 0, LARGE, b'large')
         assert status == 503
@@ -63,6 +65,27 @@
     run_nodes(scenario)
 
 
+# Memory: of the ports beside that of callers only the directory counted.
+@pytest.mark.parametrize('port', [8220, 8221, 8224])
+def test_connections_to_all_endpoints_count(port):
+    async def scenario(fleet):
+        node = fleet.nodes[0]
+        clients = node.client_limits.buffers.clients
+        address = node.settings.host.address
+        before = clients.held_bytes
+        stream = await trio.open_tcp_stream(address, port)
+        async with stream:
+            await stream.send_all(b'GET / HTTP/1.1\r\nx: ' + b'y' * 10_000)
+            await wait_until(lambda: clients.held_bytes > before + 10_000)
+            clients.reclaim(1)
+            with contextlib.suppress(trio.BrokenResourceError):
+                while await stream.receive_some():
+                    continue
+        assert clients.evicted == 1
+
+    run_nodes(scenario)
+
+
 class LargeTarget:
     """Answers each request with a large body."""
 
@@ -84,8 +107,8 @@
 def test_a_large_answer_without_room_waits():
     async def scenario(fleet):
         node = fleet.nodes[0]
-        node.buffers = BufferBudget(BUDGET_BYTES)
-        held = node.buffers.open()
+        node.client_limits.buffers = BufferBudget(BUDGET_BYTES)
+        held = node.client_limits.buffers.open()
         held.resize(BUDGET_BYTES)
         target = LargeTarget()
         address = fleet.address(200)
@@ -125,6 +148,6 @@
         assert buffer.waited_ms > 0
         assert duration_ms <= took_ms - buffer.waited_ms
         await trio.testing.wait_all_tasks_blocked()
-        assert node.buffers.held_bytes == 0
+        assert node.client_limits.buffers.held_bytes == 0
 
     run_nodes(scenario)
