Bound what the port of peers holds for those that send no hello

What callers saw: clients that reach the port of peers end a process. 60 connections that send all but one byte of a frame of 4 MiB take it to 428 MB of 80, 400 of 200 KB to 173, the same piece by piece to 141, ordinary bodies to 82; 1,000 idle ones open 1,017 descriptors of 400. With bodies at all ports at once it reaches 148.5 MB, 59 of them in the kernel.

Cause: what is accepted there was taken for a peer from its first byte. Its frames might have 4 MiB, its kernel buffer grew without a bound, and neither it nor the number of connections counted.

Change: until its hello has arrived a link counts as one of the connections of the process, is one of those that give way when memory is short, may send one frame of 16 KB, and has 4 KB in the kernel. At most 256 are in that state, and no more than 1/16 of the descriptors; the oldest one is closed. Both limits are settings with a checked range. A node sends its hello as soon as it is connected, so a peer is in that state for the time of one message; if it is closed, it tries again after 300 ms, as before.

What speaks the peers' own protocol and sends a hello is still taken for a peer.

--- a/hornbeampulley/http1/__init__.py
+++ b/hornbeampulley/http1/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from hornbeampulley.http1._buffers import Buffer, BufferBudget
+from hornbeampulley.http1._clients import CONNECTION_BYTES, Clients
 from hornbeampulley.http1._connection_pool import ConnectionPool
 from hornbeampulley.http1._connections import (
     Connection,
@@ -12,7 +13,7 @@
     exchange,
     open_connection,
 )
-from hornbeampulley.http1._listening import serve_http
+from hornbeampulley.http1._listening import open_listeners, serve_http
 from hornbeampulley.http1._messages import (
     Header,
     Request,
@@ -26,22 +27,25 @@
 from hornbeampulley.http1._requests import MessageLimits, RequestParser
 from hornbeampulley.http1._responses import ResponseParser
 from hornbeampulley.http1._server import CallerConnection
+from hornbeampulley.http1._sockets import set_receive_buffer
 from hornbeampulley.http1._turns import ParsingTurns
 
 __all__ = (
+    'CONNECTION_BYTES',
     'Buffer',
     'BufferBudget',
     'CallerConnection',
+    'Clients',
     'Connection',
     'ConnectionPool',
     'ConnectionSettings',
     'Handler',
     'Header',
     'MessageLimits',
+    'ParsingTurns',
     'Reply',
     'Request',
     'RequestParser',
-    'ParsingTurns',
     'ResponseHead',
     'ResponseParser',
     'ServerOptions',
@@ -50,5 +54,7 @@
     'exchange',
     'find_header',
     'open_connection',
+    'open_listeners',
     'serve_http',
+    'set_receive_buffer',
 )
--- a/hornbeampulley/http1/_listening.py
+++ b/hornbeampulley/http1/_listening.py
@@ -1,7 +1,6 @@
 """Accepts the connections of callers, within a bound on their number."""
 
 import logging
-import socket
 from typing import Final
 
 import trio
@@ -9,7 +8,7 @@
 from hornbeampulley.http1._clients import rank_clients
 from hornbeampulley.http1._options import ServerOptions
 from hornbeampulley.http1._server import CallerConnection
-from hornbeampulley.http1._sockets import enable_keepalive
+from hornbeampulley.http1._sockets import enable_keepalive, set_receive_buffer
 from hornbeampulley.logs import log_event
 
 MAX_BACKLOG: Final = 1024
@@ -56,24 +55,48 @@
             # An unexpected error must not affect the other connections.
             _log.exception('a connection failed')
 
-    # The kernel receives for connections that are not accepted yet.
-    backlog = min(options.read_budget().clients.max_count, MAX_BACKLOG)
+    listeners = await open_listeners(
+        address,
+        port,
+        options.read_budget().clients.max_count,
+        options.receive_buffer_bytes,
+    )
+    async with trio.open_nursery() as nursery:
+        task_status.started()
+        await trio.serve_listeners(accept, listeners, handler_nursery=nursery)
+
+
+async def open_listeners(
+    address: str, port: int, max_count: int, receive_buffer_bytes: int
+) -> list[trio.SocketListener]:
+    """Listen on a port.
+
+    Parameters
+    ----------
+    address, port : str, int
+        IP address and TCP port to listen on.
+    max_count : int
+        Number of connections for which there is memory: the kernel receives
+        also for those that are not accepted yet.
+    receive_buffer_bytes : int
+        Received bytes that the kernel holds for a connection; 0 for its
+        default, which grows.
+
+    Returns
+    -------
+    list of trio.SocketListener
+        The listening sockets.
+    """
     listeners = await trio.open_tcp_listeners(
         port,
         host=address,
-        backlog=backlog,
+        backlog=min(max_count, MAX_BACKLOG),
     )
-    if options.receive_buffer_bytes:
+    if receive_buffer_bytes:
         for listener in listeners:
             # Accepted sockets inherit it.
-            listener.socket.setsockopt(
-                socket.SOL_SOCKET,
-                socket.SO_RCVBUF,
-                options.receive_buffer_bytes,
-            )
-    async with trio.open_nursery() as nursery:
-        task_status.started()
-        await trio.serve_listeners(accept, listeners, handler_nursery=nursery)
+            set_receive_buffer(listener.socket, receive_buffer_bytes)
+    return listeners
 
 
 def _make_room(options: ServerOptions) -> bool:
--- a/hornbeampulley/http1/_sockets.py
+++ b/hornbeampulley/http1/_sockets.py
@@ -45,6 +45,24 @@
             sock.setsockopt(level, name, setting)
 
 
+def set_receive_buffer(
+    sock: trio.socket.SocketType, receive_buffer_bytes: int
+) -> None:
+    """Set what the kernel may hold of received bytes; it doubles the number.
+
+    Parameters
+    ----------
+    sock : trio socket
+        A listening or connected TCP socket.
+    receive_buffer_bytes : int
+        Number of bytes.
+    """
+    with contextlib.suppress(OSError):
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+        )
+
+
 async def connect(
     address: str,
     port: int,
--- a/hornbeampulley/node/_client_limits.py
+++ b/hornbeampulley/node/_client_limits.py
@@ -12,6 +12,7 @@
 )
 from hornbeampulley.node._counters import Counters
 from hornbeampulley.node._limit_reports import LimitCount, LimitReports
+from hornbeampulley.node._link_admission import LinkAdmission
 from hornbeampulley.node._settings import HEAD_BUFFER_BYTES, NodeSettings
 
 # Requests to the endpoints beside that of callers have no body.
@@ -32,18 +33,32 @@
     ----------
     buffers : BufferBudget
         Memory for messages and connections.
+    admission : LinkAdmission
+        Links without a hello.
     reports : LimitReports
         Log lines on limits that have acted.
     """
 
     def __init__(self, settings: NodeSettings, counters: Counters) -> None:
+        limits = settings.limits
         self.buffers = BufferBudget(settings.resources.buffer_bytes)
-        self._turns = ParsingTurns(settings.limits.part_bytes)
+        self.admission = LinkAdmission(
+            self.buffers.clients,
+            min(
+                limits.max_pending_links,
+                settings.bounds.max_directory_connections,
+            ),
+            limits.max_hello_bytes,
+        )
+        self._turns = ParsingTurns(limits.part_bytes)
         self.reports = LimitReports(
-            (LimitCount('parts_delayed', lambda: self._turns.waits),)
+            (
+                LimitCount('parts_delayed', lambda: self._turns.waits),
+                LimitCount('links_evicted', lambda: self.admission.evicted),
+            )
         )
         counters.watch_held(lambda: self.buffers)
-        counters.watch_limits(self._turns)
+        counters.watch_limits(self._turns, self.admission)
 
     def make_options(
         self,
--- a/hornbeampulley/node/_counters.py
+++ b/hornbeampulley/node/_counters.py
@@ -8,6 +8,7 @@
 from hornbeampulley.clock import MS_PER_SECOND, to_seconds
 from hornbeampulley.http1 import BufferBudget, ParsingTurns
 from hornbeampulley.node._calls import Call
+from hornbeampulley.node._link_admission import LinkAdmission
 from hornbeampulley.views import PoolState
 
 _BUCKETS_S: Final = (0.01, 0.03, 0.1, 0.2, 0.4, 0.7, 1, 2, 4, 8, 16)
@@ -100,6 +101,11 @@
             'Parts of requests in small pieces that waited for their turn.',
             registry=registry,
         )
+        self._evicted_links = prometheus_client.Gauge(
+            'hornbeam_evicted_links',
+            'Links closed without a hello, as there were too many.',
+            registry=registry,
+        )
         self._limits = prometheus_client.Gauge(
             'hornbeam_target_limit',
             'Requests that may run on a target, at the owner of its pool.',
@@ -154,15 +160,20 @@
             lambda: read_budget().answer_bytes
         )
 
-    def watch_limits(self, turns: ParsingTurns) -> None:
+    def watch_limits(
+        self, turns: ParsingTurns, admission: LinkAdmission
+    ) -> None:
         """Read how often limits have acted whenever the metrics are read.
 
         Parameters
         ----------
         turns : ParsingTurns
             Turns of requests in small pieces.
+        admission : LinkAdmission
+            Bounds the links without a hello.
         """
         self._delayed_parts.set_function(lambda: turns.waits)
+        self._evicted_links.set_function(lambda: admission.evicted)
 
     def watch_evacuated(self, count: Callable[[], int]) -> None:
         """Count the evacuated zones whenever the metrics are read.
--- a/hornbeampulley/node/_mesh.py
+++ b/hornbeampulley/node/_mesh.py
@@ -9,8 +9,11 @@
 
 from hornbeampulley.clock import Clock
 from hornbeampulley.endpoints import Endpoint
+from hornbeampulley.http1 import open_listeners
 from hornbeampulley.logs import log_event
+from hornbeampulley.node._link_admission import LinkAdmission
 from hornbeampulley.node._membership import Membership, NodeAddress
+from hornbeampulley.node._settings import HEAD_BUFFER_BYTES
 from hornbeampulley.wire import Link, LinkTiming, open_stream
 from hornbeampulley.wire.generated.peer import ttypes
 
@@ -50,6 +53,8 @@
         Monotonic clock.
     nursery : trio.Nursery
         Runs the tasks of the links.
+    admission : LinkAdmission
+        Bounds the links whose peers are not known yet.
     """
 
     def __init__(
@@ -58,8 +63,10 @@
         make_hello: Callable[[], ttypes.Hello],
         clock: Clock,
         nursery: trio.Nursery,
+        admission: LinkAdmission,
     ) -> None:
         self.handler: LinkHandler | None = None
+        self.admission = admission
         self._membership = membership
         self._make_hello = make_hello
         self._clock = clock
@@ -154,13 +161,25 @@
         stream : trio.SocketStream
             Accepted connection.
         """
-        link = Link(stream, self._make_hello(), timing=LINK_TIMING)
+        link = Link(
+            stream,
+            self._make_hello(),
+            timing=LINK_TIMING,
+            max_hello_bytes=self.admission.max_hello_bytes,
+        )
+        self.admission.admit(link, stream.socket)
         try:
-            await link.run(self.handler.receive)
+            await link.run(self._receive_accepted)
         finally:
+            self.admission.release(link)
             if link.peer is not None:
                 self.handler.on_link_lost(link)
 
+    def _receive_accepted(self, link: Link, message: Any) -> None:
+        if isinstance(message, ttypes.Hello):
+            self.admission.identify(link)
+        self.handler.receive(link, message)
+
     async def _open(self, node: NodeAddress) -> None:
         incarnation = node.incarnation
         try:
@@ -218,7 +237,13 @@
     endpoint : Endpoint
         Address and port to listen on.
     """
-    await trio.serve_tcp(mesh.accept, endpoint.port, host=endpoint.address)
+    listeners = await open_listeners(
+        endpoint.address,
+        endpoint.port,
+        mesh.admission.max_backlog,
+        HEAD_BUFFER_BYTES,
+    )
+    await trio.serve_listeners(mesh.accept, listeners)
 
 
 def _drop_older(moments_ms: dict[str, float], limit_ms: float) -> None:
--- a/hornbeampulley/node/_node.py
+++ b/hornbeampulley/node/_node.py
@@ -111,6 +111,7 @@
             self._make_hello,
             self.clock,
             nursery,
+            self.client_limits.admission,
         )
         self._build_scheduling()
         self._build_follower(adapter)
--- a/hornbeampulley/node/_settings.py
+++ b/hornbeampulley/node/_settings.py
@@ -22,7 +22,7 @@
 # What the kernel may hold for a caller, which doubles it; it held 31 MB for 800
 # with 32 KiB. Allows 1.6 MB a second at a round trip of 10 ms.
 RECEIVE_BUFFER_BYTES: Final = 16_384
-# The same at ports whose requests have no body.
+# The same at ports whose requests have no body, and before the hello of a peer.
 HEAD_BUFFER_BYTES: Final = 4096
 # Shares of the descriptors: peers, store, logs and listening sockets; the
 # directory; the readiness probe and, as many, the metrics. A request of a
@@ -31,6 +31,9 @@
 DIRECTORY_SHARE: Final = 1 / 16
 PROBE_SHARE: Final = 1 / 32
 MIN_CONNECTIONS: Final = 8
+MAX_LINKS: Final = 65_536
+MAX_FRAME_BYTES: Final = 4_194_304
+MIN_HELLO_BYTES: Final = 1024
 MIN_PART_BYTES: Final = 512
 MAX_PART_BYTES: Final = 65_536
 
@@ -220,11 +223,20 @@
 
     Attributes
     ----------
+    max_pending_links : int
+        Maximum number of connections at the port of peers that have not sent
+        their hello; at most as many as the directory may have.
+    max_hello_bytes : int
+        Longest frame before a hello, in bytes.
     part_bytes : int
         Bytes of requests in small pieces that are parsed in each turn of the
         event loop.
     """
 
+    max_pending_links: int = _count_field(256, MIN_CONNECTIONS, MAX_LINKS)
+    max_hello_bytes: int = _count_field(
+        16_384, MIN_HELLO_BYTES, MAX_FRAME_BYTES
+    )
     part_bytes: int = _count_field(4096, MIN_PART_BYTES, MAX_PART_BYTES)
 
 
--- a/hornbeampulley/wire/_frames.py
+++ b/hornbeampulley/wire/_frames.py
@@ -109,10 +109,21 @@
 
 
 class FrameDecoder:
-    """Splits a byte stream into frames; buffers at most one partial frame."""
+    """Splits a byte stream into frames; buffers at most one partial frame.
+
+    Parameters
+    ----------
+    max_bytes : int
+        Longest body of a frame.
+
+    Attributes
+    ----------
+    max_bytes : int
+        Longest body of the next frame.
+    """
 
     def __init__(self, max_bytes: int = MAX_FRAME_BYTES) -> None:
-        self._max_bytes = max_bytes
+        self.max_bytes = max_bytes
         self._buffer = bytearray()
 
     def feed(self, received: bytes) -> Iterator[ttypes.Frame]:
@@ -144,9 +155,9 @@
 
     def _read_length(self) -> int:
         length = _LENGTH.unpack_from(self._buffer)[0]
-        if length > self._max_bytes:
+        if length > self.max_bytes:
             raise WireError(
                 f'a peer announced a frame of {length} bytes, over the limit '
-                f'of {self._max_bytes}; it is not a peer of this version',
+                f'of {self.max_bytes}; it is not a peer of this version',
             )
         return length
--- a/hornbeampulley/wire/_links.py
+++ b/hornbeampulley/wire/_links.py
@@ -13,7 +13,11 @@
 from hornbeampulley.errors import HornbeamError, WireError
 from hornbeampulley.logs import log_event
 from hornbeampulley.timeline import HybridClock, Timestamp
-from hornbeampulley.wire._frames import FrameDecoder, encode_frame
+from hornbeampulley.wire._frames import (
+    MAX_FRAME_BYTES,
+    FrameDecoder,
+    encode_frame,
+)
 from hornbeampulley.wire.generated.peer import ttypes
 
 HEARTBEAT_MS: Final = 200
@@ -81,6 +85,8 @@
         received.
     timing : LinkTiming
         Heartbeat interval and timeout.
+    max_hello_bytes : int
+        Longest first frame of the peer, which holds its hello.
 
     Attributes
     ----------
@@ -100,9 +106,11 @@
         make_heartbeat: HeartbeatMaker | None = None,
         hybrid: HybridClock | None = None,
         timing: LinkTiming = FAST_TIMING,
+        max_hello_bytes: int = MAX_FRAME_BYTES,
     ) -> None:
         self.peer: ttypes.Hello | None = None
         self._stream = stream
+        self._decoder = FrameDecoder(max_hello_bytes)
         self._hello = hello
         self._make_heartbeat = make_heartbeat or _make_plain_heartbeat
         self._hybrid = hybrid
@@ -183,7 +191,6 @@
             await trio.aclose_forcefully(self._stream)
 
     async def _receive(self, handle: MessageHandler) -> None:
-        decoder = FrameDecoder()
         try:
             while received := await self._stream.receive_some(_RECEIVE_BYTES):
                 # Messages that waited while this process or the peer was
@@ -191,7 +198,7 @@
                 if self.is_silent:
                     break
                 self.last_received_ms = self._clock.now()
-                for frame in decoder.feed(received):
+                for frame in self._decoder.feed(received):
                     self._accept(frame, handle)
         except _MESSAGE_ERRORS as error:
             log_event(
@@ -209,18 +216,23 @@
             self._hybrid.observe(Timestamp.unpack(frame.hlc))
         for message in frame.messages:
             self._follow(message)
-            if self.peer is None:
-                raise WireError(
-                    'a peer sent a message before its hello; it is not of '
-                    'this version',
-                )
+            self._require_hello()
             handle(self, message)
+        self._require_hello()
+
+    def _require_hello(self) -> None:
+        if self.peer is None:
+            raise WireError(
+                'a peer sent something else before its hello; it is not of '
+                'this version',
+            )
 
     def _follow(self, message: Any) -> None:
         """Update the state of the link by a message of the peer."""
         match message:
             case ttypes.Hello():
                 self.peer = message
+                self._decoder.max_bytes = MAX_FRAME_BYTES
             case ttypes.Heartbeat():
                 usual_ms = self._timing.heartbeat_ms
                 self._promised_ms = message.interval_ms or usual_ms
--- a/tests/test_node_crowds.py
+++ b/tests/test_node_crowds.py
@@ -9,11 +9,14 @@
 
 from tests.crowds import (
     DIRECTORY_PORT,
+    GOSSIP_PORT,
     METRICS_PORT,
+    PEER_PORT,
     READINESS_PORT,
     make_head,
     run_crowd,
 )
+from tests.nodes import CALLER_PORT
 
 MEMORY_MB = 80
 MAX_FILES = 6000
@@ -46,6 +49,11 @@
     return (head, *pieces)
 
 
+def have_frame(size, sent):
+    """Return a frame of peers and as much of its body as is sent."""
+    return (size.to_bytes(4, 'big') + bytes(sent),)
+
+
 def gather_all(*gathers):
     """Return a crowd of several crowds at once."""
 
@@ -56,6 +64,15 @@
     return gather
 
 
+def flood(datagram, count):
+    """Return a sender of many datagrams to the port of gossip."""
+
+    def gather(node, crowd):
+        crowd.start_soon(node.send_datagrams, datagram, GOSSIP_PORT, count)
+
+    return gather
+
+
 def repeat(parts, count, **options):
     """Return a crowd of clients that all send the same."""
 
@@ -92,6 +109,10 @@
     'unread-answers': repeat((ASK,), 150, is_reading=False),
     'unread-streams': repeat((FOLLOW,), 150, is_reading=False),
 }
+# A frame without any message.
+EMPTY_FRAME = b'\x00\x00\x00\x01\x00'
+SERVED_PORTS = (CALLER_PORT, DIRECTORY_PORT, READINESS_PORT, METRICS_PORT)
+ALL_PORTS = (*SERVED_PORTS, PEER_PORT)
 AUXILIARY = {
     'directory': DIRECTORY_PORT,
     'readiness': READINESS_PORT,
@@ -116,8 +137,39 @@
         repeat(have_chunks(60_000, 30_000), 500, hold_s=0.3),
         repeat(MANY_CHUNKS, 100, hold_s=0.3),
     ),
+    'bodies-at-all-ports': gather_all(
+        *(repeat(have_length(61_440, 61_439), 300, port=p) for p in ALL_PORTS),
+        *(repeat(MANY_CHUNKS, 100, port=p) for p in ALL_PORTS),
+    ),
+    'heads-at-all-ports': gather_all(
+        *(repeat((HEAD,), 400, port=p) for p in ALL_PORTS)
+    ),
+    'bodies-at-peers': gather_all(
+        repeat(have_length(100_000, 99_999), 400, port=PEER_PORT),
+        repeat(MANY_CHUNKS, 100, port=PEER_PORT),
+        repeat(have_length(100 << 20, 5 << 20), 30, port=PEER_PORT),
+    ),
+    'frames-at-peers': repeat(
+        have_frame(200_000, 199_999), 400, port=PEER_PORT
+    ),
+    'large-frames-at-peers': repeat(
+        have_frame(4 << 20, (4 << 20) - 1), 60, port=PEER_PORT
+    ),
+    'frames-piece-by-piece-at-peers': repeat(
+        (*have_frame(200_000, 150_000), *(bytes(1000),) * 49),
+        400,
+        port=PEER_PORT,
+        pause_s=0.2,
+    ),
+    'empty-frames-at-peers': repeat(
+        (EMPTY_FRAME * 60_000,), 100, port=PEER_PORT
+    ),
+    'frames-far-over-at-peers': repeat(
+        have_frame(100 << 20, 5 << 20), 60, port=PEER_PORT
+    ),
     'trailers-without-end': repeat(have_endless(b'0\r\nx: '), 60),
     'chunk-extensions-without-end': repeat(have_endless(b'1;x='), 60),
+    'datagrams': flood(bytes(60_000), 3000),
 }
 for place, port in AUXILIARY.items():
     CROWDS |= {
@@ -160,3 +212,17 @@
         repeat((), 500, port=DIRECTORY_PORT)(node, crowd)
 
     check(run_crowd(tmp_path, MEMORY_MB, FEW_FILES, gather), FEW_FILES)
+
+
+# Descriptors: those of connections to the port of peers did not count.
+@pytest.mark.parametrize(
+    'parts', [(), have_frame(200_000, 1000)], ids=['idle', 'frames']
+)
+def test_connections_of_peers_do_not_pass_the_descriptors(parts, tmp_path):
+    gather = repeat(parts, 1000, port=PEER_PORT)
+    check(run_crowd(tmp_path, MEMORY_MB, FEW_FILES, gather), FEW_FILES)
+
+
+def test_connections_at_all_ports_do_not_pass_the_descriptors(tmp_path):
+    gather = gather_all(*(repeat((), 400, port=port) for port in ALL_PORTS))
+    check(run_crowd(tmp_path, MEMORY_MB, FEW_FILES, gather), FEW_FILES)
