Give each kind of warning a rate of its own in the log

Cause: one rate for all lines, and a warning for each connection that is refused, evicted or silent.

Change: each kind of warning has 20 lines a second of its own, and ten times as many at once (`[limits] warning_lines_per_s`); what is left out counts in `lines_lost` and its counter as before. Lines of requests are no warnings and keep the common rate. That a link fell silent is a warning now. The warnings of the library that `log_event` did not log count as one kind.

The test sends 2,000 warnings of one kind and then other lines.

--- a/hornbeampulley/logs.py
+++ b/hornbeampulley/logs.py
@@ -71,6 +71,24 @@
         logger.log(severity, '%s', event, extra={_PAIRS_ATTRIBUTE: pairs})
 
 
+def get_event(record: logging.LogRecord) -> str:
+    """Return the event that a record is about.
+
+    Parameters
+    ----------
+    record : logging.LogRecord
+        The record.
+
+    Returns
+    -------
+    str
+        The event; `LIBRARY_EVENT` if `log_event` did not log it.
+    """
+    if hasattr(record, _PAIRS_ATTRIBUTE):
+        return record.getMessage()
+    return LIBRARY_EVENT
+
+
 def quote_value(value: object) -> str:
     """Return a value as text, quoted as a JSON string if necessary."""
     text = str(value)
--- a/hornbeampulley/node/_log_output.py
+++ b/hornbeampulley/node/_log_output.py
@@ -5,17 +5,52 @@
 from typing import Final
 
 from hornbeampulley.clock import MS_PER_SECOND, Clock
+from hornbeampulley.logs import get_event
 
 LINES_PER_SECOND: Final = 400.0
 BURST_LINES: Final = 2000.0
+# So many seconds' worth of the lines of one warning may come at once.
+WARNING_BURST_S: Final = 10
 _WRITE_FAILED: Final = (BlockingIOError, BrokenPipeError)
 
 
+class LineRate:
+    """Lines that may still be written, a number of them each second.
+
+    Parameters
+    ----------
+    per_second, burst : float
+        Lines a second, and at once.
+    clock : Clock
+        Monotonic clock.
+    """
+
+    def __init__(self, per_second: float, burst: float, clock: Clock) -> None:
+        self._per_second = per_second
+        self._burst = burst
+        self._clock = clock
+        self._left = burst
+        self._refilled_ms = clock.now()
+
+    def take(self) -> bool:
+        """Take a line; return whether there is one left."""
+        now_ms = self._clock.now()
+        passed_s = (now_ms - self._refilled_ms) / MS_PER_SECOND
+        self._refilled_ms = now_ms
+        gained = passed_s * self._per_second
+        self._left = min(self._left + gained, self._burst)
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
+
+
 class BoundedHandler(logging.Handler):
     """Writes log lines to a file descriptor without blocking.
 
     Lines beyond the rate limit, and lines that can't be written at once, are
-    dropped and counted.
+    dropped and counted. Each kind of warning has a lower limit of its own, so
+    that those about clients leave room for the lines of requests.
 
     Parameters
     ----------
@@ -23,6 +58,8 @@
         File descriptor open for writing; it is made non-blocking.
     clock : Clock
         Monotonic clock.
+    warnings_per_s : float
+        Lines a second of each kind of warning.
 
     Attributes
     ----------
@@ -30,18 +67,24 @@
         Number of lines dropped since the last call of `reset_lost`.
     """
 
-    def __init__(self, descriptor: int, clock: Clock) -> None:
+    def __init__(
+        self,
+        descriptor: int,
+        clock: Clock,
+        warnings_per_s: float = LINES_PER_SECOND,
+    ) -> None:
         super().__init__()
         self.lost = 0
         self._descriptor = descriptor
         self._clock = clock
-        self._tokens = BURST_LINES
-        self._refilled_ms = clock.now()
+        self._warnings_per_s = warnings_per_s
+        self._rate = LineRate(LINES_PER_SECOND, BURST_LINES, clock)
+        self._warning_rates: dict[str, LineRate] = {}
         os.set_blocking(descriptor, False)
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write a record, or drop it."""
-        if not self._take_token():
+        if not self._may_write(record):
             self.lost += 1
             return
         line = f'{self.format(record)}\n'.encode()
@@ -64,15 +107,20 @@
         lost, self.lost = self.lost, 0
         return lost
 
-    def _take_token(self) -> bool:
-        now_ms = self._clock.now()
-        gained = (now_ms - self._refilled_ms) / MS_PER_SECOND * LINES_PER_SECOND
-        self._refilled_ms = now_ms
-        self._tokens = min(self._tokens + gained, BURST_LINES)
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
+    def _may_write(self, record: logging.LogRecord) -> bool:
+        if record.levelno != logging.WARNING:
+            return self._rate.take()
+        return self._get_warning_rate(record).take() and self._rate.take()
+
+    def _get_warning_rate(self, record: logging.LogRecord) -> LineRate:
+        event = get_event(record)
+        rate = self._warning_rates.get(event)
+        if rate is None:
+            per_second = self._warnings_per_s
+            burst = per_second * WARNING_BURST_S
+            rate = LineRate(per_second, burst, self._clock)
+            self._warning_rates[event] = rate
+        return rate
 
 
 def install_handler(
--- a/hornbeampulley/node/_settings.py
+++ b/hornbeampulley/node/_settings.py
@@ -36,6 +36,7 @@
 MIN_HELLO_BYTES: Final = 1024
 MIN_PART_BYTES: Final = 512
 MAX_PART_BYTES: Final = 65_536
+MAX_LINES: Final = 1000
 
 
 def _checked_field(rule: ValueRule, default: Any = dataclasses.MISSING) -> Any:
@@ -231,6 +232,8 @@
     part_bytes : int
         Bytes of requests in small pieces that are parsed in each turn of the
         event loop.
+    warning_lines_per_s : int
+        Log lines a second of each kind of warning.
     """
 
     max_pending_links: int = _count_field(256, MIN_CONNECTIONS, MAX_LINKS)
@@ -238,6 +241,7 @@
         16_384, MIN_HELLO_BYTES, MAX_FRAME_BYTES
     )
     part_bytes: int = _count_field(4096, MIN_PART_BYTES, MAX_PART_BYTES)
+    warning_lines_per_s: int = _count_field(20, 1, MAX_LINES)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeampulley/node/program.py
+++ b/hornbeampulley/node/program.py
@@ -67,7 +67,9 @@
     hybrid = HybridClock(Clock(time.time).now)
     origin = LogOrigin(ROLE, settings.host.name, identity.incarnation)
     formatter = KeyValueFormatter(origin, lambda: hybrid.tick().encode())
-    handler = BoundedHandler(_STANDARD_OUTPUT, Clock())
+    handler = BoundedHandler(
+        _STANDARD_OUTPUT, Clock(), settings.limits.warning_lines_per_s
+    )
     install_handler(handler, formatter, settings.logs.level)
     return handler
 
--- a/hornbeampulley/wire/_links.py
+++ b/hornbeampulley/wire/_links.py
@@ -288,7 +288,7 @@
             self._enqueue(heartbeat)
             with trio.move_on_after(to_seconds(interval_ms)):
                 await self._activated.wait()
-        log_event(_log, 'link_silent')
+        log_event(_log, 'link_silent', severity=logging.WARNING)
         self.close()
 
 
