Wait for room for a large answer before it is received

What callers saw: clients that ask for large answers and do not read them take a host over its memory: 300 that ask for 1 MB, 101.4 MB of 80 (600: 97.3).

Cause, traced: an answer waits for room only after 64 KiB of it have arrived, whatever length its head tells, and the first receive takes another 64 KiB. So each answer that waits holds some 130 KiB that nothing limits.

Change: where the head tells a length over 64 KiB, room for all of it is waited for before the body is read on, and until the head has arrived 16 KiB are received at a time. Answers up to 64 KiB come at once as before. No setting changes.

--- a/hornbeampulley/http1/_connections.py
+++ b/hornbeampulley/http1/_connections.py
@@ -8,7 +8,7 @@
 from hornbeampulley.clock import Clock, to_seconds
 from hornbeampulley.endpoints import Endpoint
 from hornbeampulley.errors import HornbeamError
-from hornbeampulley.http1._buffers import Buffer
+from hornbeampulley.http1._buffers import SMALL_BYTES, Buffer
 from hornbeampulley.http1._messages import (
     Request,
     ResponseHead,
@@ -29,6 +29,8 @@
 )
 
 RECEIVE_BYTES: Final = 65_536
+# A large body must not be received before there is memory for it.
+RECEIVE_HEAD_BYTES: Final = 16_384
 # A response without framing that has ended is held back for this long, while the
 # rest of its request is sent and acknowledged.
 SEND_GRACE_MS: Final = 1000.0
@@ -220,6 +222,7 @@
         """
         buffer = buffer or Buffer()
         body = bytearray()
+        await self._reserve(max_bytes, buffer)
         while part := await self.read_body():
             body += part
             if len(body) > max_bytes:
@@ -245,6 +248,12 @@
             await self._stream.send_all(part)
         self._is_request_sent = True
 
+    async def _reserve(self, max_bytes: int, buffer: Buffer) -> None:
+        """Wait for room for a body that is known to be large."""
+        declared = self._parser.declared_bytes or 0
+        if SMALL_BYTES < declared <= max_bytes:
+            await buffer.hold(declared, declared)
+
     async def _read_part(self) -> Part:
         while not self._parser.parts:
             if self._failure:
@@ -254,7 +263,9 @@
 
     async def _receive(self) -> None:
         try:
-            received = await self._stream.receive_some(RECEIVE_BYTES)
+            received = await self._stream.receive_some(
+                RECEIVE_HEAD_BYTES if self._parser.is_in_head else RECEIVE_BYTES
+            )
         except _CONNECTION_ERRORS as error:
             self._is_broken = True
             raise ResponseBrokenError(
--- a/hornbeampulley/http1/_responses.py
+++ b/hornbeampulley/http1/_responses.py
@@ -46,6 +46,8 @@
         response.
     is_idle : bool
         Whether no response is in progress.
+    is_in_head : bool
+        Whether the head of a final response has yet to be received.
     is_unframed : bool
         Whether the last response has neither a length nor chunks, so that it
         ends with the connection.
@@ -57,6 +59,7 @@
         self.parts: deque[Part] = deque()
         self.is_persistent = True
         self.is_idle = True
+        self.is_in_head = True
         self.is_unframed = False
         self.declared_bytes: int | None = None
         # Refers to this object; set to None at the end, which frees both at once.
@@ -133,6 +136,7 @@
     def on_message_begin(self) -> None:
         """Reset the state for a new response."""
         self.is_idle = False
+        self.is_in_head = True
         self._headers = []
 
     def on_header(self, name: bytes, text: bytes) -> None:
@@ -150,6 +154,7 @@
         self._is_informational = status < FIRST_FINAL_STATUS
         if self._is_informational:
             return
+        self.is_in_head = False
         headers = tuple(self._headers)
         length = find_header(headers, b'content-length')
         self.declared_bytes = None if length is None else int(length)
@@ -170,6 +175,7 @@
     def on_message_complete(self) -> None:
         """Add the end of a final response."""
         self.is_idle = True
+        self.is_in_head = True
         if not self._is_informational:
             self._is_close_delimited = False
             self._append_part(MessageBoundary.END)
--- a/tests/test_node_crowds.py
+++ b/tests/test_node_crowds.py
@@ -169,6 +169,7 @@
     ),
     'trailers-without-end': repeat(have_endless(b'0\r\nx: '), 60),
     'chunk-extensions-without-end': repeat(have_endless(b'1;x='), 60),
+    'many-unread-answers': repeat((ASK,), 300, is_reading=False),
     'datagrams': flood(bytes(60_000), 3000),
 }
 for place, port in AUXILIARY.items():
