--- a/hornbeampulley/node/_endpoints.py
+++ b/hornbeampulley/node/_endpoints.py
@@ -4,10 +4,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from hornbeampulley.http1 import (
-    Reply,
-    Request,
-)
+from hornbeampulley.http1 import Reply, Request
 from hornbeampulley.node._counters import Counters
 from hornbeampulley.node._entry_choice import choose_entries
 from hornbeampulley.node._freshness import Freshness
--- a/hornbeampulley/node/_link_admission.py
+++ b/hornbeampulley/node/_link_admission.py
@@ -30,26 +30,27 @@
         The link.
     sock : trio socket
         Its connection.
-    held_bytes : int
-        Most bytes that it may hold until its hello has arrived.
+    admission : LinkAdmission
+        Counts the link.
 
     Attributes
     ----------
     sock : trio socket
         Its connection.
-    held_bytes : int
-        Most bytes that it may hold until its hello has arrived.
     progress_s : float
         Time, in s, at which it was accepted.
     """
 
     def __init__(
-        self, link: Link, sock: trio.socket.SocketType, held_bytes: int
+        self,
+        link: Link,
+        sock: trio.socket.SocketType,
+        admission: 'LinkAdmission',
     ) -> None:
         self.sock = sock
-        self.held_bytes = held_bytes
         self.progress_s = trio.current_time()
         self._link = link
+        self._admission = admission
 
     def measure_reclaimable(self) -> int:
         """Return how many bytes are given back when it is closed.
@@ -57,13 +58,14 @@
         Returns
         -------
         int
-            Number of bytes; 0 if it is closed already.
+            Number of bytes.
         """
-        return 0 if self._link.is_closed else self.held_bytes
+        return self._admission.link_bytes
 
     def evict(self) -> None:
-        """Close the link."""
+        """Close the link and count it no more."""
         self._link.close()
+        self._admission.release(self._link)
 
 
 class LinkAdmission:
@@ -95,6 +97,11 @@
         self._max_count = max_count
         self._pending: dict[Link, PendingLink] = {}
 
+    @property
+    def link_bytes(self) -> int:
+        """Most bytes that a link may hold until its hello has arrived."""
+        return CONNECTION_BYTES + self.max_hello_bytes
+
     @property
     def pending_count(self) -> int:
         """Number of links without a hello."""
@@ -117,11 +124,10 @@
         """
         if len(self._pending) >= self._max_count:
             self._evict_oldest()
-        held_bytes = CONNECTION_BYTES + self.max_hello_bytes
-        pending = PendingLink(link, sock, held_bytes)
+        pending = PendingLink(link, sock, self)
         self._pending[link] = pending
         self._clients.members.add(pending)
-        self._clients.held_bytes += held_bytes
+        self._clients.held_bytes += self.link_bytes
         self._clients.relieve()
 
     def identify(self, link: Link) -> None:
@@ -152,11 +158,10 @@
         pending = self._pending.pop(link, None)
         if pending is not None:
             self._clients.members.discard(pending)
-            self._clients.held_bytes -= pending.held_bytes
+            self._clients.held_bytes -= self.link_bytes
         return pending
 
     def _evict_oldest(self) -> None:
-        link = next(iter(self._pending))
-        link.close()
-        self.release(link)
+        oldest = next(iter(self._pending.values()))
+        oldest.evict()
         self.evicted += 1
--- a/hornbeampulley/node/_settings.py
+++ b/hornbeampulley/node/_settings.py
@@ -7,6 +7,7 @@
 from hornbeampulley._settings_kinds import ValueRule
 from hornbeampulley.endpoints import Endpoint
 from hornbeampulley.settings import HostSettings, LogSettings, read_sections
+from hornbeampulley.wire import MAX_FRAME_BYTES
 
 MAX_TIME_MS: Final = 3_600_000
 MAX_COUNT: Final = 1_000_000_000
@@ -32,7 +33,6 @@
 PROBE_SHARE: Final = 1 / 32
 MIN_CONNECTIONS: Final = 8
 MAX_LINKS: Final = 65_536
-MAX_FRAME_BYTES: Final = 4_194_304
 MIN_HELLO_BYTES: Final = 1024
 MIN_PART_BYTES: Final = 512
 MAX_PART_BYTES: Final = 65_536
--- a/tests/test_node_link_admission.py
+++ b/tests/test_node_link_admission.py
@@ -91,6 +91,9 @@
         assert links[0].is_closed
         assert not links[-1].is_closed
         assert clients.evicted > 0
+        assert not clients.count_excess()
+        open_count = sum(not link.is_closed for link in links)
+        assert clients.held_bytes == open_count * LINK_BYTES
 
     mock_run(scenario)
 
--- a/tests/test_node_settings.py
+++ b/tests/test_node_settings.py
@@ -134,6 +134,30 @@
         read(tmp_path, text=rendered)
 
 
+@pytest.mark.parametrize(
+    ('key', 'lowest', 'highest', 'default'),
+    [
+        ('max_pending_links', 8, 65_536, 256),
+        ('max_hello_bytes', 1024, 4_194_304, 16_384),
+        ('part_bytes', 512, 65_536, 4096),
+        ('warning_lines_per_s', 1, 1000, 20),
+    ],
+)
+def test_limits_for_clients_are_checked(
+    tmp_path, key, lowest, highest, default
+):
+    text = render(FIELDS)
+    assert getattr(read(tmp_path, text=text).limits, key) == default
+    for number in (lowest, highest):
+        with_limit = f'{text}\n[limits]\n{key} = {number}\n'
+        limits = read(tmp_path, text=with_limit).limits
+        assert getattr(limits, key) == number
+    for number in (lowest - 1, highest + 1):
+        with_limit = f'{text}\n[limits]\n{key} = {number}\n'
+        with pytest.raises(SettingsError, match=f'from {lowest} to {highest}'):
+            read(tmp_path, text=with_limit)
+
+
 def test_the_capacity_of_a_host_is_share_times_speed(tmp_path):
     capacity = read(tmp_path).resources.processor_capacity
     assert capacity == pytest.approx(2.151)
